--- a/src/libs/admission/server_pace.cc
+++ b/src/libs/admission/server_pace.cc
@@ -51,8 +51,8 @@
   return failures_ * std::exp2(-(Seconds(now - failures_at_) / kForgetting));
 }
 
-bool ServerPace::IsPoor(Instant now) const {
-  return Slowness(now) >= kSlow || FailureShare(now) >= kFaulty;
+bool ServerPace::IsPoor(Instant now, double usual_slowness) const {
+  return Slowness(now) >= kSlow * usual_slowness || FailureShare(now) >= kFaulty;
 }
 
 }  // namespace chestnutport::admission
--- a/src/libs/admission/server_pace.h
+++ b/src/libs/admission/server_pace.h
@@ -26,8 +26,9 @@
   double Slowness(base::Instant now) const;
   // Of the recent results, the share that was no good; forgotten with time.
   double FailureShare(base::Instant now) const;
-  // Whether a request does better at any other server.
-  bool IsPoor(base::Instant now) const;
+  // Whether a request does better at another server, if those are
+  // `usual_slowness` times slower than usual as a rule.
+  bool IsPoor(base::Instant now, double usual_slowness = 1) const;
 
  private:
   double slowness_ = 1;
--- a/src/libs/declarations/configuration.h
+++ b/src/libs/declarations/configuration.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,11 @@
                                   std::string_view path) const;
 };
 
+// Shared, as an exception: every thread of a node reads it, it never changes,
+// and a copy of a large one for each change of the fleet costs more than the
+// change. Never null.
+using SharedConfiguration = std::shared_ptr<const Configuration>;
+
 }  // namespace chestnutport::declarations
 
 #endif  // DECLARATIONS_CONFIGURATION_H_
--- a/src/libs/node/configuration_keeper.cc
+++ b/src/libs/node/configuration_keeper.cc
@@ -101,7 +101,8 @@
     return adoption;
   auto texts =
       configuration::Assemble(held_.head().manifest, held_.documents());
-  configuration_ = store_.form().parse(head.revision, *std::move(texts));
+  configuration_ = std::make_shared<const declarations::Configuration>(
+      store_.form().parse(head.revision, *std::move(texts)));
   LogEvent(Event::kConfigurationInForce,
            {{"revision", absl::StrCat(head.revision)}});
   changed_(head.revision);
--- a/src/libs/node/configuration_keeper.h
+++ b/src/libs/node/configuration_keeper.h
@@ -52,6 +52,9 @@
                ConfirmHandler handler);
 
   const declarations::Configuration& configuration() const {
+    return *configuration_;
+  }
+  const declarations::SharedConfiguration& shared_configuration() const {
     return configuration_;
   }
   const configuration::HeldConfiguration& held() const { return held_; }
@@ -67,7 +70,9 @@
   base::Random random_;
   configuration::HeldConfiguration held_;
   configuration::PackedDocuments packed_;
-  declarations::Configuration configuration_;  // Parsed from `held_`.
+  // Parsed from `held_`.
+  declarations::SharedConfiguration configuration_ =
+      std::make_shared<const declarations::Configuration>();
   ChangedHandler changed_;
   ConfigurationStore store_;
   ConfigurationReader reader_;
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -260,7 +260,7 @@
 
 void Control::PublishSnapshot() {
   TrafficSnapshot snapshot;
-  snapshot.configuration = configuration_.configuration();
+  snapshot.configuration = configuration_.shared_configuration();
   for (const membership::Member& member : members_) {
     if (member.server && member.state != membership::MemberState::kGone)
       snapshot.servers[member.server->service].push_back(ToCandidate(member));
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -169,7 +169,7 @@
   }
   const base::Instant now = base::Clock::now();
   freeze_watch_.Look(now);
-  if (head.may_move && server_.TakesWork() && HandsBack(now)) {
+  if (head.may_move && server_.TakesWork() && HandsBack(head, now)) {
     LogDecision(head.request_name, ErrorKind::kServerSlow, {}, std::nullopt);
     SendAnswer(reply, wire::MakeErrorAnswer(ErrorKind::kServerSlow));
     return;
@@ -209,8 +209,9 @@
   Perform(actions);
 }
 
-bool Gate::HandsBack(base::Instant now) const {
-  return pace_.IsPoor(now) || !admission_.HasRoom(now);
+bool Gate::HandsBack(const wire::PeerRequestHead& head,
+                     base::Instant now) const {
+  return pace_.IsPoor(now, head.usual_slowness) || !admission_.HasRoom(now);
 }
 
 void Gate::Settle(const net::HttpRequest& request, net::Reply reply) {
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -69,7 +69,7 @@
              net::HttpRequest request,
              net::Reply reply);
   // Whether another server would do better with a request that may move.
-  bool HandsBack(base::Instant now) const;
+  bool HandsBack(const wire::PeerRequestHead& head, base::Instant now) const;
   // Takes note of what the server says of itself with an answer.
   void NoteLoad(const net::HttpHeaders& headers, base::Instant now);
   void NoteVerdict(net::TransferEnd end,
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -139,11 +139,11 @@
 
 void Ingress::SetSnapshot(TrafficSnapshot snapshot) {
   snapshot_ = std::move(snapshot);
-  recorder_.SetConfiguration(snapshot_.configuration);
-  const declarations::CallerLimits& limits = snapshot_.configuration.limits;
+  recorder_.SetConfiguration(*snapshot_.configuration);
+  const declarations::CallerLimits& limits = snapshot_.configuration->limits;
   if (listener_)
     listener_->set_limits(ListenerLimits(limits));
-  for (const auto& declaration : snapshot_.configuration.services) {
+  for (const auto& declaration : snapshot_.configuration->services) {
     ServiceTraffic& service = Traffic(declaration.name);
     service.SetDeclaration(declaration);
     if (snapshot_.retries)
@@ -159,7 +159,7 @@
 
 void Ingress::OnRequest(net::HttpRequest http, net::Reply reply) {
   const std::string request_id = protocol_.request_id(http);
-  auto read = protocol_.read(snapshot_.configuration, std::move(http), random_);
+  auto read = protocol_.read(*snapshot_.configuration, std::move(http), random_);
   if (!read) {
     Reject(request_id, std::move(reply), base::KindOf(read.error()));
     return;
@@ -209,7 +209,7 @@
       protocol_.error_answer({error, retry_after, call.request.name});
   LogCallEnd(
       call,
-      {error, answer.status, retry_after, snapshot_.configuration.revision},
+      {error, answer.status, retry_after, snapshot_.configuration->revision},
       loop_.now());
   call.reply.Send(std::move(answer));
 }
@@ -282,7 +282,7 @@
       Record(call, std::nullopt, call.attempts[step.attempt].answer);
       LogCallEnd(call,
                  {.status = call.attempts[step.attempt].answer.status,
-                  .revision = snapshot_.configuration.revision},
+                  .revision = snapshot_.configuration->revision},
                  loop_.now());
       sender_.Relay(call.attempts[step.attempt].id,
                     ForCaller(std::move(call.attempts[step.attempt].answer)),
@@ -327,6 +327,7 @@
     head.target_in = std::max<base::Duration>(
         call.arrived_at + call.request.target_latency - now, {});
   }
+  head.usual_slowness = call.service->chooser().UsualSlowness();
   head.may_move = has_others && attempt < call.request.most_moves;
   head.remaining =
       std::max<base::Duration>(call.decision.deadline() - now, kLeastRemaining);
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -95,9 +95,10 @@
             adapters,
             {[this](TrafficSnapshot snapshot) {
                TellGate(snapshot.configuration);
-               ingress_loop.Post([this, snapshot = std::move(snapshot)] {
-                 ingress.SetSnapshot(snapshot);
-               });
+               ingress_loop.Post(
+                   [this, snapshot = std::move(snapshot)]() mutable {
+                     ingress.SetSnapshot(std::move(snapshot));
+                   });
              },
              [this](const ServerState& server) {
                gate_loop.Post([this, server] { gate.SetServer(server); });
@@ -117,13 +118,13 @@
   }
 
   // The gate knows the declared names; it needs no more of a snapshot.
-  void TellGate(const declarations::Configuration& configuration) {
-    if (std::exchange(gate_revision, configuration.revision) ==
-        configuration.revision) {
+  void TellGate(const declarations::SharedConfiguration& configuration) {
+    if (std::exchange(gate_revision, configuration->revision) ==
+        configuration->revision) {
       return;
     }
     gate_loop.Post(
-        [this, configuration] { gate.SetConfiguration(configuration); });
+        [this, configuration] { gate.SetConfiguration(*configuration); });
   }
 
   base::Random random;
--- a/src/libs/node/traffic_snapshot.h
+++ b/src/libs/node/traffic_snapshot.h
@@ -4,6 +4,7 @@
 #define NODE_TRAFFIC_SNAPSHOT_H_
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,7 +16,8 @@
 namespace chestnutport::node {
 
 struct TrafficSnapshot {
-  declarations::Configuration configuration;
+  declarations::SharedConfiguration configuration =
+      std::make_shared<const declarations::Configuration>();
   std::map<std::string, std::vector<routing::ServerCandidate>, std::less<>>
       servers;  // By service.
   // If second attempts are bounded for the whole fleet.
--- /dev/null
+++ b/src/libs/routing/recent_slowness.cc
@@ -0,0 +1,22 @@
+#include "routing/recent_slowness.h"
+
+#include <algorithm>
+
+namespace chestnutport::routing {
+namespace {
+
+constexpr size_t kUsualPart = 3;  // Of the reports, from the lowest on.
+
+}  // namespace
+
+void RecentSlowness::OnReport(double slowness) {
+  reports_[count_ % kKept] = slowness;
+  ++count_;
+  auto sorted = reports_;
+  const size_t held = std::min(count_, kKept);
+  const auto usual = sorted.begin() + held / kUsualPart;
+  std::nth_element(sorted.begin(), usual, sorted.begin() + held);
+  usual_ = std::max(1.0, *usual);
+}
+
+}  // namespace chestnutport::routing
--- /dev/null
+++ b/src/libs/routing/recent_slowness.h
@@ -0,0 +1,36 @@
+// How slow the servers of a service are as a rule just now, from what their
+// gates reported last.
+//
+// After all VMs of a fleet started, every server is cold, and none is a poor
+// choice for being as slow as the rest.
+#ifndef ROUTING_RECENT_SLOWNESS_H_
+#define ROUTING_RECENT_SLOWNESS_H_
+
+#include <array>
+#include <cstddef>
+
+namespace chestnutport::routing {
+
+class RecentSlowness {
+ public:
+  // A gate said that its server takes `slowness` times as long as usual.
+  void OnReport(double slowness);
+
+  // What a third of the recent reports do not exceed; at least 1. A third,
+  // because servers under a busy neighbour hand work back and so report more
+  // often than the others.
+  double usual() const { return usual_; }
+
+ private:
+  // Reports kept: enough for a third of them to mean something, few enough
+  // that a node with some ten requests a second notices a change within one.
+  static constexpr size_t kKept = 12;
+
+  std::array<double, kKept> reports_{};
+  size_t count_ = 0;  // Of all reports, also those not kept any more.
+  double usual_ = 1;
+};
+
+}  // namespace chestnutport::routing
+
+#endif  // ROUTING_RECENT_SLOWNESS_H_
--- a/src/libs/routing/server_estimate.cc
+++ b/src/libs/routing/server_estimate.cc
@@ -157,6 +157,7 @@
   has_report_ = true;
   reported_at_ = now;
   service.OnLoadOfOthers(share);
+  service.OnSlowness(load.slowness);
 }
 
 Seconds ServerEstimate::ExpectedTime(int slots,
--- a/src/libs/routing/service_estimate.h
+++ b/src/libs/routing/service_estimate.h
@@ -4,6 +4,7 @@
 #define ROUTING_SERVICE_ESTIMATE_H_
 
 #include "base/time.h"
+#include "routing/recent_slowness.h"
 
 namespace chestnutport::routing {
 
@@ -18,14 +19,20 @@
   // slots.
   void OnLoadOfOthers(double share);
 
+  // Of a load report: how many times longer than usual a server takes.
+  void OnSlowness(double slowness) { slowness_.OnReport(slowness); }
+
   // What an answer usually takes.
   Seconds typical_latency() const { return typical_latency_; }
   // The usual load that other nodes put on a server, as a share of its slots.
   double typical_load_of_others() const { return typical_load_of_others_; }
+  // How many times longer than usual its servers take as a rule just now.
+  double usual_slowness() const { return slowness_.usual(); }
 
  private:
   Seconds typical_latency_{0.01};  // A guess until answers come.
   double typical_load_of_others_ = 0;
+  RecentSlowness slowness_;
 };
 
 }  // namespace chestnutport::routing
--- a/src/libs/wire/peer_request_head.cc
+++ b/src/libs/wire/peer_request_head.cc
@@ -1,6 +1,8 @@
 #include "wire/peer_request_head.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 #include "base/encoding.h"
 #include "base/text.h"
 #include "wire/header_names.h"
@@ -13,6 +15,14 @@
 
 constexpr char kYes[] = "1";
 
+// What is missing or no number of 1 or more counts as 1.
+double ReadSlowness(std::string_view text) {
+  double slowness = 1;
+  if (!absl::SimpleAtod(base::AbslView(text), &slowness))
+    return 1;
+  return slowness >= 1 ? slowness : 1;
+}
+
 }  // namespace
 
 void PeerRequestHead::AppendTo(net::HttpHeaders& headers,
@@ -30,6 +40,10 @@
     headers.push_back({kTargetInHeader, base::FormatDuration(*target_in)});
   if (may_move)
     headers.push_back({kMayMoveHeader, kYes});
+  if (may_move && usual_slowness > 1) {
+    headers.push_back(
+        {kUsualSlownessHeader, absl::StrFormat("%.2f", usual_slowness)});
+  }
   if (may_stop)
     headers.push_back({kMayStopHeader, kYes});
   if (!request_name.empty())
@@ -54,6 +68,7 @@
   head.remaining = *remaining;
   head.target_in = base::ParseDuration(FindHeader(headers, kTargetInHeader));
   head.may_move = FindHeader(headers, kMayMoveHeader) == kYes;
+  head.usual_slowness = ReadSlowness(FindHeader(headers, kUsualSlownessHeader));
   head.may_stop = FindHeader(headers, kMayStopHeader) == kYes;
   head.request_name = FindHeader(headers, kRequestNameHeader);
   head.service = FindHeader(headers, kServiceHeader);
--- a/src/libs/wire/peer_request_head.h
+++ b/src/libs/wire/peer_request_head.h
@@ -25,6 +25,9 @@
   // deadline.
   std::optional<base::Duration> target_in;
   bool may_move = false;     // The gate may hand it back unrun.
+  // How many times slower than usual the service's servers are as a rule just
+  // now: one that is as slow as the others is no reason to hand back.
+  double usual_slowness = 1;
   bool may_stop = false;     // One that runs may be stopped halfway.
   std::string request_name;  // As the caller named it; may be empty.
 
--- a/tests/auto/admission/server_pace_test.cc
+++ b/tests/auto/admission/server_pace_test.cc
@@ -24,6 +24,11 @@
     CHECK_FALSE(pace.IsPoor(kStart + milliseconds(200)));
     CHECK(pace.Slowness(kStart + milliseconds(200)) == 1);
   }
+  SECTION("unless the others are as slow") {
+    CHECK_FALSE(pace.IsPoor(kStart, 4));
+    pace.OnSlowness(8, kStart);
+    CHECK(pace.IsPoor(kStart, 4));
+  }
   SECTION("a little slower than usual is not slow") {
     pace.OnSlowness(1.5, kStart);
     CHECK_FALSE(pace.IsPoor(kStart));
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/node/ingress_test.cc
@@ -104,8 +104,11 @@
     service.name = "dossie";
     service.path_prefix = "/";
     service.repeatable = {{"GET", "/"}};
-    snapshot.configuration.revision = 1;
-    snapshot.configuration.services = {service};
+    declarations::Configuration configuration;
+    configuration.revision = 1;
+    configuration.services = {service};
+    snapshot.configuration =
+        std::make_shared<const declarations::Configuration>(configuration);
     for (const auto& peer : peers_)
       snapshot.servers["dossie"].push_back(peer->Candidate());
     ingress_.SetSnapshot(snapshot);
