--- a/src/libs/admission/server_pace.cc
+++ b/src/libs/admission/server_pace.cc
@@ -52,7 +52,8 @@
 }
 
 bool ServerPace::IsPoor(Instant now, double usual_slowness) const {
-  return Slowness(now) >= kSlow * usual_slowness || FailureShare(now) >= kFaulty;
+  return Slowness(now) >= kSlow * usual_slowness ||
+         FailureShare(now) >= kFaulty;
 }
 
 }  // namespace chestnutport::admission
--- a/src/libs/declarations/configuration.cc
+++ b/src/libs/declarations/configuration.cc
@@ -17,18 +17,6 @@
   return configuration;
 }
 
-const RouteDeclaration* Configuration::MatchRoute(std::string_view host,
-                                                  std::string_view path) const {
-  const RouteDeclaration* best = nullptr;
-  for (const RouteDeclaration& route : routes) {
-    const bool is_longer =
-        !best || route.path_prefix.size() > best->path_prefix.size();
-    if (is_longer && route.host == host && path.starts_with(route.path_prefix))
-      best = &route;
-  }
-  return best;
-}
-
 const ServiceDeclaration* Configuration::FindService(
     std::string_view name) const {
   const auto found =
--- a/src/libs/declarations/configuration.h
+++ b/src/libs/declarations/configuration.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-#include "declarations/route_declaration.h"
+#include "declarations/route_table.h"
 #include "declarations/service_declaration.h"
 
 namespace chestnutport::declarations {
@@ -36,12 +36,9 @@
 
   // Routes that are declared beside the services, if the source of the
   // configuration has such; a service's own host and path are another way.
-  std::vector<RouteDeclaration> routes;
+  RouteTable routes;
   CallerLimits limits;
 
-  // The route for a request; the longest path prefix wins. Null if none.
-  const RouteDeclaration* MatchRoute(std::string_view host,
-                                     std::string_view path) const;
   // Null if none of that name is declared.
   const ServiceDeclaration* FindService(std::string_view name) const;
   // The service for a request; the longest path prefix wins. Null if none.
--- /dev/null
+++ b/src/libs/declarations/route_table.cc
@@ -0,0 +1,36 @@
+#include "declarations/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/text.h"
+
+namespace chestnutport::declarations {
+
+RouteTable::RouteTable(std::vector<RouteDeclaration> routes)
+    : size_(routes.size()) {
+  for (RouteDeclaration& route : routes) {
+    auto& of_host = by_host_[route.host];
+    of_host.push_back(std::move(route));
+  }
+  for (auto& [host, of_host] : by_host_) {
+    std::ranges::stable_sort(of_host, std::ranges::greater(),
+                             [](const RouteDeclaration& route) {
+                               return route.path_prefix.size();
+                             });
+  }
+}
+
+const RouteDeclaration* RouteTable::Match(std::string_view host,
+                                          std::string_view path) const {
+  const auto found = by_host_.find(base::AbslView(host));
+  if (found == by_host_.end())
+    return nullptr;
+  const auto route =
+      std::ranges::find_if(found->second, [path](const auto& candidate) {
+        return path.starts_with(candidate.path_prefix);
+      });
+  return route == found->second.end() ? nullptr : &*route;
+}
+
+}  // namespace chestnutport::declarations
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -159,7 +159,8 @@
 
 void Ingress::OnRequest(net::HttpRequest http, net::Reply reply) {
   const std::string request_id = protocol_.request_id(http);
-  auto read = protocol_.read(*snapshot_.configuration, std::move(http), random_);
+  auto read =
+      protocol_.read(*snapshot_.configuration, std::move(http), random_);
   if (!read) {
     Reject(request_id, std::move(reply), base::KindOf(read.error()));
     return;
--- a/src/libs/wire/peer_request_head.h
+++ b/src/libs/wire/peer_request_head.h
@@ -24,7 +24,7 @@
   // Until an answer is worth less; nothing: it is worth the same until the
   // deadline.
   std::optional<base::Duration> target_in;
-  bool may_move = false;     // The gate may hand it back unrun.
+  bool may_move = false;  // The gate may hand it back unrun.
   // How many times slower than usual the service's servers are as a rule just
   // now: one that is as slow as the others is no reason to hand back.
   double usual_slowness = 1;
