Ask a server for its pace before a request is started, and move more often

Cause: a request keeps the pace at which its server's VM was when it started. Ruled out: queues (none waited), the knee (2 in flight of 12), nested calls. Gates log late answers too, with the pace at admission and its age, and calls log when each attempt was sent and how long it took.

--- a/src/libs/admission/probe_scheduler.cc
+++ b/src/libs/admission/probe_scheduler.cc
@@ -11,6 +11,12 @@
 // A probe that could not take even this long would tell nothing.
 constexpr Duration kLeastTime = std::chrono::milliseconds(10);
 constexpr Duration kMostTime = std::chrono::milliseconds(50);
+// The longest that a request waits for a probe: a fifth of the shortest target
+// that the users declare, 100 ms, and several times what a server takes that is
+// well.
+constexpr Duration kMostLookTime = std::chrono::milliseconds(20);
+// So long a server without an answer counts as slow: half a usual spell.
+constexpr Duration kSilenceHolds = std::chrono::milliseconds(150);
 
 }  // namespace
 
@@ -19,6 +25,19 @@
       now < last_probe_ + options_.quiet) {
     return std::nullopt;
   }
+  return Pay(kMostTime, now);
+}
+
+bool ProbeScheduler::IsStale(Instant now) const {
+  return options_.stale > Duration::zero() && now >= silent_until_ &&
+         now >= last_answer_ + options_.stale;
+}
+
+std::optional<Duration> ProbeScheduler::BeginLook(Instant now) {
+  return running_ ? std::nullopt : Pay(kMostLookTime, now);
+}
+
+std::optional<Duration> ProbeScheduler::Pay(Duration longest, Instant now) {
   while (!payments_.empty() && payments_.front().begun + kProbeWindow <= now)
     payments_.pop_front();
   const Duration window = std::min<Duration>(kProbeWindow, now - began_);
@@ -28,7 +47,7 @@
     left -= payment.cost;
   if (left < kLeastTime)
     return std::nullopt;
-  const Duration most = std::min(left, kMostTime);
+  const Duration most = std::min<Duration>(left, longest);
   payments_.push_back({now, most});
   last_probe_ = now;
   running_ = true;
@@ -44,6 +63,8 @@
   spent_ += cost;
   if (answered)
     last_answer_ = now;
+  else
+    silent_until_ = now + kSilenceHolds;
 }
 
 }  // namespace chestnutport::admission
--- a/src/libs/admission/probe_scheduler.h
+++ b/src/libs/admission/probe_scheduler.h
@@ -22,6 +22,9 @@
   double budget = 0.005;  // Share of the server's time.
   // Without an answer for so long, traffic tells too little.
   base::Duration quiet = std::chrono::seconds(2);
+  // Without an answer for so long, a request that could go elsewhere is not
+  // started before a probe has ended; zero: it is started at once.
+  base::Duration stale{};
 };
 
 class ProbeScheduler {
@@ -37,6 +40,12 @@
 
   // Starts a probe if one is due; it must be ended within the time returned.
   std::optional<base::Duration> Begin(base::Instant now);
+  // Whether the server's last word is too old to start a request by. Not for a
+  // while after a probe without an answer: that is known of it.
+  bool IsStale(base::Instant now) const;
+  // Starts a probe that a request waits for, whatever `quiet` says.
+  std::optional<base::Duration> BeginLook(base::Instant now);
+  bool IsRunning() const { return running_; }
   // The probe ended after `cost`.
   void End(base::Duration cost, bool answered, base::Instant now);
 
@@ -49,10 +58,14 @@
     base::Duration cost;
   };
 
+  // Pays for a probe of up to `longest`; nothing if the budget is used up.
+  std::optional<base::Duration> Pay(base::Duration longest, base::Instant now);
+
   ProbeOptions options_;
   base::Instant began_;
   base::Instant last_answer_;
   base::Instant last_probe_;
+  base::Instant silent_until_;    // The last probe had no answer.
   std::deque<Payment> payments_;  // Of the current window.
   bool running_ = false;
   uint64_t probes_ = 0;
--- a/src/libs/admission/server_pace.cc
+++ b/src/libs/admission/server_pace.cc
@@ -47,6 +47,12 @@
   return now - slowness_at_ <= kTrusted ? slowness_ : 1;
 }
 
+std::optional<Duration> ServerPace::Age(Instant now) const {
+  if (slowness_at_ == Instant())
+    return std::nullopt;
+  return now - slowness_at_;
+}
+
 double ServerPace::FailureShare(Instant now) const {
   return failures_ * std::exp2(-(Seconds(now - failures_at_) / kForgetting));
 }
--- a/src/libs/admission/server_pace.h
+++ b/src/libs/admission/server_pace.h
@@ -7,6 +7,8 @@
 #ifndef ADMISSION_SERVER_PACE_H_
 #define ADMISSION_SERVER_PACE_H_
 
+#include <optional>
+
 #include "base/time.h"
 
 namespace chestnutport::admission {
@@ -24,6 +26,8 @@
 
   // What was last said, while it is recent; else 1.
   double Slowness(base::Instant now) const;
+  // How old the server's last word on its slowness is; nothing: there is none.
+  std::optional<base::Duration> Age(base::Instant now) const;
   // Of the recent results, the share that was no good; forgotten with time.
   double FailureShare(base::Instant now) const;
   // Whether a request does better at another server, if those are
--- /dev/null
+++ b/src/libs/calls/move_limits.h
@@ -0,0 +1,23 @@
+// How often one call may be handed back, unrun, by gates whose servers are in a
+// poor state before one has to take it.
+#ifndef CALLS_MOVE_LIMITS_H_
+#define CALLS_MOVE_LIMITS_H_
+
+namespace chestnutport::calls {
+
+struct MoveLimits {
+  // While servers are slow or fail.
+  int if_poor = 0;
+  // While servers are full as well. Fewer, because all of them may be: then
+  // each move is one more exchange for nothing.
+  int if_full = 0;
+};
+
+// A quarter to a third of a fleet's servers is slow at a time: the chance that
+// seven in a row are is one in 1,500 at most, and that three are one in 23. A
+// move takes two to five milliseconds.
+inline constexpr MoveLimits kUsualMoves{.if_poor = 7, .if_full = 3};
+
+}  // namespace chestnutport::calls
+
+#endif  // CALLS_MOVE_LIMITS_H_
--- a/src/libs/declarations/route_table.cc
+++ b/src/libs/declarations/route_table.cc
@@ -14,10 +14,9 @@
     of_host.push_back(std::move(route));
   }
   for (auto& [host, of_host] : by_host_) {
-    std::ranges::stable_sort(of_host, std::ranges::greater(),
-                             [](const RouteDeclaration& route) {
-                               return route.path_prefix.size();
-                             });
+    std::ranges::stable_sort(
+        of_host, std::ranges::greater(),
+        [](const RouteDeclaration& route) { return route.path_prefix.size(); });
   }
 }
 
--- a/src/libs/declarations/service_declaration.h
+++ b/src/libs/declarations/service_declaration.h
@@ -56,6 +56,9 @@
   std::string health_path;
   // Without an answer for so long, a server is probed.
   base::Duration probe_quiet = std::chrono::seconds(2);
+  // Without an answer for so long, a request waits for a probe before it is
+  // started, if it could go to another server; zero: it does not wait.
+  base::Duration probe_stale{};
   // False: a server is given as many requests as it has slots, whatever is
   // measured.
   bool adapts_limit = true;
--- a/src/libs/node/active_call.h
+++ b/src/libs/node/active_call.h
@@ -24,8 +24,10 @@
 struct SentAttempt {
   base::AttemptId id;
   routing::ServerCandidate server;
+  base::Instant sent_at;
   net::HttpAnswer answer;                // The server's, once it came.
   std::optional<calls::AttemptEnd> end;  // Once it ended.
+  base::Instant ended_at;                // Of no meaning before that.
 };
 
 struct ActiveCall {
--- a/src/libs/node/caller_request.h
+++ b/src/libs/node/caller_request.h
@@ -7,6 +7,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "calls/move_limits.h"
 #include "declarations/configuration.h"
 #include "net/http_message.h"
 
@@ -25,8 +26,7 @@
   std::string idempotency_key;
   bool may_stop = false;  // One that runs may be stopped halfway.
   int most_servers = 3;   // That it may be handed to.
-  // Gates in a poor state that may hand it back before it reached a server.
-  int most_moves = 0;
+  calls::MoveLimits moves;
   // An answer is worth most until then; zero: it is worth the same until the
   // deadline.
   base::Duration target_latency{};
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -56,6 +56,7 @@
   options.adaptive = service.adapts_limit;
   server.probes.budget = service.probe_budget;
   server.probes.quiet = service.probe_quiet;
+  server.probes.stale = service.probe_stale;
   if (server.health_path.empty())
     server.health_path = service.health_path;
 }
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -26,8 +26,6 @@
 constexpr std::chrono::milliseconds kTickInterval(10);
 constexpr std::chrono::milliseconds kReportInterval(200);
 
-constexpr int kServerError = 500;
-
 // Connections to the own server: it is the only one to be spoken to, and runs
 // no more requests than the limit lets through.
 net::HttpClientOptions ServerConnections(const AnyServerProtocol& protocol) {
@@ -45,7 +43,17 @@
 
 }  // namespace
 
-// An attempt from its arrival to its answer.
+// An attempt as it came from its ingress.
+struct Gate::Arrival {
+  wire::PeerRequestHead head;
+  net::HttpRequest request;
+  net::Reply reply;
+  base::Instant arrived_at;
+  base::Instant deadline;
+  std::optional<base::Instant> target;  // An answer is worth less after it.
+};
+
+// An attempt from its admission to its answer.
 struct Gate::Attempt {
   AttemptId id;
   base::Instant deadline;
@@ -56,6 +64,10 @@
   std::string traffic_class;
   base::Instant arrived_at;
   std::optional<base::Instant> started_at;  // When the server got it.
+  std::optional<base::Instant> target;      // An answer is worth less after it.
+  // Of the server, as it was known when the attempt was admitted.
+  double slowness = 1;
+  std::optional<base::Duration> slowness_age;
   std::string method;
   net::HttpRequest request;
   net::Reply reply;
@@ -76,8 +88,7 @@
       protocol_(std::move(protocol)),
       keyed_requests_(identity_.id),
       client_(loop, ServerConnections(protocol_)),
-      prober_(loop,
-              [this](const net::TransferResult& result) { OnProbed(result); }),
+      observer_(loop, protocol_, [this] { AdmitWaiting(); }),
       report_(std::move(report)) {
   dispatcher_.Add("attempt.settle", [this](const std::string& params) {
     return AnswerSettle(params);
@@ -108,12 +119,9 @@
   server_ = server;
   const base::Instant now = base::Clock::now();
   admission_.set_options(server.admission);
-  prober_.SetServer(server);
-  if (has_started) {
+  observer_.SetServer(server, has_started);
+  if (has_started)
     admission_.OnServerStarted(now);
-    pace_.Reset();
-    is_replaced_ = false;
-  }
   if (server.TakesWork()) {
     empty_told_ = false;
     if (!on_empty_)
@@ -151,7 +159,7 @@
   if (request.target == kSettlePath)
     Settle(request, std::move(reply));
   else
-    Admit(*head, std::move(request), std::move(reply));
+    Receive(*head, std::move(request), std::move(reply));
 }
 
 bool Gate::IsAuthorized(const wire::PeerRequestHead& head,
@@ -160,58 +168,97 @@
          head.IsSignedWith(headers, keys_.previous);
 }
 
-void Gate::Admit(const wire::PeerRequestHead& head,
-                 net::HttpRequest request,
-                 net::Reply reply) {
-  if (!server_.announced || server_.service != head.service || is_replaced_) {
-    SendAnswer(reply, wire::MakeErrorAnswer(ErrorKind::kNoServer));
+void Gate::Receive(const wire::PeerRequestHead& head,
+                   net::HttpRequest request,
+                   net::Reply reply) {
+  const base::Instant now = base::Clock::now();
+  freeze_watch_.Look(now);
+  Arrival arrival{
+      .head = head,
+      .request = std::move(request),
+      .reply = std::move(reply),
+      .arrived_at = now,
+      .deadline = now + head.remaining - freeze_watch_.UnseenWait(now),
+      .target = TargetOf(head, now)};
+  // How slow the server is when a request starts decides how long it takes, so
+  // one that could go elsewhere waits for the server's word if there is none of
+  // now.
+  const bool may_wait =
+      head.may_move && server_.TakesWork() && admission_.HasRoom(now);
+  if (may_wait && observer_.Look(now))
+    waiting_for_look_.push_back(std::move(arrival));
+  else
+    Admit(std::move(arrival));
+}
+
+void Gate::AdmitWaiting() {
+  for (Arrival& arrival : std::exchange(waiting_for_look_, {}))
+    Admit(std::move(arrival));
+}
+
+void Gate::Admit(Arrival arrival) {
+  const wire::PeerRequestHead& head = arrival.head;
+  if (!server_.announced || server_.service != head.service ||
+      observer_.is_replaced()) {
+    SendAnswer(arrival.reply, wire::MakeErrorAnswer(ErrorKind::kNoServer));
     return;
   }
   const base::Instant now = base::Clock::now();
-  freeze_watch_.Look(now);
   if (head.may_move && server_.TakesWork() && HandsBack(head, now)) {
-    LogDecision(head.request_name, ErrorKind::kServerSlow, {}, std::nullopt);
-    SendAnswer(reply, wire::MakeErrorAnswer(ErrorKind::kServerSlow));
+    LogDecision({.request = head.request_name,
+                 .error = ErrorKind::kServerSlow,
+                 .admitted_slowness = observer_.pace().Slowness(now),
+                 .slowness_age = observer_.pace().Age(now)});
+    SendAnswer(arrival.reply, wire::MakeErrorAnswer(ErrorKind::kServerSlow));
     return;
   }
   if (!attempts_.contains(head.attempt)) {
-    if (auto answer = keyed_requests_.Begin(head, request, now)) {
-      SendAnswer(reply, *std::move(answer));
+    if (auto answer = keyed_requests_.Begin(head, arrival.request, now)) {
+      SendAnswer(arrival.reply, *std::move(answer));
       return;
     }
   }
-  const base::Instant deadline =
-      now + head.remaining - freeze_watch_.UnseenWait(now);
   const AdmissionActions actions =
       admission_.Arrive({head.attempt, head.tenant, head.traffic_class,
-                         deadline, TargetOf(head, now)},
+                         arrival.deadline, arrival.target},
                         now);
   if (attempts_.contains(head.attempt)) {
-    SendAnswer(reply, wire::MakeErrorAnswer(ErrorKind::kDuplicateAttempt));
+    SendAnswer(arrival.reply,
+               wire::MakeErrorAnswer(ErrorKind::kDuplicateAttempt));
     return;
   }
+  Keep(std::move(arrival));
+  Perform(actions);
+}
+
+void Gate::Keep(Arrival arrival) {
+  const wire::PeerRequestHead& head = arrival.head;
   auto attempt = std::make_unique<Attempt>();
   attempt->id = head.attempt;
-  attempt->deadline = deadline;
+  attempt->deadline = arrival.deadline;
   attempt->may_stop = head.may_stop;
   attempt->name = head.request_name;
   attempt->service = head.service;
   attempt->tenant = head.tenant;
   attempt->traffic_class = head.traffic_class;
-  attempt->arrived_at = now;
-  attempt->method = request.method;
-  attempt->request = std::move(request);
-  attempt->reply = std::move(reply);
+  attempt->arrived_at = arrival.arrived_at;
+  attempt->target = arrival.target;
+  const base::Instant now = base::Clock::now();
+  attempt->slowness = observer_.pace().Slowness(now);
+  attempt->slowness_age = observer_.pace().Age(now);
+  attempt->method = arrival.request.method;
+  attempt->request = std::move(arrival.request);
+  attempt->reply = std::move(arrival.reply);
   attempt->reply.OnGone([this, id = head.attempt] {
     loop_.Defer(this, [this, id] { OnPeerGone(id); });
   });
   attempts_.emplace(head.attempt, std::move(attempt));
-  Perform(actions);
 }
 
 bool Gate::HandsBack(const wire::PeerRequestHead& head,
                      base::Instant now) const {
-  return pace_.IsPoor(now, head.usual_slowness) || !admission_.HasRoom(now);
+  return observer_.pace().IsPoor(now, head.usual_slowness) ||
+         (head.may_move_if_full && !admission_.HasRoom(now));
 }
 
 void Gate::Settle(const net::HttpRequest& request, net::Reply reply) {
@@ -341,7 +388,7 @@
   const ServerVerdict verdict = result.end == net::TransferEnd::kComplete
                                     ? protocol_.judge(result.answer)
                                     : ServerVerdict::kUnusable;
-  NoteVerdict(result.end, verdict, result.answer, now);
+  observer_.OnRequestEnd(result.end, verdict, result.answer, now);
   AdmissionActions actions =
       admission_.Finish(id, now, ToServerResult(result.end, verdict));
   auto node = attempts_.extract(id);
@@ -362,42 +409,6 @@
   CheckEmpty();
 }
 
-void Gate::NoteLoad(const net::HttpHeaders& headers, base::Instant now) {
-  if (const auto load = protocol_.load(headers))
-    pace_.OnSlowness(load->slowness, now);
-}
-
-void Gate::NoteVerdict(net::TransferEnd end,
-                       ServerVerdict verdict,
-                       const net::HttpAnswer& answer,
-                       base::Instant now) {
-  const bool is_whole = end == net::TransferEnd::kComplete;
-  if (is_whole) {
-    prober_.OnAnswer(now);
-    NoteLoad(answer.headers, now);
-  }
-  if (is_whole && verdict == ServerVerdict::kOtherInstance) {
-    is_replaced_ = true;
-    telemetry::LogEvent(telemetry::Event::kServerReplaced,
-                        {{"expected", server_.instance},
-                         {"found", protocol_.instance(answer.headers)}});
-    return;
-  }
-  pace_.OnResult(is_whole && verdict == ServerVerdict::kAnswered &&
-                     answer.status < kServerError,
-                 now);
-}
-
-void Gate::OnProbed(const net::TransferResult& result) {
-  const base::Instant now = base::Clock::now();
-  if (result.end == net::TransferEnd::kComplete)
-    NoteLoad(result.answer.headers, now);
-  else if (result.end == net::TransferEnd::kTimedOut)
-    pace_.OnSilentProbe(now);
-  else
-    pace_.OnResult(false, now);
-}
-
 void Gate::Refuse(const AttemptId& id,
                   ErrorKind error,
                   base::Duration retry_after) {
@@ -424,20 +435,23 @@
   if (attempt.started_at)
     record.serving = now - *attempt.started_at;
   recorder_.Record(record);
-  LogDecision(attempt.name, error, record.queued, record.serving);
+  const bool is_late = attempt.target && now > *attempt.target;
+  if (error || is_late)
+    LogDecision({.request = attempt.name,
+                 .error = error,
+                 .queued = record.queued,
+                 .serving = record.serving,
+                 .admitted_slowness = attempt.slowness,
+                 .slowness_age = attempt.slowness_age});
 }
 
-void Gate::LogDecision(const std::string& request,
-                       std::optional<ErrorKind> error,
-                       base::Duration queued,
-                       std::optional<base::Duration> serving) const {
-  if (!error)
-    return;
+void Gate::LogDecision(GateDecision decision) const {
   const base::Instant now = loop_.now();
-  wire::LoadReport load = admission_.Load(now);
-  load.slowness = pace_.Slowness(now);
-  LogGateDecision({request, server_.instance, error, queued, serving, load,
-                   pace_.FailureShare(now)});
+  decision.instance = server_.instance;
+  decision.load = admission_.Load(now);
+  decision.load.slowness = observer_.pace().Slowness(now);
+  decision.failure_share = observer_.pace().FailureShare(now);
+  LogGateDecision(decision);
 }
 
 void Gate::SendAnswer(net::Reply& reply, net::HttpAnswer answer) {
@@ -447,7 +461,7 @@
 
 void Gate::AddLoad(net::HttpAnswer& answer) const {
   wire::LoadReport load = admission_.Load(loop_.now());
-  load.slowness = pace_.Slowness(loop_.now());
+  load.slowness = observer_.pace().Slowness(loop_.now());
   answer.headers.push_back({wire::kLoadHeader, load.ToHeader()});
 }
 
@@ -455,7 +469,7 @@
   const base::Instant now = base::Clock::now();
   freeze_watch_.Look(now);
   Perform(admission_.Tick(now));
-  prober_.Tick(now);
+  observer_.Tick(now);
   if (now >= reported_at_ + kReportInterval)
     Report(now);
   ticker_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
@@ -474,8 +488,8 @@
 
 void Gate::Report(base::Instant now) {
   reported_at_ = now;
-  const admission::ProbeScheduler& probes = prober_.scheduler();
-  report_({prober_.last_answer(), admission_.Load(now), probes.probes(),
+  const admission::ProbeScheduler& probes = observer_.probes();
+  report_({observer_.last_answer(), admission_.Load(now), probes.probes(),
            probes.spent()});
 }
 
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -6,11 +6,11 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "admission/admission_controller.h"
 #include "admission/freeze_watch.h"
-#include "admission/server_pace.h"
 #include "base/result.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
@@ -19,7 +19,8 @@
 #include "node/keyed_requests.h"
 #include "node/node_identity.h"
 #include "node/peer_keys.h"
-#include "node/server_prober.h"
+#include "node/request_log.h"
+#include "node/server_observer.h"
 #include "node/server_protocol.h"
 #include "node/server_state.h"
 #include "node/traffic_recorder.h"
@@ -60,23 +61,21 @@
   size_t in_flight() const { return attempts_.size(); }
 
  private:
+  struct Arrival;
   struct Attempt;
 
   void OnRequest(net::HttpRequest request, net::Reply reply);
   bool IsAuthorized(const wire::PeerRequestHead& head,
                     const net::HttpHeaders& headers) const;
-  void Admit(const wire::PeerRequestHead& head,
-             net::HttpRequest request,
-             net::Reply reply);
+  void Receive(const wire::PeerRequestHead& head,
+               net::HttpRequest request,
+               net::Reply reply);
+  // Admits those that waited for the server's word on its pace.
+  void AdmitWaiting();
+  void Admit(Arrival arrival);
+  void Keep(Arrival arrival);
   // Whether another server would do better with a request that may move.
   bool HandsBack(const wire::PeerRequestHead& head, base::Instant now) const;
-  // Takes note of what the server says of itself with an answer.
-  void NoteLoad(const net::HttpHeaders& headers, base::Instant now);
-  void NoteVerdict(net::TransferEnd end,
-                   ServerVerdict verdict,
-                   const net::HttpAnswer& answer,
-                   base::Instant now);
-  void OnProbed(const net::TransferResult& result);
   void Settle(const net::HttpRequest& request, net::Reply reply);
   std::string AnswerSettle(const std::string& params);
   admission::AttemptState CancelAttempt(const base::AttemptId& id,
@@ -96,11 +95,9 @@
   void Record(const Attempt& attempt,
               std::optional<base::ErrorKind> error,
               base::Instant now);
-  // Tells why an attempt has no answer of the server.
-  void LogDecision(const std::string& request,
-                   std::optional<base::ErrorKind> error,
-                   base::Duration queued,
-                   std::optional<base::Duration> serving) const;
+  // Tells why an attempt has no answer of the server, or a late one.
+  // Adds the state of the server to `decision`.
+  void LogDecision(GateDecision decision) const;
   // Ends an attempt with the answer to it.
   void Answer(Attempt& attempt, net::HttpAnswer answer);
   void SendAnswer(net::Reply& reply, net::HttpAnswer answer);
@@ -116,13 +113,10 @@
   admission::AdmissionController admission_;
   admission::FreezeWatch freeze_watch_;
   AnyServerProtocol protocol_;
-  admission::ServerPace pace_;
-  // Another server answered at the address: nothing is sent there until the
-  // own one announces itself anew.
-  bool is_replaced_ = false;
   KeyedRequests keyed_requests_;
   net::HttpClient client_;
-  ServerProber prober_;
+  ServerObserver observer_;
+  std::vector<Arrival> waiting_for_look_;
   ReportHandler report_;
   base::Instant reported_at_;
   rpc::Dispatcher dispatcher_;
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -321,6 +321,7 @@
   SentAttempt& sent = call.attempts[attempt];
   sent.id = {attempt_origin_, ++last_attempt_};
   sent.server = *server;
+  sent.sent_at = now;
   wire::PeerRequestHead head = MakeHead(call.request);
   head.attempt = sent.id;
   head.target = server->node;
@@ -329,7 +330,8 @@
         call.arrived_at + call.request.target_latency - now, {});
   }
   head.usual_slowness = call.service->chooser().UsualSlowness();
-  head.may_move = has_others && attempt < call.request.most_moves;
+  head.may_move = has_others && attempt < call.request.moves.if_poor;
+  head.may_move_if_full = has_others && attempt < call.request.moves.if_full;
   head.remaining =
       std::max<base::Duration>(call.decision.deadline() - now, kLeastRemaining);
   net::HttpRequest request = call.request.http;
@@ -343,6 +345,7 @@
           if (end.error == base::ErrorKind::kServerSlow)
             ended.handed_back.push_back(ended.attempts[attempt].server.node);
           ended.attempts[attempt].end = end;
+          ended.attempts[attempt].ended_at = loop_.now();
           ended.attempts[attempt].answer = std::move(answer);
           return ended.decision.OnAttemptEnd(attempt, end, loop_.now());
         });
--- a/src/libs/node/request_log.cc
+++ b/src/libs/node/request_log.cc
@@ -33,9 +33,16 @@
   return "unknown";
 }
 
-// node=verdict, with the reason of what was no answer.
-std::string Describe(const SentAttempt& attempt) {
-  std::string text = absl::StrCat(attempt.server.node.ToString(), "=");
+// node@sent+took=verdict, with the reason of what was no answer: when it was
+// sent after the call arrived, and how long it was under way.
+std::string Describe(const SentAttempt& attempt,
+                     base::Instant arrived_at,
+                     base::Instant now) {
+  const base::Instant until = attempt.end ? attempt.ended_at : now;
+  std::string text =
+      absl::StrCat(attempt.server.node.ToString(), "@",
+                   base::FormatDuration(attempt.sent_at - arrived_at), "+",
+                   base::FormatDuration(until - attempt.sent_at), "=");
   if (!attempt.end) {
     absl::StrAppend(&text, "open");
     return text;
@@ -52,12 +59,14 @@
   return text;
 }
 
-std::string Describe(const std::vector<SentAttempt>& attempts) {
+std::string DescribeAttempts(const ActiveCall& call, base::Instant now) {
   std::string text;
-  for (const SentAttempt& attempt : attempts) {
+  for (const SentAttempt& attempt : call.attempts) {
+    if (attempt.sent_at == base::Instant())
+      continue;  // No server was found for it.
     if (!text.empty())
       text.append(" ");
-    text.append(Describe(attempt));
+    text.append(Describe(attempt, call.arrived_at, now));
   }
   return text;
 }
@@ -94,7 +103,7 @@
                    {"repeatable", call.request.is_repeatable ? "yes" : "no"},
                    {"candidates", absl::StrCat(call.service->chooser().size())},
                    {"revision", absl::StrCat(end.revision)},
-                   {"sent", Describe(call.attempts)}});
+                   {"sent", DescribeAttempts(call, now)}});
 }
 
 void LogCallRejected(const std::string& request, base::ErrorKind error) {
@@ -107,12 +116,10 @@
                   {{"request", call.request.name},
                    {"service", call.request.service},
                    {"took", base::FormatDuration(now - call.arrived_at)},
-                   {"sent", Describe(call.attempts)}});
+                   {"sent", DescribeAttempts(call, now)}});
 }
 
 void LogGateDecision(const GateDecision& decision) {
-  if (!decision.error)
-    return;
   const bool reached = decision.serving.has_value();
   LogRequestEvent(
       Event::kGateDecided,
@@ -123,6 +130,11 @@
        {"queued", base::FormatDuration(decision.queued)},
        {"serving", base::FormatDuration(
                        decision.serving.value_or(base::Duration::zero()))},
+       {"admitted_slowness",
+        absl::StrFormat("%.2f", decision.admitted_slowness)},
+       {"slowness_age", decision.slowness_age
+                            ? base::FormatDuration(*decision.slowness_age)
+                            : "none"},
        {"in_flight", absl::StrCat(decision.load.in_flight)},
        {"limit", absl::StrCat(decision.load.limit)},
        {"waiting", absl::StrCat(decision.load.queued)},
--- a/src/libs/node/request_log.h
+++ b/src/libs/node/request_log.h
@@ -38,11 +38,14 @@
   std::optional<base::ErrorKind> error;  // None: the server's answer.
   base::Duration queued{};
   std::optional<base::Duration> serving;  // None: it did not reach the server.
-  wire::LoadReport load;
+  // By which the attempt was admitted.
+  double admitted_slowness = 1;
+  std::optional<base::Duration> slowness_age;  // Nothing: it was never told.
+  wire::LoadReport load;                       // As of now.
   double failure_share = 0;
 };
 
-// Writes nothing for an answer of the server.
+// For what the server did not answer, and for what it answered late.
 void LogGateDecision(const GateDecision& decision);
 
 }  // namespace chestnutport::node
--- /dev/null
+++ b/src/libs/node/server_observer.h
@@ -0,0 +1,63 @@
+// What a gate knows of its own server, from each answer and from probes: its
+// pace, and whether another server has taken its address. Runs on the gate
+// thread.
+#ifndef NODE_SERVER_OBSERVER_H_
+#define NODE_SERVER_OBSERVER_H_
+
+#include <functional>
+#include <string>
+
+#include "admission/server_pace.h"
+#include "net/event_loop.h"
+#include "node/server_prober.h"
+#include "node/server_protocol.h"
+#include "node/server_state.h"
+
+namespace chestnutport::node {
+
+class ServerObserver {
+ public:
+  // `looked` is called when a look has ended. `loop` must outlive this object.
+  ServerObserver(net::EventLoop& loop,
+                 AnyServerProtocol protocol,
+                 std::function<void()> looked);
+
+  // `has_started`: another life of the server begins.
+  void SetServer(const ServerState& server, bool has_started);
+  // A request to the server has ended.
+  void OnRequestEnd(net::TransferEnd end,
+                    ServerVerdict verdict,
+                    const net::HttpAnswer& answer,
+                    base::Instant now);
+  // Asks the server how it is if its last word is too old to start a request
+  // by. Returns whether an answer, or the end of the wait for it, is to come.
+  bool Look(base::Instant now) { return prober_.Look(now); }
+  // Call about each 10 ms.
+  void Tick(base::Instant now) { prober_.Tick(now); }
+
+  const admission::ServerPace& pace() const { return pace_; }
+  // Another server answered at the address: nothing is sent there until the
+  // own one announces itself anew.
+  bool is_replaced() const { return is_replaced_; }
+  // Of a request or a probe.
+  base::Instant last_answer() const { return prober_.last_answer(); }
+  const admission::ProbeScheduler& probes() const {
+    return prober_.scheduler();
+  }
+
+ private:
+  void OnProbed(const net::TransferResult& result);
+  // Takes note of what the server says of itself with an answer.
+  void NoteLoad(const net::HttpHeaders& headers, base::Instant now);
+
+  AnyServerProtocol protocol_;
+  std::function<void()> looked_;
+  std::string instance_;
+  admission::ServerPace pace_;
+  bool is_replaced_ = false;
+  ServerProber prober_;
+};
+
+}  // namespace chestnutport::node
+
+#endif  // NODE_SERVER_OBSERVER_H_
--- a/src/libs/node/server_prober.cc
+++ b/src/libs/node/server_prober.cc
@@ -29,13 +29,27 @@
   scheduler_.OnAnswer(now);
 }
 
+bool ServerProber::Look(base::Instant now) {
+  if (path_.empty() || !scheduler_.IsStale(now))
+    return false;
+  if (scheduler_.IsRunning())
+    return true;
+  const auto allowed = scheduler_.BeginLook(now);
+  if (!allowed)
+    return false;
+  Probe(*allowed, now);
+  return true;
+}
+
 void ServerProber::Tick(base::Instant now) {
   if (path_.empty())
     return;
-  const auto allowed = scheduler_.Begin(now);
-  if (!allowed)
-    return;
-  const base::Duration timeout = *allowed - kMargin;
+  if (const auto allowed = scheduler_.Begin(now))
+    Probe(*allowed, now);
+}
+
+void ServerProber::Probe(base::Duration allowed, base::Instant now) {
+  const base::Duration timeout = allowed - kMargin;
   net::HttpRequest request{.method = "GET", .target = path_};
   request.headers.push_back(
       {wire::kDeadlineHeader, base::FormatDuration(timeout)});
--- a/src/libs/node/server_prober.h
+++ b/src/libs/node/server_prober.h
@@ -24,6 +24,9 @@
   void SetServer(const ServerState& server);
   // The server answered a request.
   void OnAnswer(base::Instant now);
+  // Probes if the server's last word is too old to start a request by. Returns
+  // whether the end of a probe is to come.
+  bool Look(base::Instant now);
   // Probes if it is time to. Call about each 10 ms.
   void Tick(base::Instant now);
 
@@ -32,6 +35,9 @@
   const admission::ProbeScheduler& scheduler() const { return scheduler_; }
 
  private:
+  // Ends within `allowed`.
+  void Probe(base::Duration allowed, base::Instant now);
+
   net::HttpClient client_;
   admission::ProbeScheduler scheduler_;
   base::SocketAddress address_;
--- a/src/libs/node/service_traffic.cc
+++ b/src/libs/node/service_traffic.cc
@@ -52,7 +52,7 @@
   if (hedge_budget_ > 0 && request.target_latency > base::Duration::zero())
     policy.hedge_delay = request.target_latency / kHedgePart;
   policy.most_servers = request.most_servers;
-  policy.most_sends = request.most_servers + request.most_moves;
+  policy.most_sends = request.most_servers + request.moves.if_poor;
   policy.server_refusals_count = has_fleet_limit_;
   return policy;
 }
--- a/src/libs/routing/recent_slowness.cc
+++ b/src/libs/routing/recent_slowness.cc
@@ -5,7 +5,7 @@
 namespace chestnutport::routing {
 namespace {
 
-constexpr size_t kUsualPart = 3;  // Of the reports, from the lowest on.
+constexpr size_t kUsualPart = 8;  // Of the reports, from the lowest on.
 
 }  // namespace
 
--- a/src/libs/routing/recent_slowness.h
+++ b/src/libs/routing/recent_slowness.h
@@ -16,13 +16,13 @@
   // A gate said that its server takes `slowness` times as long as usual.
   void OnReport(double slowness);
 
-  // What a third of the recent reports do not exceed; at least 1. A third,
+  // What an eighth of the recent reports do not exceed; at least 1. So few,
   // because servers under a busy neighbour hand work back and so report more
-  // often than the others.
+  // often: with a third of the servers slow, six reports of ten say so.
   double usual() const { return usual_; }
 
  private:
-  // Reports kept: enough for a third of them to mean something, few enough
+  // Reports kept: enough for an eighth of them to be more than one, few enough
   // that a node with some ten requests a second notices a change within one.
   static constexpr size_t kKept = 12;
 
--- a/src/libs/wire/peer_request_head.cc
+++ b/src/libs/wire/peer_request_head.cc
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr char kYes[] = "1";
+constexpr char kIfFull[] = "if-full";
 
 // What is missing or no number of 1 or more counts as 1.
 double ReadSlowness(std::string_view text) {
@@ -39,7 +40,7 @@
   if (target_in)
     headers.push_back({kTargetInHeader, base::FormatDuration(*target_in)});
   if (may_move)
-    headers.push_back({kMayMoveHeader, kYes});
+    headers.push_back({kMayMoveHeader, may_move_if_full ? kIfFull : kYes});
   if (may_move && usual_slowness > 1) {
     headers.push_back(
         {kUsualSlownessHeader, absl::StrFormat("%.2f", usual_slowness)});
@@ -67,7 +68,9 @@
   head.target = *target;
   head.remaining = *remaining;
   head.target_in = base::ParseDuration(FindHeader(headers, kTargetInHeader));
-  head.may_move = FindHeader(headers, kMayMoveHeader) == kYes;
+  const std::string_view may_move = FindHeader(headers, kMayMoveHeader);
+  head.may_move = may_move == kYes || may_move == kIfFull;
+  head.may_move_if_full = may_move == kIfFull;
   head.usual_slowness = ReadSlowness(FindHeader(headers, kUsualSlownessHeader));
   head.may_stop = FindHeader(headers, kMayStopHeader) == kYes;
   head.request_name = FindHeader(headers, kRequestNameHeader);
--- a/src/libs/wire/peer_request_head.h
+++ b/src/libs/wire/peer_request_head.h
@@ -24,7 +24,10 @@
   // Until an answer is worth less; nothing: it is worth the same until the
   // deadline.
   std::optional<base::Duration> target_in;
-  bool may_move = false;  // The gate may hand it back unrun.
+  // The gate may hand it back unrun if its server is slow or fails, and if it
+  // is full.
+  bool may_move = false;
+  bool may_move_if_full = false;
   // How many times slower than usual the service's servers are as a rule just
   // now: one that is as slow as the others is no reason to hand back.
   double usual_slowness = 1;
--- a/tests/auto/admission/server_watch_test.cc
+++ b/tests/auto/admission/server_watch_test.cc
@@ -59,6 +59,37 @@
   }
 }
 
+TEST_CASE("a request may wait for the server's word on its pace") {
+  ProbeScheduler probes({0.2, milliseconds(250), milliseconds(15)},
+                        kStart - seconds(10));
+  probes.OnAnswer(kStart);
+  CHECK_FALSE(probes.IsStale(kStart + milliseconds(14)));
+  CHECK(probes.IsStale(kStart + milliseconds(15)));
+  const Instant looked = kStart + milliseconds(20);
+  REQUIRE(probes.BeginLook(looked));
+  CHECK(probes.IsRunning());
+  CHECK_FALSE(probes.BeginLook(looked));  // One at a time.
+
+  SECTION("which then holds for a while") {
+    probes.End(milliseconds(1), true, looked);
+    CHECK_FALSE(probes.IsStale(looked + milliseconds(14)));
+  }
+  SECTION("but not again and again for a server that is silent") {
+    probes.End(milliseconds(20), false, looked);
+    CHECK_FALSE(probes.IsStale(looked + milliseconds(100)));
+    CHECK(probes.IsStale(looked + milliseconds(200)));
+  }
+  SECTION("and not beyond the budget") {
+    probes.End(milliseconds(1), true, looked);
+    probes.set_options({0, milliseconds(250), milliseconds(15)});
+    CHECK_FALSE(probes.BeginLook(looked + milliseconds(50)));
+  }
+  SECTION("and not where it is not declared") {
+    probes.set_options({0.2, milliseconds(250)});
+    CHECK_FALSE(probes.IsStale(looked + seconds(5)));
+  }
+}
+
 TEST_CASE("a node that starts again and again keeps the budget") {
   Duration spent{};
   for (int life = 0; life < 50; ++life) {
