Weigh failures and slowness by what is usual in the service

Ruled out: full servers (644 refusals for that). Change: what a gate reports, and what it compares, is the work that a good answer costs, slowness and failures together (strain); it hands back only if that is well above what is usual in the service.

--- a/src/libs/admission/server_pace.cc
+++ b/src/libs/admission/server_pace.cc
@@ -23,6 +23,9 @@
 // Servers fail a few requests in a hundred on their own account; a faulty one
 // fails a third or more.
 constexpr double kFaulty = 0.3;
+// A server that fails all its requests is not infinitely bad: it may be well
+// again by now.
+constexpr double kMostFailures = 0.95;
 // Without further results a faulty server is tried again after about this.
 constexpr Seconds kForgetting(1.0);
 
@@ -57,9 +60,14 @@
   return failures_ * std::exp2(-(Seconds(now - failures_at_) / kForgetting));
 }
 
-bool ServerPace::IsPoor(Instant now, double usual_slowness) const {
-  return Slowness(now) >= kSlow * usual_slowness ||
-         FailureShare(now) >= kFaulty;
+double ServerPace::Strain(Instant now) const {
+  return Slowness(now) / (1 - std::min(FailureShare(now), kMostFailures));
+}
+
+bool ServerPace::IsPoor(Instant now, double usual_strain) const {
+  const double strain = Strain(now) / usual_strain;
+  return strain >= kSlow ||
+         (FailureShare(now) >= kFaulty && strain >= 1 / (1 - kFaulty));
 }
 
 }  // namespace chestnutport::admission
--- a/src/libs/admission/server_pace.h
+++ b/src/libs/admission/server_pace.h
@@ -30,9 +30,12 @@
   std::optional<base::Duration> Age(base::Instant now) const;
   // Of the recent results, the share that was no good; forgotten with time.
   double FailureShare(base::Instant now) const;
-  // Whether a request does better at another server, if those are
-  // `usual_slowness` times slower than usual as a rule.
-  bool IsPoor(base::Instant now, double usual_slowness = 1) const;
+  // How many times the usual work a good answer costs, as failures cost it too.
+  double Strain(base::Instant now) const;
+  // Whether a request does better at another server, if the strain of those is
+  // `usual_strain` as a rule: when all servers fail or are slow alike, looking
+  // for a better one is in vain.
+  bool IsPoor(base::Instant now, double usual_strain = 1) const;
 
  private:
   double slowness_ = 1;
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -257,7 +257,7 @@
 
 bool Gate::HandsBack(const wire::PeerRequestHead& head,
                      base::Instant now) const {
-  return observer_.pace().IsPoor(now, head.usual_slowness) ||
+  return observer_.pace().IsPoor(now, head.usual_strain) ||
          (head.may_move_if_full && !admission_.HasRoom(now));
 }
 
@@ -449,7 +449,7 @@
   const base::Instant now = loop_.now();
   decision.instance = server_.instance;
   decision.load = admission_.Load(now);
-  decision.load.slowness = observer_.pace().Slowness(now);
+  decision.slowness = observer_.pace().Slowness(now);
   decision.failure_share = observer_.pace().FailureShare(now);
   LogGateDecision(decision);
 }
@@ -461,7 +461,7 @@
 
 void Gate::AddLoad(net::HttpAnswer& answer) const {
   wire::LoadReport load = admission_.Load(loop_.now());
-  load.slowness = observer_.pace().Slowness(loop_.now());
+  load.strain = observer_.pace().Strain(loop_.now());
   answer.headers.push_back({wire::kLoadHeader, load.ToHeader()});
 }
 
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -329,7 +329,7 @@
     head.target_in = std::max<base::Duration>(
         call.arrived_at + call.request.target_latency - now, {});
   }
-  head.usual_slowness = call.service->chooser().UsualSlowness();
+  head.usual_strain = call.service->chooser().UsualStrain();
   head.may_move = has_others && attempt < call.request.moves.if_poor;
   head.may_move_if_full = has_others && attempt < call.request.moves.if_full;
   head.remaining =
--- a/src/libs/node/request_log.cc
+++ b/src/libs/node/request_log.cc
@@ -139,7 +139,7 @@
        {"limit", absl::StrCat(decision.load.limit)},
        {"waiting", absl::StrCat(decision.load.queued)},
        {"expected_wait", base::FormatDuration(decision.load.expected_wait)},
-       {"slowness", absl::StrFormat("%.2f", decision.load.slowness)},
+       {"slowness", absl::StrFormat("%.2f", decision.slowness)},
        {"failing", absl::StrFormat("%.2f", decision.failure_share)}});
 }
 
--- a/src/libs/node/request_log.h
+++ b/src/libs/node/request_log.h
@@ -41,7 +41,9 @@
   // By which the attempt was admitted.
   double admitted_slowness = 1;
   std::optional<base::Duration> slowness_age;  // Nothing: it was never told.
-  wire::LoadReport load;                       // As of now.
+  // The state of the server as of now.
+  wire::LoadReport load;
+  double slowness = 1;
   double failure_share = 0;
 };
 
--- a/src/libs/routing/recent_slowness.cc
+++ b/src/libs/routing/recent_strain.cc
@@ -1,4 +1,4 @@
-#include "routing/recent_slowness.h"
+#include "routing/recent_strain.h"
 
 #include <algorithm>
 
@@ -9,8 +9,8 @@
 
 }  // namespace
 
-void RecentSlowness::OnReport(double slowness) {
-  reports_[count_ % kKept] = slowness;
+void RecentStrain::OnReport(double strain) {
+  reports_[count_ % kKept] = strain;
   ++count_;
   auto sorted = reports_;
   const size_t held = std::min(count_, kKept);
--- a/src/libs/routing/recent_slowness.h
+++ b/src/libs/routing/recent_strain.h
@@ -1,20 +1,20 @@
-// How slow the servers of a service are as a rule just now, from what their
-// gates reported last.
+// How much work a good answer of a service costs as a rule just now, from what
+// the gates of its servers reported last.
 //
 // After all VMs of a fleet started, every server is cold, and none is a poor
 // choice for being as slow as the rest.
-#ifndef ROUTING_RECENT_SLOWNESS_H_
-#define ROUTING_RECENT_SLOWNESS_H_
+#ifndef ROUTING_RECENT_STRAIN_H_
+#define ROUTING_RECENT_STRAIN_H_
 
 #include <array>
 #include <cstddef>
 
 namespace chestnutport::routing {
 
-class RecentSlowness {
+class RecentStrain {
  public:
-  // A gate said that its server takes `slowness` times as long as usual.
-  void OnReport(double slowness);
+  // A gate said that a good answer costs `strain` times the usual work.
+  void OnReport(double strain);
 
   // What an eighth of the recent reports do not exceed; at least 1. So few,
   // because servers under a busy neighbour hand work back and so report more
@@ -33,4 +33,4 @@
 
 }  // namespace chestnutport::routing
 
-#endif  // ROUTING_RECENT_SLOWNESS_H_
+#endif  // ROUTING_RECENT_STRAIN_H_
--- a/src/libs/routing/server_chooser.h
+++ b/src/libs/routing/server_chooser.h
@@ -43,8 +43,8 @@
                const AttemptResult& result,
                base::Instant now);
 
-  // How many times longer than usual the servers take as a rule just now.
-  double UsualSlowness() const { return service_.usual_slowness(); }
+  // How many times the usual work a good answer costs as a rule just now.
+  double UsualStrain() const { return service_.usual_strain(); }
   size_t size() const { return servers_.size(); }
   // Requests sent from here to `node` and not ended.
   int InFlight(base::NodeId node) const;
--- a/src/libs/routing/server_estimate.cc
+++ b/src/libs/routing/server_estimate.cc
@@ -98,7 +98,7 @@
   const auto& load = result.load;
   // A slow server hands work back though it has room: its report says enough.
   const bool had_room =
-      load && load->in_flight < load->limit && load->slowness < kUsualSpread;
+      load && load->in_flight < load->limit && load->strain < kUsualSpread;
   refusing_until_ = now + (had_room ? kRefusesWithRoom : kRefusesAtLimit);
 }
 
@@ -153,11 +153,11 @@
   const double before = LoadOfOthers(service, now);
   load_of_others_ = before + kReportWeight * (share - before);
   limit_ = load.limit;
-  reported_slowness_ = load.slowness;
+  reported_strain_ = load.strain;
   has_report_ = true;
   reported_at_ = now;
   service.OnLoadOfOthers(share);
-  service.OnSlowness(load.slowness);
+  service.OnStrain(load.strain);
 }
 
 Seconds ServerEstimate::ExpectedTime(int slots,
@@ -166,7 +166,7 @@
   const double ahead = in_flight_here_ + LoadOfOthers(service, now) * slots;
   const double load = (ahead + 1) / UsableSlots(slots, now);
   const double waiting = load > 1 ? kAnyWait + load - 1 : 0;
-  double slowness = std::max(Slowness(service, now), ReportedSlowness(now));
+  double slowness = std::max(Slowness(service, now), ReportedStrain(now));
   if (now < refusing_until_)
     slowness = std::max(slowness, kFailureCountsAs);
   const Seconds usual = service.typical_latency();
@@ -176,11 +176,11 @@
          Silence(service, now) * usual;
 }
 
-double ServerEstimate::ReportedSlowness(base::Instant now) const {
-  if (!has_report_ || reported_slowness_ <= 1)
+double ServerEstimate::ReportedStrain(base::Instant now) const {
+  if (!has_report_ || reported_strain_ <= 1)
     return 1;
   const Seconds age = now - reported_at_;
-  return 1 + (reported_slowness_ - 1) * std::exp2(-(age / kSpellHalfLife));
+  return 1 + (reported_strain_ - 1) * std::exp2(-(age / kSpellHalfLife));
 }
 
 double ServerEstimate::UsableSlots(int slots, base::Instant now) const {
--- a/src/libs/routing/server_estimate.h
+++ b/src/libs/routing/server_estimate.h
@@ -46,7 +46,7 @@
                 ServiceEstimate& service,
                 base::Instant now);
   // As the server's own node said, while that is recent.
-  double ReportedSlowness(base::Instant now) const;
+  double ReportedStrain(base::Instant now) const;
   double UsableSlots(int slots, base::Instant now) const;
   double LoadOfOthers(const ServiceEstimate& service, base::Instant now) const;
 
@@ -63,7 +63,7 @@
   bool has_report_ = false;
   double load_of_others_ = 0;  // A share of the slots.
   int limit_ = 0;
-  double reported_slowness_ = 1;
+  double reported_strain_ = 1;
 };
 
 }  // namespace chestnutport::routing
--- a/src/libs/routing/service_estimate.h
+++ b/src/libs/routing/service_estimate.h
@@ -4,7 +4,7 @@
 #define ROUTING_SERVICE_ESTIMATE_H_
 
 #include "base/time.h"
-#include "routing/recent_slowness.h"
+#include "routing/recent_strain.h"
 
 namespace chestnutport::routing {
 
@@ -19,20 +19,20 @@
   // slots.
   void OnLoadOfOthers(double share);
 
-  // Of a load report: how many times longer than usual a server takes.
-  void OnSlowness(double slowness) { slowness_.OnReport(slowness); }
+  // Of a load report: how many times the usual work a good answer costs.
+  void OnStrain(double strain) { strain_.OnReport(strain); }
 
   // What an answer usually takes.
   Seconds typical_latency() const { return typical_latency_; }
   // The usual load that other nodes put on a server, as a share of its slots.
   double typical_load_of_others() const { return typical_load_of_others_; }
-  // How many times longer than usual its servers take as a rule just now.
-  double usual_slowness() const { return slowness_.usual(); }
+  // How many times the usual work a good answer costs as a rule just now.
+  double usual_strain() const { return strain_.usual(); }
 
  private:
   Seconds typical_latency_{0.01};  // A guess until answers come.
   double typical_load_of_others_ = 0;
-  RecentSlowness slowness_;
+  RecentStrain strain_;
 };
 
 }  // namespace chestnutport::routing
--- a/src/libs/wire/header_names.h
+++ b/src/libs/wire/header_names.h
@@ -33,9 +33,9 @@
 // On a request between nodes: the gate may hand it back unrun if its server is
 // in a poor state.
 inline constexpr char kMayMoveHeader[] = "Chestnutport-May-Move";
-// On a request between nodes: how many times slower than usual the servers of
-// the service are as a rule just now, as far as the sender knows.
-inline constexpr char kUsualSlownessHeader[] = "Chestnutport-Usual-Slowness";
+// On a request between nodes: how many times the usual work a good answer of
+// the service costs as a rule just now, as far as the sender knows.
+inline constexpr char kUsualStrainHeader[] = "Chestnutport-Usual-Strain";
 // On a request between nodes: how long an answer is still worth most.
 inline constexpr char kTargetInHeader[] = "Chestnutport-Target-In";
 // On a request between nodes: one that runs may be stopped halfway.
--- a/src/libs/wire/load_report.h
+++ b/src/libs/wire/load_report.h
@@ -17,8 +17,9 @@
   int queued = 0;     // Requests that wait for it.
   // What one more request would wait before it runs.
   base::Duration expected_wait{};
-  // How many times longer than usual work takes there, as last known.
-  double slowness = 1;
+  // How many times the usual work a good answer costs there, as last known: its
+  // VM may be slow, and answers that fail cost work too.
+  double strain = 1;
 
   std::string ToHeader() const;
   static std::optional<LoadReport> FromHeader(std::string_view text);
--- a/src/libs/wire/peer_request_head.cc
+++ b/src/libs/wire/peer_request_head.cc
@@ -17,11 +17,11 @@
 constexpr char kIfFull[] = "if-full";
 
 // What is missing or no number of 1 or more counts as 1.
-double ReadSlowness(std::string_view text) {
-  double slowness = 1;
-  if (!absl::SimpleAtod(base::AbslView(text), &slowness))
+double ReadStrain(std::string_view text) {
+  double strain = 1;
+  if (!absl::SimpleAtod(base::AbslView(text), &strain))
     return 1;
-  return slowness >= 1 ? slowness : 1;
+  return strain >= 1 ? strain : 1;
 }
 
 }  // namespace
@@ -41,9 +41,9 @@
     headers.push_back({kTargetInHeader, base::FormatDuration(*target_in)});
   if (may_move)
     headers.push_back({kMayMoveHeader, may_move_if_full ? kIfFull : kYes});
-  if (may_move && usual_slowness > 1) {
+  if (may_move && usual_strain > 1) {
     headers.push_back(
-        {kUsualSlownessHeader, absl::StrFormat("%.2f", usual_slowness)});
+        {kUsualStrainHeader, absl::StrFormat("%.2f", usual_strain)});
   }
   if (may_stop)
     headers.push_back({kMayStopHeader, kYes});
@@ -71,7 +71,7 @@
   const std::string_view may_move = FindHeader(headers, kMayMoveHeader);
   head.may_move = may_move == kYes || may_move == kIfFull;
   head.may_move_if_full = may_move == kIfFull;
-  head.usual_slowness = ReadSlowness(FindHeader(headers, kUsualSlownessHeader));
+  head.usual_strain = ReadStrain(FindHeader(headers, kUsualStrainHeader));
   head.may_stop = FindHeader(headers, kMayStopHeader) == kYes;
   head.request_name = FindHeader(headers, kRequestNameHeader);
   head.service = FindHeader(headers, kServiceHeader);
--- a/src/libs/wire/peer_request_head.h
+++ b/src/libs/wire/peer_request_head.h
@@ -28,9 +28,9 @@
   // is full.
   bool may_move = false;
   bool may_move_if_full = false;
-  // How many times slower than usual the service's servers are as a rule just
-  // now: one that is as slow as the others is no reason to hand back.
-  double usual_slowness = 1;
+  // How many times the usual work a good answer costs as a rule just now: a
+  // server that is no worse than the others is no reason to hand back.
+  double usual_strain = 1;
   bool may_stop = false;     // One that runs may be stopped halfway.
   std::string request_name;  // As the caller named it; may be empty.
 
--- a/tests/auto/admission/pace_placement_test.cc
+++ b/tests/auto/admission/pace_placement_test.cc
@@ -13,7 +13,7 @@
 #include "admission/server_pace.h"
 #include "base/random.h"
 #include "calls/move_limits.h"
-#include "routing/recent_slowness.h"
+#include "routing/recent_strain.h"
 
 namespace chestnutport::admission {
 namespace {
@@ -103,9 +103,8 @@
   // How slow the server is on which the request is started at last.
   double Serve(Instant now) {
     for (int move = 0;; ++move, now += kMove) {
-      Server& server =
-          servers_[std::uniform_int_distribution<size_t>(0, kServers - 1)(
-              random_)];
+      Server& server = servers_[std::uniform_int_distribution<size_t>(
+          0, kServers - 1)(random_)];
       if (server.probes.IsStale(now) && server.probes.BeginLook(now))
         EndProbe(server, now);
       const bool is_poor = server.pace.IsPoor(now, usual_.usual());
@@ -120,7 +119,7 @@
   Way way_;
   base::Random random_{20261202};
   std::vector<Server> servers_;
-  routing::RecentSlowness usual_;
+  routing::RecentStrain usual_;
   int moves_ = 0;
 };
 
--- a/tests/auto/admission/server_pace_test.cc
+++ b/tests/auto/admission/server_pace_test.cc
@@ -50,6 +50,14 @@
   pace.OnResult(false, kStart);
   CHECK(pace.IsPoor(kStart));
 
+  SECTION("unless the others fail as many") {
+    CHECK(pace.Strain(kStart) > 1.5);
+    CHECK_FALSE(pace.IsPoor(kStart, pace.Strain(kStart)));
+  }
+  SECTION("and slow besides, it is worse still") {
+    pace.OnSlowness(2, kStart);
+    CHECK(pace.IsPoor(kStart, 1.5));
+  }
   SECTION("it is tried again in a while") {
     CHECK_FALSE(pace.IsPoor(kStart + milliseconds(1500)));
   }
--- a/tests/auto/routing/recent_slowness_test.cc
+++ b/tests/auto/routing/recent_strain_test.cc
@@ -1,18 +1,18 @@
 // What counts as the usual pace of a service's servers.
-#include "routing/recent_slowness.h"
+#include "routing/recent_strain.h"
 
 #include <catch2/catch.hpp>
 
 namespace chestnutport::routing {
 namespace {
 
-void Report(RecentSlowness& recent, int times, double slowness) {
+void Report(RecentStrain& recent, int times, double slowness) {
   for (int i = 0; i < times; ++i)
     recent.OnReport(slowness);
 }
 
 TEST_CASE("servers are at their usual pace until one says otherwise") {
-  RecentSlowness recent;
+  RecentStrain recent;
   CHECK(recent.usual() == 1);
 
   SECTION("a single word is believed, as there is no other") {
