Count moves, and store calls by kind and result; show what is known of the server

Cause: moves counted as retries, so an engineer could not tell a busy fleet from a failing one; a store that refuses could not be told from one that is silent; how old a gate's word of its server is was in no metric. Change: chestnutport_moves_total, kind and result on store calls (the test that used them without labels now checks them with labels, digit by digit as before), chestnutport_server_strain and _server_word_age_seconds.

--- a/src/libs/node/control_readings.cc
+++ b/src/libs/node/control_readings.cc
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "telemetry/log.h"
 
 namespace chestnutport::node {
@@ -58,6 +59,18 @@
   }
 }
 
+void AppendStoreCalls(std::vector<Reading>& readings,
+                      const store::StoreCallCounts& calls) {
+  for (const store::CallKind kind : store::kCallKinds) {
+    for (const store::CallResult result : store::kCallResults) {
+      const std::string labels = absl::StrCat(std::string(ToString(kind)), ",",
+                                              std::string(ToString(result)));
+      readings.push_back({Metric::kStoreCalls, labels,
+                          static_cast<double>(calls.Of(kind, result))});
+    }
+  }
+}
+
 void AppendGossip(std::vector<Reading>& readings,
                   const membership::GossipCounters& gossip) {
   readings.push_back(
@@ -88,8 +101,10 @@
   AppendMembers(readings, counts.members);
   readings.push_back(
       {Metric::kRevision, "", static_cast<double>(counts.revision)});
+  AppendStoreCalls(readings, counts.store_calls);
+  readings.push_back({Metric::kServerStrain, "", counts.gate.load.strain});
   readings.push_back(
-      {Metric::kStoreCalls, "", static_cast<double>(counts.store_calls)});
+      {Metric::kServerWordAge, "", Seconds(counts.gate.word_age)});
   readings.push_back(
       {Metric::kProbes, "", static_cast<double>(counts.gate.probes)});
   readings.push_back(
--- a/src/libs/node/control_readings.h
+++ b/src/libs/node/control_readings.h
@@ -7,6 +7,7 @@
 #include "membership/gossip_counters.h"
 #include "membership/member.h"
 #include "node/gate_report.h"
+#include "store/store_call_counts.h"
 #include "telemetry/metrics_report.h"
 
 namespace chestnutport::node {
@@ -14,7 +15,7 @@
 struct ControlCounts {
   const std::vector<membership::Member>& members;
   uint64_t revision = 0;
-  uint64_t store_calls = 0;
+  const store::StoreCallCounts& store_calls;
   const GateReport& gate;
   const membership::GossipCounters& gossip;
 };
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -489,8 +489,13 @@
 void Gate::Report(base::Instant now) {
   reported_at_ = now;
   const admission::ProbeScheduler& probes = observer_.probes();
-  report_({observer_.last_answer(), admission_.Load(now), probes.probes(),
-           probes.spent()});
+  wire::LoadReport load = admission_.Load(now);
+  load.strain = observer_.pace().Strain(now);
+  report_({.last_answer = observer_.last_answer(),
+           .load = load,
+           .word_age = observer_.pace().Age(now).value_or(base::Duration()),
+           .probes = probes.probes(),
+           .probe_time = probes.spent()});
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/node/gate_report.h
+++ b/src/libs/node/gate_report.h
@@ -12,6 +12,7 @@
 struct GateReport {
   base::Instant last_answer;  // Of the server, to a request or a probe.
   wire::LoadReport load;
+  base::Duration word_age{};  // Of what the server last said of its pace.
   uint64_t probes = 0;
   base::Duration probe_time{};  // The server's time spent on them, in all.
 };
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -73,6 +73,13 @@
   return is_new ? error : base::ErrorKind::kKeyRecordUnavailable;
 }
 
+int MovesOf(const ActiveCall& call) {
+  return static_cast<int>(
+      std::ranges::count_if(call.attempts, [](const SentAttempt& sent) {
+        return sent.end && sent.end->error == base::ErrorKind::kServerSlow;
+      }));
+}
+
 // Those that handed the call back may be asked again.
 void ForgetHandedBack(ActiveCall& call) {
   std::erase_if(call.tried, [&call](base::NodeId node) {
@@ -229,6 +236,7 @@
       .total = loop_.now() - call.arrived_at,
       .server_time = wire::PeerAnswerHead::Read(answer.headers).server_time,
       .attempts = call.decision.attempts(),
+      .moves = MovesOf(call),
       .hedges = call.hedges});
 }
 
--- a/src/libs/store/store_client.cc
+++ b/src/libs/store/store_client.cc
@@ -9,6 +9,8 @@
 using base::ErrorKind;
 using base::make_error_code;
 
+constexpr int kTooManyRequests = 429;
+
 }  // namespace
 
 StoreClient::StoreClient(net::HttpClient& http,
@@ -31,7 +33,7 @@
                            std::vector<StoreEntry> entries,
                            EntriesHandler handler) {
   const std::string after = entries.empty() ? "" : entries.back().key;
-  Call(form_.list(prefix, after, freshness), timeout_, false,
+  Call(form_.list(prefix, after, freshness), timeout_, CallKind::kList,
        [this, prefix, freshness, entries = std::move(entries),
         handler = std::move(handler)](
            const base::Result<net::HttpAnswer>& answer) mutable {
@@ -64,7 +66,7 @@
 }
 
 void StoreClient::ReadPage(const std::string& key, PageHandler handler) {
-  Call(form_.read(key), timeout_, false,
+  Call(form_.read(key), timeout_, CallKind::kRead,
        [this, handler = std::move(handler)](
            const base::Result<net::HttpAnswer>& answer) {
          handler(answer ? form_.read_entry(answer.value()) : answer.error());
@@ -76,7 +78,7 @@
                                  const std::string& value,
                                  LeaseId lease,
                                  SwapHandler handler) {
-  Call(form_.swap({key, expected, value, lease}), timeout_, true,
+  Call(form_.swap({key, expected, value, lease}), timeout_, CallKind::kWrite,
        [this, handler = std::move(handler)](
            const base::Result<net::HttpAnswer>& answer) {
          handler(answer ? form_.read_swapped(answer.value()) : answer.error());
@@ -85,7 +87,7 @@
 
 void StoreClient::GrantLease(std::chrono::milliseconds time_to_live,
                              LeaseHandler handler) {
-  Call(form_.grant(time_to_live), timeout_, true,
+  Call(form_.grant(time_to_live), timeout_, CallKind::kLease,
        [this, handler = std::move(handler)](
            const base::Result<net::HttpAnswer>& answer) {
          handler(answer ? form_.read_granted(answer.value()) : answer.error());
@@ -93,7 +95,7 @@
 }
 
 void StoreClient::KeepAlive(LeaseId lease, SwapHandler handler) {
-  Call(form_.keep_alive(lease), timeout_, true,
+  Call(form_.keep_alive(lease), timeout_, CallKind::kLease,
        [this, handler = std::move(handler)](
            const base::Result<net::HttpAnswer>& answer) {
          handler(answer ? form_.read_kept(answer.value()) : answer.error());
@@ -104,7 +106,7 @@
                         int64_t after,
                         std::chrono::milliseconds wait,
                         NewsHandler handler) {
-  Call(form_.watch(prefix, after, wait), wait + timeout_, false,
+  Call(form_.watch(prefix, after, wait), wait + timeout_, CallKind::kWatch,
        [this, handler = std::move(handler)](
            const base::Result<net::HttpAnswer>& answer) {
          handler(answer ? form_.read_news(answer.value()) : answer.error());
@@ -113,21 +115,25 @@
 
 void StoreClient::Call(net::HttpRequest request,
                        std::chrono::milliseconds timeout,
-                       bool is_write,
+                       CallKind kind,
                        AnswerHandler handler) {
-  ++calls_;
   http_.Send(
       addresses_[current_], std::move(request), timeout,
-      [this, is_write,
-       handler = std::move(handler)](net::TransferResult result) {
+      [this, kind, handler = std::move(handler)](net::TransferResult result) {
         if (result.end == net::TransferEnd::kComplete) {
           // A store that refuses for the moment is tried elsewhere.
-          if (result.answer.status >= 429)
+          const bool is_refused = result.answer.status >= kTooManyRequests;
+          calls_.Add(kind,
+                     is_refused ? CallResult::kRefused : CallResult::kAnswered);
+          if (is_refused)
             current_ = (current_ + 1) % addresses_.size();
           handler(std::move(result.answer));
           return;
         }
+        calls_.Add(kind, CallResult::kNoAnswer);
         current_ = (current_ + 1) % addresses_.size();
+        const bool is_write =
+            kind == CallKind::kWrite || kind == CallKind::kLease;
         const bool may_have_run =
             is_write && result.end != net::TransferEnd::kNotSent;
         handler(make_error_code(may_have_run ? ErrorKind::kStoreOutcomeUnknown
--- a/src/libs/store/store_client.h
+++ b/src/libs/store/store_client.h
@@ -12,6 +12,7 @@
 #include "base/socket_address.h"
 #include "net/http_client.h"
 #include "store/etcd_form.h"
+#include "store/store_call_counts.h"
 #include "store/store_entry.h"
 #include "store/store_form.h"
 
@@ -63,8 +64,8 @@
              std::chrono::milliseconds wait,
              NewsHandler handler);
 
-  // Calls made so far, for the store's budget.
-  uint64_t calls() const { return calls_; }
+  // Calls that have ended.
+  const StoreCallCounts& calls() const { return calls_; }
 
  private:
   using AnswerHandler = std::function<void(base::Result<net::HttpAnswer>)>;
@@ -75,7 +76,7 @@
                 EntriesHandler handler);
   void Call(net::HttpRequest request,
             std::chrono::milliseconds timeout,
-            bool is_write,
+            CallKind kind,
             AnswerHandler handler);
 
   net::HttpClient& http_;
@@ -83,7 +84,7 @@
   std::chrono::milliseconds timeout_;
   AnyStoreForm form_;
   size_t current_ = 0;
-  uint64_t calls_ = 0;
+  StoreCallCounts calls_;
 };
 
 }  // namespace chestnutport::store
--- a/src/libs/telemetry/call_record.h
+++ b/src/libs/telemetry/call_record.h
@@ -22,6 +22,7 @@
   // What the server took of that, as its gate measured it.
   base::Duration server_time{};
   int attempts = 0;  // Sent, hedges included.
+  int moves = 0;     // Of them, handed back by a gate, unrun.
   int hedges = 0;    // Sent while an earlier attempt was in flight.
 };
 
--- a/src/libs/telemetry/call_series.cc
+++ b/src/libs/telemetry/call_series.cc
@@ -10,7 +10,8 @@
     errors.Count(*record.error);
   attempts += static_cast<uint64_t>(record.attempts);
   hedges += static_cast<uint64_t>(record.hedges);
-  const int beyond_first = record.attempts - 1 - record.hedges;
+  moves += static_cast<uint64_t>(record.moves);
+  const int beyond_first = record.attempts - 1 - record.hedges - record.moves;
   if (beyond_first > 0)
     retries += static_cast<uint64_t>(beyond_first);
 }
--- a/src/libs/telemetry/call_series.h
+++ b/src/libs/telemetry/call_series.h
@@ -24,6 +24,7 @@
   ErrorCounts errors;
   uint64_t attempts = 0;
   uint64_t retries = 0;
+  uint64_t moves = 0;
   uint64_t hedges = 0;
 };
 
--- a/src/libs/telemetry/exposition.cc
+++ b/src/libs/telemetry/exposition.cc
@@ -172,6 +172,7 @@
   AppendErrors(text, Metric::kCallErrors, report.calls);
   AppendCounts(text, Metric::kAttempts, report.calls, &CallSeries::attempts);
   AppendCounts(text, Metric::kRetries, report.calls, &CallSeries::retries);
+  AppendCounts(text, Metric::kMoves, report.calls, &CallSeries::moves);
   AppendCounts(text, Metric::kHedges, report.calls, &CallSeries::hedges);
   AppendHistograms(text, Metric::kAttemptQueueSeconds, report.attempts,
                    &AttemptSeries::queued);
--- a/src/libs/telemetry/metric.cc
+++ b/src/libs/telemetry/metric.cc
@@ -27,6 +27,10 @@
     MetricDescription{Metric::kRetries, "chestnutport_retries_total",
                       MetricType::kCounter, kSeries,
                       "Attempts after an earlier one had failed."},
+    MetricDescription{Metric::kMoves, "chestnutport_moves_total",
+                      MetricType::kCounter, kSeries,
+                      "Attempts that a gate handed back, unrun, because "
+                      "another server would do better."},
     MetricDescription{Metric::kHedges, "chestnutport_hedges_total",
                       MetricType::kCounter, kSeries,
                       "Attempts while an earlier one was in flight."},
@@ -53,8 +57,8 @@
                       MetricType::kGauge, "",
                       "Revision in force on this node."},
     MetricDescription{Metric::kStoreCalls, "chestnutport_store_calls_total",
-                      MetricType::kCounter, "",
-                      "Calls made to the platform's store."},
+                      MetricType::kCounter, "kind,result",
+                      "Calls to the platform's store."},
     MetricDescription{
         Metric::kGossipSentBytes, "chestnutport_gossip_sent_bytes_total",
         MetricType::kCounter, "", "Bytes of datagrams sent to other nodes."},
@@ -68,6 +72,15 @@
     MetricDescription{Metric::kGossipRefuted,
                       "chestnutport_gossip_refuted_total", MetricType::kCounter,
                       "", "Times that others suspected this node wrongly."},
+    MetricDescription{
+        Metric::kServerStrain, "chestnutport_server_strain", MetricType::kGauge,
+        "",
+        "How many times the usual work a good answer of this node's server "
+        "costs, as last known."},
+    MetricDescription{Metric::kServerWordAge,
+                      "chestnutport_server_word_age_seconds",
+                      MetricType::kGauge, "",
+                      "Age of what this node's server last said of its pace."},
     MetricDescription{Metric::kProbes, "chestnutport_probes_total",
                       MetricType::kCounter, "",
                       "Probes of servers made by this node."},
--- a/src/libs/telemetry/metrics_json.cc
+++ b/src/libs/telemetry/metrics_json.cc
@@ -90,6 +90,7 @@
     AppendErrors(counts, Metric::kCallErrors, labels, series.errors);
     AppendCount(counts, Metric::kAttempts, labels, "", series.attempts);
     AppendCount(counts, Metric::kRetries, labels, "", series.retries);
+    AppendCount(counts, Metric::kMoves, labels, "", series.moves);
     AppendCount(counts, Metric::kHedges, labels, "", series.hedges);
   }
   for (const AttemptSeries& series : report.attempts) {
--- a/tests/auto/telemetry/metrics_test.cc
+++ b/tests/auto/telemetry/metrics_test.cc
@@ -197,7 +197,7 @@
   metrics.Record(record);
   MetricsReport report;
   report.calls = All(metrics);
-  report.readings = {{Metric::kStoreCalls, "", 12345678901.0},
+  report.readings = {{Metric::kStoreCalls, "read,refused", 12345678901.0},
                      {Metric::kMembers, "alive", 3}};
   const std::string text = WriteExposition(report);
   const std::string labels =
@@ -222,7 +222,9 @@
   }
 
   SECTION("large numbers keep every digit") {
-    CHECK(Contains(text, "chestnutport_store_calls_total 12345678901"));
+    CHECK(Contains(text,
+                   "chestnutport_store_calls_total{kind=\"read\",result="
+                   "\"refused\"} 12345678901"));
     CHECK(Contains(text, "chestnutport_members{state=\"alive\"} 3"));
   }
 
