--- a/src/libs/telemetry/exposition.cc
+++ b/src/libs/telemetry/exposition.cc
@@ -1,5 +1,6 @@
 #include "telemetry/exposition.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -144,6 +145,21 @@
                });
 }
 
+// Of names and values that are separated by commas, as many of each.
+std::string Labels(std::string_view names, std::string_view values) {
+  if (names.empty())
+    return "";
+  const auto all_names = base::Split(names, ',');
+  const auto all_values = base::Split(values, ',');
+  std::string labels;
+  for (size_t i = 0; i < std::min(all_names.size(), all_values.size()); ++i) {
+    if (i > 0)
+      labels.append(",");
+    labels.append(Label(all_names[i], all_values[i]));
+  }
+  return labels;
+}
+
 void AppendReadings(std::string& text, const std::vector<Reading>& readings) {
   for (const MetricDescription& row : MetricTable()) {
     bool has_head = false;
@@ -153,9 +169,8 @@
       if (!has_head)
         AppendHead(text, row.metric);
       has_head = true;
-      const std::string labels =
-          row.labels.empty() ? "" : Label(row.labels, reading.label);
-      AppendSample(text, row.name, labels, Number(reading.value));
+      AppendSample(text, row.name, Labels(row.labels, reading.label),
+                   Number(reading.value));
     }
   }
 }
