Log an answer that its server gave late as an event of its own

Change: 2035 server-late; explain says how long it waited, what the server took, and the pace by which it was started, with its age.

--- a/src/libs/node/request_log.cc
+++ b/src/libs/node/request_log.cc
@@ -122,7 +122,7 @@
 void LogGateDecision(const GateDecision& decision) {
   const bool reached = decision.serving.has_value();
   LogRequestEvent(
-      Event::kGateDecided,
+      decision.error ? Event::kGateDecided : Event::kServerLate,
       {{"request", decision.request},
        {"instance", decision.instance},
        {"error", NameOf(decision.error)},
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -95,8 +95,11 @@
                      "A caller went away before its answer.", "None."},
     EventDescription{Event::kGateDecided, "gate-decided", Level::kInfo,
                      "A gate refused a request, or its server gave no answer "
-                     "to it or a late one; the line has the state of the "
-                     "server.",
+                     "to it; the line has the state of the server.",
+                     "Follow the request's name with chestnutport explain."},
+    EventDescription{Event::kServerLate, "server-late", Level::kInfo,
+                     "A server answered later than the request's target; the "
+                     "line has its pace when the request was started.",
                      "Follow the request's name with chestnutport explain."},
     EventDescription{Event::kServerAnnounced, "server-announced", Level::kInfo,
                      "This node's server announced itself.", "None."},
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -46,6 +46,7 @@
   kCallRejected = 2032,
   kCallerGone = 2033,
   kGateDecided = 2034,
+  kServerLate = 2035,
   kServerAnnounced = 2101,
   kServerWithdrawn = 2102,
   kServerDraining = 2103,
--- a/src/libs/telemetry/request_story.cc
+++ b/src/libs/telemetry/request_story.cc
@@ -12,6 +12,7 @@
 constexpr std::string_view kRejected = "call-rejected";
 constexpr std::string_view kGone = "caller-gone";
 constexpr std::string_view kGate = "gate-decided";
+constexpr std::string_view kLate = "server-late";
 
 // A value: quoted, with backslashes before what is escaped, or up to a space.
 std::string TakeValue(std::string_view& rest) {
@@ -63,6 +64,23 @@
   return text;
 }
 
+// What the gate said of the server that answered late.
+std::string LateState(const std::vector<StoryLine>& lines) {
+  const auto found = std::find_if(
+      lines.rbegin(), lines.rend(),
+      [](const StoryLine& line) { return line.Field("name") == kLate; });
+  if (found == lines.rend())
+    return GateState(lines);
+  std::string text = " Node ";
+  text.append(found->Field("node")).append(" kept it waiting for ");
+  text.append(found->Field("queued")).append(" and its server took ");
+  text.append(found->Field("serving")).append("; when it was started the VM ");
+  text.append("was ").append(found->Field("admitted_slowness"));
+  text.append(" times as slow as usual, by a word that was ");
+  text.append(found->Field("slowness_age")).append(" old.");
+  return text;
+}
+
 std::string CauseOfEnd(const StoryLine& end,
                        const std::vector<StoryLine>& lines) {
   const base::ErrorAnswer* error = FindError(end.Field("error"));
@@ -73,7 +91,7 @@
     text.append(end.Field("took")).append(" of a target of ");
     text.append(end.Field("target")).append("; sent to ");
     text.append(end.Field("sent")).append(".");
-    return text + GateState(lines);
+    return text + LateState(lines);
   }
   text = error->outcome == base::Outcome::kNotRun
              ? "Not run, and never will be: "
