--- a/src/libs/node/request_log.cc
+++ b/src/libs/node/request_log.cc
@@ -14,6 +14,8 @@
 using telemetry::LogRequestEvent;
 
 constexpr int kServerError = 500;
+// Bytes of the attempts in a line; a value of a line has 200 at most.
+constexpr size_t kLongestSent = 180;
 
 std::string_view NameOf(calls::AttemptVerdict verdict) {
   switch (verdict) {
@@ -33,16 +35,21 @@
   return "unknown";
 }
 
+// In whole milliseconds, as the line is bounded.
+std::string Rounded(base::Duration duration) {
+  return base::FormatDuration(
+      std::chrono::round<std::chrono::milliseconds>(duration));
+}
+
 // node@sent+took=verdict, with the reason of what was no answer: when it was
 // sent after the call arrived, and how long it was under way.
 std::string Describe(const SentAttempt& attempt,
                      base::Instant arrived_at,
                      base::Instant now) {
   const base::Instant until = attempt.end ? attempt.ended_at : now;
-  std::string text =
-      absl::StrCat(attempt.server.node.ToString(), "@",
-                   base::FormatDuration(attempt.sent_at - arrived_at), "+",
-                   base::FormatDuration(until - attempt.sent_at), "=");
+  std::string text = absl::StrCat(attempt.server.node.ToString(), "@",
+                                  Rounded(attempt.sent_at - arrived_at), "+",
+                                  Rounded(until - attempt.sent_at), "=");
   if (!attempt.end) {
     absl::StrAppend(&text, "open");
     return text;
@@ -59,16 +66,20 @@
   return text;
 }
 
+// The last ones in full, as they decided; of those before, how many.
 std::string DescribeAttempts(const ActiveCall& call, base::Instant now) {
   std::string text;
-  for (const SentAttempt& attempt : call.attempts) {
+  size_t left = call.attempts.size();
+  for (; left > 0; --left) {
+    const SentAttempt& attempt = call.attempts[left - 1];
     if (attempt.sent_at == base::Instant())
       continue;  // No server was found for it.
-    if (!text.empty())
-      text.append(" ");
-    text.append(Describe(attempt, call.arrived_at, now));
+    const std::string one = Describe(attempt, call.arrived_at, now);
+    if (!text.empty() && text.size() + one.size() > kLongestSent)
+      break;
+    text = text.empty() ? one : absl::StrCat(one, " ", text);
   }
-  return text;
+  return left == 0 ? text : absl::StrCat(left, "-before ", text);
 }
 
 std::string NameOf(const std::optional<base::ErrorKind>& error) {
