--- a/tests/auto/node/request_log_test.cc
+++ b/tests/auto/node/request_log_test.cc
@@ -22,13 +22,12 @@
   CallerRequest request;
   request.name = "r1";
   request.target_latency = milliseconds(120);
-  ActiveCall call{
-      .id = 1,
-      .service = &service,
-      .decision =
-          calls::Call(service.Policy(request), kStart,
-                      kStart + std::chrono::seconds(1), service.Budgets()),
-      .arrived_at = kStart};
+  ActiveCall call{.id = 1,
+                  .service = &service,
+                  .decision = calls::Call(service.Policy(request), kStart,
+                                          kStart + std::chrono::seconds(1),
+                                          service.Budgets()),
+                  .arrived_at = kStart};
   call.request = request;
   for (int i = 0; i <= moves; ++i) {
     SentAttempt sent;
@@ -53,14 +52,12 @@
   SECTION("when each was sent, how long it took, and how it ended") {
     const std::string line = LineAfter(1);
     CHECK(line.find("0000000000000010@0s+4ms=refused:server-slow "
-                    "0000000000000011@4ms+4ms=answered") !=
-          std::string::npos);
+                    "0000000000000011@4ms+4ms=answered") != std::string::npos);
     CHECK(line.find("-before") == std::string::npos);
   }
   SECTION("the last ones in full, as a line is bounded") {
     const std::string line = LineAfter(7);
-    CHECK(line.find("0000000000000017@28ms+4ms=answered") !=
-          std::string::npos);
+    CHECK(line.find("0000000000000017@28ms+4ms=answered") != std::string::npos);
     CHECK(line.find("-before ") != std::string::npos);
   }
 }
--- a/tests/auto/platform/hosted_configuration_form_test.cc
+++ b/tests/auto/platform/hosted_configuration_form_test.cc
@@ -40,6 +40,16 @@
   }
 }
 
+TEST_CASE("a document that is nested very deeply is refused, not fatal") {
+  const HostedConfigurationForm form;
+  CHECK_FALSE(form.ReadHead(std::string(1000000, '[')));
+  const std::string deep = R"({"version":7,"routes":)" +
+                           std::string(400000, '[') + std::string(400000, ']') +
+                           "}";
+  CHECK(form.ReadHead(deep));
+  CHECK(Parse(deep).routes.size() == 0);
+}
+
 TEST_CASE("the longest prefix of the host decides") {
   const auto configuration = Parse(kDocument);
   REQUIRE(configuration.routes.size() == 2);
