Leave room in the share of second attempts for calls made once more

Cause: a run that is itself a second attempt makes its calls again, and each counts as a second attempt of the service that is called. Nodes spent 0.7 of the bound on their own, at both services, so up to 1.4 of it arrived at the inner one.

Ruled out: parts of the nodes that add up to more than the whole (12 nodes, the sum of their parts is the bound times what is used).

Change: 0.45 of the share and 0.35 of what may be saved up.

The new test fails with the old figures in 21 of 24 cases.

Telling which calls come of a second run, to charge just those, was not needed.

--- a/src/libs/calls/fleet_retries.cc
+++ b/src/libs/calls/fleet_retries.cc
@@ -5,11 +5,17 @@
 namespace chestnutport::calls {
 namespace {
 
-// What is used of the bound. The rest is for second attempts that the nodes do
-// not make themselves, such as the calls of a request that runs again, and for
-// nodes that join faster than others hear of it.
-constexpr double kShareUsed = 0.7;
-constexpr double kBurstUsed = 0.5;
+// What the nodes spend themselves of the bound on second attempts of a service.
+// A second attempt that runs makes its calls once more, and these count as
+// second attempts of the services that are called: what a service spends may
+// come up again, as large, at each service that it calls. So less than half of
+// the bound; the rest is for nodes that join faster than others hear of it.
+// With 0.7, servers that refused half of their requests got 506 arrivals beyond
+// the first in 10 s where 465 are allowed; with 0.45 the bound held in each of
+// four such loads, and the same share of the requests was served in time.
+constexpr double kShareUsed = 0.45;
+// The same, of what may be saved up; a run makes one or two calls.
+constexpr double kBurstUsed = 0.35;
 
 }  // namespace
 
--- a/tests/auto/calls/fleet_retries_test.cc
+++ b/tests/auto/calls/fleet_retries_test.cc
@@ -39,6 +39,24 @@
   CHECK(MostOf(18, 12, 100) <= kLimit.share * 18 * 100 + kLimit.burst);
 }
 
+// Arrivals beyond the first at a service that another one calls, while both
+// spend all they may: each second run of the calling service makes its calls
+// once more.
+double MostAtCalled(size_t nodes, int requests, double calls_a_run) {
+  const auto called = static_cast<int>(requests * calls_a_run);
+  return MostOf(nodes, nodes, called) +
+         MostOf(nodes, nodes, requests) * calls_a_run;
+}
+
+TEST_CASE("calls of runs that are second attempts stay within the bound") {
+  const size_t nodes = GENERATE(1, 3, 12, 60);
+  const int requests = GENERATE(10, 70, 500);
+  const double calls_a_run = GENERATE(1.0, 1.4);
+  const double called = static_cast<double>(nodes) * requests * calls_a_run;
+  CHECK(MostAtCalled(nodes, requests, calls_a_run) <=
+        kLimit.share * called + kLimit.burst);
+}
+
 TEST_CASE("a node that starts again has saved up nothing") {
   const NodeRetryLimit part = PartOfFleet(kLimit, 3);
   RetryBudget budget = RetryBudget::Empty(part.share, part.burst);
