Cancel until it is known, and before a server has seen anything

Cause: a request whose caller had left could reach a server over half a second later. Two ways were found by reading the path of a cancellation: the question that cancels was asked once, with 500 ms for its answer, and a loss of it was nobody's concern; and at the gate an attempt that was admitted but still waited for a connection to its server (up to 500 ms while the server's queue of new connections is full) counted as running, so one that may not be cut off was sent after its caller had gone.

Change: AttemptCanceller asks up to three times, 150 ms each, and closes the attempt's connection once an answer is missing; the gate cancels what is not sent yet, and says truthfully that it never runs. Beside it: requests with an idempotency key went to any node (the choice of the key's owner was not called), and were refused by all but one; they go to the owner now.

--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -250,6 +250,14 @@
   DestroySoon();
 }
 
+bool HttpClient::IsSent(TransferId transfer) const {
+  const auto found = transfers_.find(transfer);
+  if (found == transfers_.end())
+    return false;
+  const HttpClientConnection* connection = found->second->connection;
+  return connection && !connection->IsConnecting();
+}
+
 HttpTransfer* HttpClient::Find(TransferId transfer) {
   const auto found = transfers_.find(transfer);
   return found == transfers_.end() ? nullptr : found->second.get();
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -88,6 +88,10 @@
   // Closes the transfer's connection; `done` is not called.
   void Cancel(TransferId transfer);
 
+  // Whether the other end may have seen a part of the request; false for one
+  // that waits for a connection, or is not there any more.
+  bool IsSent(TransferId transfer) const;
+
   // Those begun and neither done nor cancelled.
   size_t transfers() const { return transfers_.size(); }
   // Connections opened, and answers to other requests skipped, so far.
--- /dev/null
+++ b/src/libs/node/attempt_canceller.h
@@ -0,0 +1,36 @@
+// Cancels attempts for whose answer nobody waits any more.
+#ifndef NODE_ATTEMPT_CANCELLER_H_
+#define NODE_ATTEMPT_CANCELLER_H_
+
+#include "base/attempt_id.h"
+#include "node/attempt_sender.h"
+#include "node/attempt_settler.h"
+#include "routing/server_candidate.h"
+
+namespace chestnutport::node {
+
+class AttemptCanceller {
+ public:
+  // Both must outlive the canceller.
+  AttemptCanceller(AttemptSender& sender, AttemptSettler& settler);
+
+  // `question` is kCancel or kStop. Asks again until the server's node answers,
+  // a few times at most. An attempt whose node does not answer at once loses
+  // its connection, which tells the node the same.
+  void Cancel(const routing::ServerCandidate& server,
+              const base::AttemptId& attempt,
+              Question question);
+
+ private:
+  void Ask(const routing::ServerCandidate& server,
+           const base::AttemptId& attempt,
+           Question question,
+           int asked);
+
+  AttemptSender& sender_;
+  AttemptSettler& settler_;
+};
+
+}  // namespace chestnutport::node
+
+#endif  // NODE_ATTEMPT_CANCELLER_H_
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -295,7 +295,11 @@
     Refuse(id, ErrorKind::kCancelled, {});
     return AttemptState::kNeverRuns;
   }
-  if (before != AttemptState::kRunning || !stop_running)
+  if (before != AttemptState::kRunning)
+    return before;
+  if (CancelUnsent(id, now))
+    return AttemptState::kNeverRuns;
+  if (!stop_running)
     return before;
   auto node = attempts_.extract(id);
   if (!node.empty()) {
@@ -308,13 +312,22 @@
   return before;
 }
 
+bool Gate::CancelUnsent(const AttemptId& id, base::Instant now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end() || client_.IsSent(found->second->transfer))
+    return false;
+  client_.Cancel(found->second->transfer);
+  Refuse(id, ErrorKind::kCancelled, {});
+  Perform(admission_.Finish(id, now, ServerResult::kNotSent));
+  CheckEmpty();
+  return true;
+}
+
 void Gate::OnPeerGone(const AttemptId& id) {
   const auto found = attempts_.find(id);
   if (found == attempts_.end())
     return;
-  const bool is_running = admission_.State(id) == AttemptState::kRunning;
-  if (!is_running || found->second->may_stop)
-    CancelAttempt(id, true);
+  CancelAttempt(id, found->second->may_stop);
 }
 
 void Gate::Perform(AdmissionActions actions) {
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -80,6 +80,9 @@
   std::string AnswerSettle(const std::string& params);
   admission::AttemptState CancelAttempt(const base::AttemptId& id,
                                         bool stop_running);
+  // Whether the attempt was admitted, but waited for a connection to the
+  // server: then it never runs.
+  bool CancelUnsent(const base::AttemptId& id, base::Instant now);
   void OnPeerGone(const base::AttemptId& id);
   void Perform(admission::AdmissionActions actions);
   // Hands the attempt to the server. Returns what to do next if it is too
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -124,7 +124,8 @@
       attempt_origin_(random_()),
       node_retries_(kNodeRetryShare, kNodeRetryBurst),
       sender_(loop, keys),
-      settler_(loop, std::move(keys)) {}
+      settler_(loop, std::move(keys)),
+      canceller_(sender_, settler_) {}
 
 Ingress::~Ingress() {
   for (const auto& [id, call] : calls_)
@@ -316,11 +317,11 @@
 bool Ingress::SendAttempt(ActiveCall& call, int attempt) {
   const base::Instant now = loop_.now();
   call.attempts.resize(attempt + 1);
-  const auto* server = call.service->chooser().Choose(call.tried, now, random_);
+  const auto* server = ChooseServer(call, now);
   if (!server && !call.handed_back.empty()) {
     // All others were tried: the least poor of those that handed it back.
     ForgetHandedBack(call);
-    server = call.service->chooser().Choose(call.tried, now, random_);
+    server = ChooseServer(call, now);
   }
   if (!server)
     return false;
@@ -383,12 +384,10 @@
 
 void Ingress::Abandon(const ActiveCall& call, int attempt) {
   const SentAttempt& sent = call.attempts[attempt];
-  sender_.Abandon(sent.id);
   // What may run once only is left to finish: half of it done helps nobody.
   const Question question =
       call.request.is_repeatable ? Question::kStop : Question::kCancel;
-  settler_.Settle(sent.server, sent.id, question, kSettleTimeout,
-                  [](calls::SettleAnswer) {});
+  canceller_.Cancel(sent.server, sent.id, question);
 }
 
 void Ingress::SetTimer(ActiveCall& call) {
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -16,6 +16,7 @@
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "node/active_call.h"
+#include "node/attempt_canceller.h"
 #include "node/attempt_sender.h"
 #include "node/attempt_settler.h"
 #include "node/caller_protocol.h"
@@ -93,6 +94,7 @@
   std::map<std::string, std::unique_ptr<ServiceTraffic>, std::less<>> services_;
   AttemptSender sender_;
   AttemptSettler settler_;
+  AttemptCanceller canceller_;
   TrafficRecorder recorder_;
   std::unique_ptr<net::HttpServer> listener_;
   // After the listener, so that replies end before it does.
--- a/tests/auto/admission/gate_test.cc
+++ b/tests/auto/admission/gate_test.cc
@@ -2,6 +2,11 @@
 // test wants.
 #include "node/gate.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -26,6 +31,38 @@
   return base::SocketAddress::Parse("127.0.0.1:0").value();
 }
 
+// A listener whose queue of new connections is full: one more stays unopened.
+class FullListener {
+ public:
+  FullListener() {
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in raw{};
+    raw.sin_family = AF_INET;
+    raw.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(fd_, reinterpret_cast<sockaddr*>(&raw), sizeof(raw)) == 0);
+    REQUIRE(listen(fd_, 0) == 0);
+    socklen_t size = sizeof(raw);
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&raw), &size);
+    address_ = {INADDR_LOOPBACK, ntohs(raw.sin_port)};
+    for (int& filling : filling_) {
+      filling = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+      connect(filling, reinterpret_cast<sockaddr*>(&raw), sizeof(raw));
+    }
+  }
+  ~FullListener() {
+    for (const int filling : filling_)
+      close(filling);
+    close(fd_);
+  }
+
+  const base::SocketAddress& address() const { return address_; }
+
+ private:
+  int fd_;
+  std::array<int, 4> filling_{};
+  base::SocketAddress address_;
+};
+
 // The gate, its server and the other node, on one loop.
 class Scene {
  public:
@@ -74,7 +111,9 @@
     return results[id];
   }
 
-  std::string Settle(const base::AttemptId& attempt, bool cancel) {
+  std::string Settle(const base::AttemptId& attempt,
+                     bool cancel,
+                     bool stop_running = true) {
     AttemptSettler settler(loop_, kKeys);
     std::string state = "none";
     wire::PeerRequestHead head;
@@ -84,7 +123,8 @@
     net::HttpRequest request{.method = "POST", .target = kSettlePath};
     head.AppendTo(request.headers, kKeys.current);
     const nlohmann::json asked = {{"attempt", attempt.ToString()},
-                                  {"cancel", cancel}};
+                                  {"cancel", cancel},
+                                  {"stop_running", stop_running}};
     request.body = rpc::EncodeCall("attempt.settle", asked.dump());
     peer_.Send(address_, std::move(request), seconds(5),
                [&](const net::TransferResult& done) {
@@ -194,6 +234,29 @@
   }
 }
 
+TEST_CASE("an attempt that waits for a connection to its server") {
+  Scene scene;
+  const FullListener full;
+  scene.state.address = full.address();
+  ++scene.state.life;
+  scene.Apply();
+  const auto waiting = scene.Begin("POST");
+  REQUIRE(
+      scene.Until([&] { return scene.Settle(waiting, false) == "running"; }));
+
+  SECTION("never runs if it is cancelled, though it may not be cut off") {
+    CHECK(scene.Settle(waiting, true, false) == "never-runs");
+    REQUIRE(scene.Until([&] { return scene.results.contains(1); }));
+    CHECK(Error(scene.results[1]) == "cancelled");
+  }
+
+  SECTION("never runs if the other node goes away") {
+    scene.Leave(0);
+    CHECK(scene.Until(
+        [&] { return scene.Settle(waiting, false) == "never-runs"; }));
+  }
+}
+
 TEST_CASE("an attempt on a slow server") {
   Scene scene;
   scene.silent = true;
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/node/ingress_test.cc
@@ -1,6 +1,7 @@
 // The ingress of a node against peers that answer as the test wants.
 #include "node/ingress.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -47,12 +48,18 @@
 
   std::string state = "running";  // What questions are answered with.
   std::vector<bool> questions;    // Whether each was to cancel.
+  bool answers_questions = true;
+  int gone = 0;  // Attempts whose connection the ingress closed.
   std::vector<net::HttpRequest> attempts;
 
  private:
   void OnRequest(net::HttpRequest request, net::Reply reply) {
     if (request.target == kSettlePath) {
-      reply.Send({.body = dispatcher_.Handle(request.body)});
+      const std::string answer = dispatcher_.Handle(request.body);
+      if (answers_questions)
+        reply.Send({.body = answer});
+      else
+        held_.push_back(std::move(reply));
       return;
     }
     attempts.push_back(std::move(request));
@@ -69,6 +76,7 @@
         reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kDraining));
         return;
       case Behaviour::kSilent:
+        reply.OnGone([this] { ++gone; });
         held_.push_back(std::move(reply));
         return;
     }
@@ -193,6 +201,13 @@
       scene.AskAndLeave([&] { return !silent.attempts.empty(); });
       CHECK(scene.Until([&] { return !silent.questions.empty(); }));
       CHECK(silent.questions == std::vector<bool>{true});
+      CHECK(silent.gone == 0);
+    }
+    SECTION("cancels again, and closes the connection, if it is not told") {
+      silent.answers_questions = false;
+      scene.AskAndLeave([&] { return !silent.attempts.empty(); });
+      CHECK(scene.Until([&] { return silent.questions.size() > 1; }));
+      CHECK(scene.Until([&] { return silent.gone == 1; }));
     }
   }
 
@@ -204,6 +219,17 @@
     CHECK_FALSE(leaving.attempts.empty());
   }
 
+  SECTION("sends each use of an idempotency key to one owner") {
+    std::vector<Peer*> peers;
+    for (int i = 0; i < 3; ++i)
+      peers.push_back(&scene.Add(Behaviour::kAnswers));
+    for (int i = 0; i < 20; ++i)
+      scene.Ask("POST", {{wire::kIdempotencyKeyHeader, "k"}});
+    const auto asked = std::ranges::count_if(
+        peers, [](const Peer* peer) { return !peer->attempts.empty(); });
+    CHECK(asked == 1);
+  }
+
   SECTION("repeats what failed only if it may be repeated") {
     Peer& failing = scene.Add(Behaviour::kFails);
     scene.Add(Behaviour::kAnswers);
