Ask a gate for a place before a large body is sent to it

Cause: an upload of 60 kB takes 40 ms of a link of 12 Mbit/s, and a gate that handed it back had read it whole. In a rush three to seven moves multiplied that, so that lookups for which a server holds a slot waited behind bodies that nobody took.

Hypothesis: asking with the head alone, a millisecond, leaves the links to what is served.

Change: bodies from 8 kB on go to a gate only after it said, by the same decisions as for the request itself, that it would let it in (POST /chestnutport/place, 204). Nothing is held: a request that comes after it may still wait or be refused, but is not handed back.

Ruled out for now: holding the place until the body is there. A slot would be idle for 80 ms of each upload, a seventh of the service's.

--- a/src/libs/admission/admission_controller.cc
+++ b/src/libs/admission/admission_controller.cc
@@ -45,24 +45,47 @@
     return {{ActionKind::kRefuse, attempt, ErrorKind::kCancelled, {}}};
   if (known != AttemptState::kUnknown || !ledger_.IsNew(attempt, now))
     return {{ActionKind::kRefuse, attempt, ErrorKind::kDuplicateAttempt, {}}};
-  if (draining_)
-    return {Refuse(attempt, ErrorKind::kDraining, now)};
-  if (arrival.deadline <= now)
-    return {Refuse(attempt, ErrorKind::kDeadlineTooClose, now)};
   const QueuedAttempt waiting{
       attempt, queue_.Flow(arrival.traffic_class, arrival.tenant),
       arrival.deadline, arrival.target};
-  if (queue_.size() == 0 && HasFreeSlot(now))
+  if (const auto refusal = RefusalOf(waiting, now))
+    return {Refuse(attempt, *refusal, now)};
+  if (HasRoom(now))
     return {Start(waiting, now)};
+  return Enqueue(waiting, now);
+}
+
+std::optional<AdmissionAction> AdmissionController::Judge(
+    const Arrival& arrival,
+    Instant now) {
+  const QueuedAttempt waiting{
+      arrival.attempt, queue_.Flow(arrival.traffic_class, arrival.tenant),
+      arrival.deadline, arrival.target};
+  const auto refusal = RefusalOf(waiting, now);
+  if (!refusal)
+    return std::nullopt;
+  return AdmissionAction{ActionKind::kRefuse, arrival.attempt, *refusal,
+                         RetryAfter(*refusal, now)};
+}
+
+std::optional<ErrorKind> AdmissionController::RefusalOf(
+    const QueuedAttempt& waiting,
+    Instant now) const {
+  if (draining_)
+    return ErrorKind::kDraining;
+  if (waiting.deadline <= now)
+    return ErrorKind::kDeadlineTooClose;
+  if (HasRoom(now))
+    return std::nullopt;
   const Duration wait = DrainTime(queue_.Ahead(waiting.flow) + 1, now);
-  if (now + wait >= arrival.deadline)
-    return {Refuse(attempt, ErrorKind::kDeadlineTooClose, now)};
+  if (now + wait >= waiting.deadline)
+    return ErrorKind::kDeadlineTooClose;
   // What would be served late only makes others late: it is told at once, and
   // its caller may come back when there is room.
-  if (arrival.target &&
-      now + wait + kWorkKept * UsualWork(waiting.flow) > *arrival.target)
-    return {Refuse(attempt, ErrorKind::kOverloaded, now)};
-  return Enqueue(waiting, now);
+  if (waiting.target &&
+      now + wait + kWorkKept * UsualWork(waiting.flow) > *waiting.target)
+    return ErrorKind::kOverloaded;
+  return std::nullopt;
 }
 
 bool AdmissionController::MaySend(const AttemptId& attempt, Instant now) const {
@@ -149,10 +172,13 @@
                                             ErrorKind error,
                                             Instant now) {
   ledger_.Set(attempt, AttemptState::kNeverRuns, now);
-  Duration retry_after = base::AnswerTo(error).retry_after;
+  return {ActionKind::kRefuse, attempt, error, RetryAfter(error, now)};
+}
+
+Duration AdmissionController::RetryAfter(ErrorKind error, Instant now) const {
   if (error == ErrorKind::kOverloaded || error == ErrorKind::kDeadlineTooClose)
-    retry_after = std::max(DrainTime(Queued() + 1, now), kLeastWait);
-  return {ActionKind::kRefuse, attempt, error, retry_after};
+    return std::max(DrainTime(Queued() + 1, now), kLeastWait);
+  return base::AnswerTo(error).retry_after;
 }
 
 AdmissionAction AdmissionController::Start(const QueuedAttempt& attempt,
--- a/src/libs/admission/admission_controller.h
+++ b/src/libs/admission/admission_controller.h
@@ -4,6 +4,8 @@
 #ifndef ADMISSION_ADMISSION_CONTROLLER_H_
 #define ADMISSION_ADMISSION_CONTROLLER_H_
 
+#include <optional>
+
 #include "absl/container/flat_hash_map.h"
 #include "admission/admission_action.h"
 #include "admission/arrival.h"
@@ -37,6 +39,10 @@
 
   // Each attempt runs at most once: a second arrival is refused.
   AdmissionActions Arrive(const Arrival& arrival, base::Instant now);
+  // What Arrive() would refuse at this moment; nothing: it would be let in. The
+  // attempt stays unknown.
+  std::optional<AdmissionAction> Judge(const Arrival& arrival,
+                                       base::Instant now);
   // Whether an attempt that was to start may still be sent at `now`, a fresh
   // reading of the clock. If not, it is to be finished as kNotSent.
   bool MaySend(const base::AttemptId& attempt, base::Instant now) const;
@@ -76,6 +82,10 @@
     bool at_limit = false;  // No more could be started beside it.
   };
 
+  // Nothing: it may run or wait.
+  std::optional<base::ErrorKind> RefusalOf(const QueuedAttempt& waiting,
+                                           base::Instant now) const;
+  base::Duration RetryAfter(base::ErrorKind error, base::Instant now) const;
   AdmissionAction Refuse(const base::AttemptId& attempt,
                          base::ErrorKind error,
                          base::Instant now);
--- a/src/libs/node/attempt_sender.cc
+++ b/src/libs/node/attempt_sender.cc
@@ -1,5 +1,6 @@
 #include "node/attempt_sender.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "wire/peer_answer_head.h"
@@ -11,6 +12,7 @@
 using calls::AttemptVerdict;
 
 constexpr int kServerError = 500;
+constexpr std::chrono::milliseconds kLeastRemaining(1);
 // The call itself watches its deadline; a transfer must not end before it.
 constexpr std::chrono::milliseconds kTransferSlack(500);
 
@@ -18,6 +20,13 @@
 // nothing was sent before: another one is tried instead.
 constexpr std::chrono::milliseconds kConnectTimeout(150);
 
+// Bodies from this size on, in bytes, are sent only to a gate that has a place.
+// A round trip between nodes costs a millisecond; 8 kB take 5 ms of a link of
+// 12 Mbit/s, and a request is handed back several times when servers are full.
+constexpr size_t kLeastInquired = 8 * 1024;
+// A gate that has to ask its server first answers within some 20 ms.
+constexpr std::chrono::milliseconds kInquiryTimeout(150);
+
 net::HttpClientOptions PeerConnections() {
   net::HttpClientOptions options;
   options.connect_timeout = kConnectTimeout;
@@ -82,7 +91,6 @@
                          net::HttpRequest request,
                          Handler handler) {
   const base::Instant now = loop_.now();
-  head.AppendTo(request.headers, keys_.current);
   service.chooser().OnSent(server.node, now);
   InFlight& sent = in_flight_[head.attempt];
   sent.service = &service;
@@ -90,19 +98,72 @@
   sent.sent_at = now;
   sent.method = request.method;
   sent.handler = std::move(handler);
+  Held held{head, server.peer_address, std::move(request)};
+  if (held.request.body.size() >= kLeastInquired) {
+    sent.held = std::make_unique<Held>(std::move(held));
+    Inquire(sent);
+  } else {
+    Transmit(sent, std::move(held));
+  }
+}
+
+void AttemptSender::Transmit(InFlight& sent, Held held) {
+  const base::AttemptId attempt = held.head.attempt;
+  held.head.AppendTo(held.request.headers, keys_.current);
   sent.transfer = client_.Stream(
-      server.peer_address, std::move(request), head.remaining + kTransferSlack,
-      [this, attempt = head.attempt](const net::HttpAnswer& answer) {
+      held.to, std::move(held.request), held.head.remaining + kTransferSlack,
+      [this, attempt](const net::HttpAnswer& answer) {
         return StartRelay(attempt, answer);
       },
-      [this, attempt = head.attempt](std::string_view part) {
+      [this, attempt](std::string_view part) {
         return RelayPart(attempt, part);
       },
-      [this, attempt = head.attempt](net::TransferResult result) {
+      [this, attempt](net::TransferResult result) {
         OnDone(attempt, std::move(result));
       });
 }
 
+void AttemptSender::Inquire(InFlight& sent) {
+  const Held& held = *sent.held;
+  net::HttpRequest inquiry{.method = "POST", .target = kInquiryPath};
+  held.head.AppendTo(inquiry.headers, keys_.current);
+  sent.transfer = client_.Send(
+      held.to, std::move(inquiry),
+      std::min<base::Duration>(held.head.remaining, kInquiryTimeout),
+      [this, attempt = held.head.attempt](net::TransferResult result) {
+        OnInquired(attempt, std::move(result));
+      });
+}
+
+void AttemptSender::OnInquired(const base::AttemptId& attempt,
+                               net::TransferResult result) {
+  const auto found = in_flight_.find(attempt);
+  if (found == in_flight_.end())
+    return;
+  InFlight& sent = found->second;
+  const bool is_whole = result.end == net::TransferEnd::kComplete;
+  const bool has_place = is_whole && result.answer.status == kPlaceFree;
+  // Nothing of the request was sent, whatever became of the question.
+  if (!is_whole)
+    result.end = net::TransferEnd::kNotSent;
+  if (!has_place || !sent.handler) {
+    OnDone(attempt, std::move(result));
+    return;
+  }
+  Held held = *std::exchange(sent.held, nullptr);
+  const base::Duration waited = loop_.now() - sent.sent_at;
+  held.head.remaining =
+      std::max<base::Duration>(held.head.remaining - waited, kLeastRemaining);
+  if (held.head.target_in) {
+    held.head.target_in =
+        std::max<base::Duration>(*held.head.target_in - waited, {});
+  }
+  // The way of the body is paid for: it is not handed back any more.
+  held.head.may_move = false;
+  held.head.may_move_if_full = false;
+  Transmit(sent, std::move(held));
+}
+
 void AttemptSender::Relay(const base::AttemptId& attempt,
                           net::HttpAnswer answer,
                           net::Reply reply) {
--- a/src/libs/node/attempt_sender.h
+++ b/src/libs/node/attempt_sender.h
@@ -52,17 +52,28 @@
   void Abandon(const base::AttemptId& attempt);
 
  private:
+  // A request whose body is sent once its gate has a place for it.
+  struct Held {
+    wire::PeerRequestHead head;
+    base::SocketAddress to;
+    net::HttpRequest request;
+  };
   struct InFlight {
     ServiceTraffic* service = nullptr;
     base::NodeId node;
     base::Instant sent_at;
     net::HttpClient::TransferId transfer = 0;
     std::string method;
-    Handler handler;  // Empty once abandoned.
+    std::unique_ptr<Held> held;  // Until the place is found free.
+    Handler handler;             // Empty once abandoned.
     bool is_streamed = false;
     std::unique_ptr<AnswerRelay> relay;  // Of an answer that is streamed.
   };
 
+  void Transmit(InFlight& sent, Held held);
+  // Asks the gate, with the head alone, whether it has a place.
+  void Inquire(InFlight& sent);
+  void OnInquired(const base::AttemptId& attempt, net::TransferResult result);
   bool StartRelay(const base::AttemptId& attempt, const net::HttpAnswer& head);
   bool RelayPart(const base::AttemptId& attempt, std::string_view part);
   // Ends a streamed answer that nobody takes.
@@ -76,6 +87,11 @@
   absl::flat_hash_map<base::AttemptId, InFlight> in_flight_;
 };
 
+// The path of the question whether a gate has a place, and the status that says
+// so, on the peer listener.
+inline constexpr char kInquiryPath[] = "/chestnutport/place";
+inline constexpr int kPlaceFree = 204;
+
 }  // namespace chestnutport::node
 
 #endif  // NODE_ATTEMPT_SENDER_H_
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -6,6 +6,7 @@
 
 #include "base/encoding.h"
 #include "node/answer_relay.h"
+#include "node/attempt_sender.h"
 #include "node/attempt_settler.h"
 #include "node/request_log.h"
 #include "node/server_answer.h"
@@ -51,6 +52,7 @@
   base::Instant arrived_at;
   base::Instant deadline;
   std::optional<base::Instant> target;  // An answer is worth less after it.
+  bool is_inquiry = false;  // Asks for a place; the request itself follows.
 };
 
 // An attempt from its admission to its answer.
@@ -180,6 +182,7 @@
       .arrived_at = now,
       .deadline = now + head.remaining - freeze_watch_.UnseenWait(now),
       .target = TargetOf(head, now)};
+  arrival.is_inquiry = arrival.request.target == kInquiryPath;
   // How slow the server is when a request starts decides how long it takes, so
   // one that could go elsewhere waits for the server's word if there is none of
   // now.
@@ -212,16 +215,19 @@
     SendAnswer(arrival.reply, wire::MakeErrorAnswer(ErrorKind::kServerSlow));
     return;
   }
+  const admission::Arrival asked{head.attempt, head.tenant, head.traffic_class,
+                                 arrival.deadline, arrival.target};
+  if (arrival.is_inquiry) {
+    AnswerInquiry(asked, arrival.reply);
+    return;
+  }
   if (!attempts_.contains(head.attempt)) {
     if (auto answer = keyed_requests_.Begin(head, arrival.request, now)) {
       SendAnswer(arrival.reply, *std::move(answer));
       return;
     }
   }
-  const AdmissionActions actions =
-      admission_.Arrive({head.attempt, head.tenant, head.traffic_class,
-                         arrival.deadline, arrival.target},
-                        now);
+  const AdmissionActions actions = admission_.Arrive(asked, now);
   if (attempts_.contains(head.attempt)) {
     SendAnswer(arrival.reply,
                wire::MakeErrorAnswer(ErrorKind::kDuplicateAttempt));
@@ -231,6 +237,15 @@
   Perform(actions);
 }
 
+void Gate::AnswerInquiry(const admission::Arrival& asked, net::Reply& reply) {
+  if (const auto refused = admission_.Judge(asked, base::Clock::now())) {
+    SendAnswer(reply,
+               wire::MakePeerErrorAnswer(refused->error, refused->retry_after));
+    return;
+  }
+  SendAnswer(reply, {.status = kPlaceFree});
+}
+
 void Gate::Keep(Arrival arrival) {
   const wire::PeerRequestHead& head = arrival.head;
   auto attempt = std::make_unique<Attempt>();
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -73,6 +73,8 @@
   // Admits those that waited for the server's word on its pace.
   void AdmitWaiting();
   void Admit(Arrival arrival);
+  // Says whether the attempt would be let in now. Nothing is kept of it.
+  void AnswerInquiry(const admission::Arrival& asked, net::Reply& reply);
   void Keep(Arrival arrival);
   // Whether another server would do better with a request that may move.
   bool HandsBack(const wire::PeerRequestHead& head, base::Instant now) const;
--- a/src/libs/node/server_incarnations.cc
+++ b/src/libs/node/server_incarnations.cc
@@ -51,8 +51,7 @@
 bool ServerIncarnations::IsSame(const Incarnation& known,
                                 const std::string& instance,
                                 milliseconds started_at) {
-  const bool is_told =
-      known.started_at != kNotTold && started_at != kNotTold;
+  const bool is_told = known.started_at != kNotTold && started_at != kNotTold;
   return known.instance == instance &&
          (!is_told || known.started_at == started_at);
 }
@@ -83,8 +82,7 @@
   const bool same_instance = current_ && current_->instance == said.instance;
   if (is_known)
     return same_instance && is_overdue && said.sequence > known->sequence;
-  return !same_instance || is_overdue ||
-         said.started_at > current_->started_at;
+  return !same_instance || is_overdue || said.started_at > current_->started_at;
 }
 
 void ServerIncarnations::Keep(Incarnation past) {
--- a/tests/auto/admission/gate_test.cc
+++ b/tests/auto/admission/gate_test.cc
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "node/attempt_sender.h"
 #include "node/attempt_settler.h"
 #include "node/own_server_protocol.h"
 #include "rpc/call_codec.h"
@@ -105,6 +106,25 @@
     return head.attempt;
   }
 
+  // Whether the gate would let a request in.
+  net::TransferResult Inquire() {
+    wire::PeerRequestHead head;
+    head.attempt = {1, ++last_};
+    head.target = kGateId;
+    head.service = "dossie";
+    head.remaining = seconds(10);
+    head.target_in = milliseconds(1);
+    head.may_move = true;
+    head.may_move_if_full = inquiry_may_move;
+    net::HttpRequest request{.method = "POST", .target = kInquiryPath};
+    head.AppendTo(request.headers, kKeys.current);
+    peer_.Send(address_, std::move(request), seconds(10),
+               [this, id = last_](const auto& done) { results[id] = done; });
+    const uint64_t id = last_;
+    REQUIRE(Until([&] { return results.contains(id); }));
+    return results[id];
+  }
+
   net::TransferResult Run(const std::string& method) {
     const uint64_t id = Begin(method).sequence;
     REQUIRE(Until([&] { return results.contains(id); }));
@@ -152,6 +172,7 @@
 
   net::HttpAnswer answer;  // Of the server.
   bool silent = false;     // The server answers nothing.
+  bool inquiry_may_move = true;
   ServerState state;
   GateReport report;
   std::vector<net::HttpRequest> served;
@@ -234,6 +255,42 @@
   }
 }
 
+TEST_CASE("a gate that is asked whether it has a place") {
+  Scene scene;
+  scene.silent = true;
+  scene.state.admission.slots = 1;
+  scene.state.admission.adaptive = false;
+  scene.Apply();
+
+  SECTION("says so while it has, and keeps nothing of it") {
+    CHECK(scene.Inquire().answer.status == kPlaceFree);
+    CHECK(scene.Inquire().answer.status == kPlaceFree);
+    CHECK(scene.served.empty());
+    CHECK(scene.Settle({1, 1}, false) == "unknown-here");
+  }
+
+  SECTION("whose server is full") {
+    scene.Begin("POST");
+    REQUIRE(scene.Until([&] { return scene.served.size() == 1; }));
+
+    SECTION("hands the question back") {
+      CHECK(Error(scene.Inquire()) == "server-slow");
+    }
+    SECTION("refuses what would be late") {
+      scene.inquiry_may_move = false;
+      const auto refused = scene.Inquire();
+      CHECK(Error(refused) == "overloaded");
+      CHECK(Outcome(refused) == "not-run");
+    }
+  }
+
+  SECTION("whose server leaves") {
+    scene.state.draining = true;
+    scene.Apply();
+    CHECK(Error(scene.Inquire()) == "draining");
+  }
+}
+
 TEST_CASE("an attempt that waits for a connection to its server") {
   Scene scene;
   const FullListener full;
--- a/tests/auto/node/announcement_property_test.cc
+++ b/tests/auto/node/announcement_property_test.cc
@@ -13,14 +13,19 @@
 
 using nlohmann::json;
 
-const json kGood = {{"service", "dossie"},      {"address", "10.0.0.9:8080"},
-                    {"zone", "a"},              {"version", "v1"},
-                    {"slots", 6},               {"state", "ready"},
-                    {"cold_for", "250ms"},      {"sequence", 4},
-                    {"born", 1790000000000000}, {"unknown", "kept"}};
+const json kGood = {{"service", "dossie"},
+                    {"address", "10.0.0.9:8080"},
+                    {"zone", "a"},
+                    {"version", "v1"},
+                    {"slots", 6},
+                    {"state", "ready"},
+                    {"cold_for", "250ms"},
+                    {"sequence", 4},
+                    {"born", 1790000000000000},
+                    {"unknown", "kept"}};
 
-const std::vector<std::string> kRead = {"service",  "address", "slots", "state",
-                                        "cold_for", "sequence", "born"};
+const std::vector<std::string> kRead = {
+    "service", "address", "slots", "state", "cold_for", "sequence", "born"};
 
 std::optional<ServerAnnouncement> Read(const json& body, std::string* fault) {
   return ServerAnnouncement::FromJson(body.dump(), fault);
@@ -55,11 +60,19 @@
 }
 
 TEST_CASE("a value that cannot be names no server") {
-  const auto [name, value] = GENERATE(table<std::string, json>(
-      {{"service", ""},         {"address", "there"},   {"address", "10.0.0.9"},
-       {"slots", 0},            {"slots", -3},          {"slots", 10000000},
-       {"state", "resting"},    {"state", ""},          {"cold_for", "long"},
-       {"sequence", -1},        {"born", -5},           {"born", 1.0}}));
+  const auto [name, value] =
+      GENERATE(table<std::string, json>({{"service", ""},
+                                         {"address", "there"},
+                                         {"address", "10.0.0.9"},
+                                         {"slots", 0},
+                                         {"slots", -3},
+                                         {"slots", 10000000},
+                                         {"state", "resting"},
+                                         {"state", ""},
+                                         {"cold_for", "long"},
+                                         {"sequence", -1},
+                                         {"born", -5},
+                                         {"born", 1.0}}));
   json body = kGood;
   body[name] = value;
   std::string fault;
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/node/ingress_test.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "node/attempt_sender.h"
 #include "node/attempt_settler.h"
 #include "node/own_caller_protocol.h"
 #include "rpc/dispatcher.h"
@@ -48,6 +49,7 @@
 
   std::string state = "running";  // What questions are answered with.
   std::vector<bool> questions;    // Whether each was to cancel.
+  int inquiries = 0;              // Questions for a place.
   bool answers_questions = true;
   int gone = 0;  // Attempts whose connection the ingress closed.
   std::vector<net::HttpRequest> attempts;
@@ -62,6 +64,14 @@
         held_.push_back(std::move(reply));
       return;
     }
+    if (request.target == kInquiryPath) {
+      ++inquiries;
+      if (behaviour_ == Behaviour::kRefuses)
+        reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kOverloaded));
+      else
+        reply.Send({.status = kPlaceFree});
+      return;
+    }
     attempts.push_back(std::move(request));
     switch (behaviour_) {
       case Behaviour::kAnswers:
@@ -123,14 +133,17 @@
     return *peers_.back();
   }
 
-  net::HttpAnswer Ask(const std::string& method, net::HttpHeaders headers) {
+  net::HttpAnswer Ask(const std::string& method,
+                      net::HttpHeaders headers,
+                      const std::string& body = "") {
     net::HttpAnswer answer;
-    caller_.Send(address_,
-                 {.method = method, .target = "/1", .headers = headers},
-                 std::chrono::seconds(10), [&](net::TransferResult result) {
-                   answer = std::move(result.answer);
-                   loop_.Stop();
-                 });
+    caller_.Send(
+        address_,
+        {.method = method, .target = "/1", .headers = headers, .body = body},
+        std::chrono::seconds(10), [&](net::TransferResult result) {
+          answer = std::move(result.answer);
+          loop_.Stop();
+        });
     loop_.Run();
     return answer;
   }
@@ -219,6 +232,24 @@
     CHECK_FALSE(leaving.attempts.empty());
   }
 
+  SECTION("sends a large body only to a peer that has a place for it") {
+    Peer& full = scene.Add(Behaviour::kRefuses);
+    Peer& free = scene.Add(Behaviour::kAnswers);
+    const std::string body(60000, 'x');
+    for (int i = 0; i < 20; ++i)
+      CHECK(scene.Ask("POST", {}, body).status == 200);
+    CHECK(full.inquiries > 0);
+    CHECK(full.attempts.empty());
+    REQUIRE(free.attempts.size() == 20);
+    CHECK(free.attempts.front().body == body);
+
+    SECTION("while a small one is sent at once") {
+      const int inquiries = free.inquiries;
+      CHECK(scene.Ask("POST", {}, "x").status == 200);
+      CHECK(free.inquiries == inquiries);
+    }
+  }
+
   SECTION("sends each use of an idempotency key to one owner") {
     std::vector<Peer*> peers;
     for (int i = 0; i < 3; ++i)
