Let a server's own calls wait, and do not hold their failure against it

And while the called service refused, every server that called it failed a third of its requests, took itself for faulty by turns and handed requests back though it had room (4,237 times in six seconds).

Hypothesis: if the node knows which requests are calls of its own server, it can let them wait for half of what is left, and tell whose fault a failure is.

Change: RunningRequests, written by the gate and read by the ingress, knows the names of what the server runs; a request named after one of them is a call of it. NestedTarget gives such a call half of its remaining time. An answer that failed with a failed call counts neither at the gate nor at the sender against the server.

Where servers do not name calls so, nothing changes.

--- /dev/null
+++ b/src/libs/calls/nested_target.cc
@@ -0,0 +1,16 @@
+#include "calls/nested_target.h"
+
+#include <algorithm>
+
+namespace chestnutport::calls {
+namespace {
+
+constexpr int kPartForCall = 2;  // One in so many of what is left.
+
+}  // namespace
+
+base::Duration NestedTarget(base::Duration target, base::Duration remaining) {
+  return std::max(target, remaining / kPartForCall);
+}
+
+}  // namespace chestnutport::calls
--- a/src/libs/node/active_call.h
+++ b/src/libs/node/active_call.h
@@ -35,6 +35,7 @@
   ServiceTraffic* service = nullptr;
   calls::Call decision;
   base::Instant arrived_at;
+  bool is_nested = false;  // Made by this node's server for one that it runs.
   int hedges = 0;
   CallerRequest request;
   net::Reply reply;
--- a/src/libs/node/attempt_sender.cc
+++ b/src/libs/node/attempt_sender.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
 namespace chestnutport::node {
@@ -248,8 +249,13 @@
   const calls::AttemptEnd end = ReadEnd(result, head);
   const bool is_cancelled = !sent.handler && !sent.is_streamed &&
                             end.verdict != AttemptVerdict::kAnswered;
-  const auto verdict = is_cancelled ? routing::AttemptVerdict::kCancelled
-                                    : ToRouting(end.verdict);
+  auto verdict = is_cancelled ? routing::AttemptVerdict::kCancelled
+                              : ToRouting(end.verdict);
+  // Failed by another service, which any server of this one would be.
+  const bool has_failed_call =
+      !net::FindHeader(result.answer.headers, wire::kCallFailedHeader).empty();
+  if (verdict == routing::AttemptVerdict::kFailed && has_failed_call)
+    verdict = routing::AttemptVerdict::kAnswered;
   sent.service->chooser().OnEnded(sent.node, {verdict, latency, head.load},
                                   now);
   if (end.verdict == AttemptVerdict::kAnswered)
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -81,6 +81,7 @@
            NodeIdentity identity,
            PeerKeys keys,
            AnyServerProtocol protocol,
+           RunningRequests& running,
            ReportHandler report)
     : loop_(loop),
       identity_(std::move(identity)),
@@ -88,6 +89,7 @@
       admission_(admission::AdmissionOptions{}),
       freeze_watch_(base::Clock::now()),
       protocol_(std::move(protocol)),
+      running_(running),
       keyed_requests_(identity_.id),
       client_(loop, ServerConnections(protocol_)),
       observer_(loop, protocol_, [this] { AdmitWaiting(); }),
@@ -319,6 +321,7 @@
   auto node = attempts_.extract(id);
   if (!node.empty()) {
     client_.Cancel(node.mapped()->transfer);
+    running_.OnEnded(node.mapped()->name);
     Record(*node.mapped(), ErrorKind::kConnectionLost, now);
     Answer(*node.mapped(), wire::MakeErrorAnswer(ErrorKind::kConnectionLost));
   }
@@ -332,6 +335,7 @@
   if (found == attempts_.end() || client_.IsSent(found->second->transfer))
     return false;
   client_.Cancel(found->second->transfer);
+  running_.OnEnded(found->second->name);
   Refuse(id, ErrorKind::kCancelled, {});
   Perform(admission_.Finish(id, now, ServerResult::kNotSent));
   CheckEmpty();
@@ -376,6 +380,7 @@
   net::RemoveHopByHop(request.headers);
   net::RemoveHeader(request.headers, "Content-Length");
   attempt.started_at = now;
+  running_.OnStarted(attempt.name);
   const base::Duration remaining = attempt.deadline - now;
   protocol_.prepare(request, {remaining, server_.instance});
   attempt.transfer = client_.Stream(
@@ -416,7 +421,11 @@
   const ServerVerdict verdict = result.end == net::TransferEnd::kComplete
                                     ? protocol_.judge(result.answer)
                                     : ServerVerdict::kUnusable;
-  observer_.OnRequestEnd(result.end, verdict, result.answer, now);
+  const auto ended = attempts_.find(id);
+  const bool has_failed_call =
+      ended != attempts_.end() && running_.OnEnded(ended->second->name);
+  observer_.OnRequestEnd({result.end, verdict, has_failed_call}, result.answer,
+                         now);
   AdmissionActions actions =
       admission_.Finish(id, now, ToServerResult(result.end, verdict));
   auto node = attempts_.extract(id);
@@ -429,8 +438,11 @@
     } else if (error) {
       Answer(attempt, wire::MakeErrorAnswer(*error));
     } else {
-      Answer(attempt,
-             ForPeer(std::move(result.answer), now - *attempt.started_at));
+      net::HttpAnswer answer =
+          ForPeer(std::move(result.answer), now - *attempt.started_at);
+      if (has_failed_call)
+        answer.headers.push_back({wire::kCallFailedHeader, "1"});
+      Answer(attempt, std::move(answer));
     }
   }
   Perform(std::move(actions));
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -20,6 +20,7 @@
 #include "node/node_identity.h"
 #include "node/peer_keys.h"
 #include "node/request_log.h"
+#include "node/running_requests.h"
 #include "node/server_observer.h"
 #include "node/server_protocol.h"
 #include "node/server_state.h"
@@ -34,11 +35,12 @@
   // Called on the gate's thread, a few times a second.
   using ReportHandler = std::function<void(const GateReport&)>;
 
-  // `loop` must outlive the gate.
+  // `loop` and `running` must outlive the gate.
   Gate(net::EventLoop& loop,
        NodeIdentity identity,
        PeerKeys keys,
        AnyServerProtocol protocol,
+       RunningRequests& running,
        ReportHandler report);
   ~Gate();
 
@@ -118,6 +120,7 @@
   admission::AdmissionController admission_;
   admission::FreezeWatch freeze_watch_;
   AnyServerProtocol protocol_;
+  RunningRequests& running_;
   KeyedRequests keyed_requests_;
   net::HttpClient client_;
   ServerObserver observer_;
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "base/encoding.h"
 #include "base/error_kind.h"
+#include "calls/nested_target.h"
 #include "calls/return_time.h"
 #include "keys/key_scope.h"
 #include "node/caller_request.h"
@@ -24,6 +25,7 @@
 constexpr std::chrono::milliseconds kSettleTimeout(500);
 constexpr std::chrono::milliseconds kLeastRemaining(1);
 constexpr std::chrono::seconds kIdleSlack(2);
+constexpr int kServerError = 500;
 
 wire::PeerRequestHead MakeHead(const CallerRequest& request) {
   wire::PeerRequestHead head;
@@ -106,6 +108,7 @@
   net::RemoveHeader(answer.headers, wire::kServerTimeHeader);
   net::RemoveHeader(answer.headers, wire::kKeyNewHeader);
   net::RemoveHeader(answer.headers, wire::kRetryInHeader);
+  net::RemoveHeader(answer.headers, wire::kCallFailedHeader);
   net::RemoveHopByHop(answer.headers);
   return answer;
 }
@@ -116,10 +119,12 @@
                  NodeIdentity identity,
                  PeerKeys keys,
                  AnyCallerProtocol protocol,
+                 RunningRequests& running,
                  base::Random random)
     : loop_(loop),
       identity_(std::move(identity)),
       protocol_(std::move(protocol)),
+      running_(running),
       random_(random),
       attempt_origin_(random_()),
       node_retries_(kNodeRetryShare, kNodeRetryBurst),
@@ -182,6 +187,7 @@
                                                       .service = &service,
                                                       .decision = decision,
                                                       .arrived_at = now});
+  call->is_nested = running_.IsNested(request.name);
   call->request = std::move(request);
   call->reply = std::move(reply);
   const CallId id = call->id;
@@ -226,6 +232,9 @@
 void Ingress::Record(const ActiveCall& call,
                      std::optional<base::ErrorKind> error,
                      const net::HttpAnswer& answer) {
+  const bool is_good = !error && answer.status < kServerError;
+  if (call.is_nested && !is_good)
+    running_.OnCallFailed(call.request.name);
   const auto outcome =
       error ? base::AnswerTo(*error).outcome : base::Outcome::kAnswered;
   recorder_.Record(telemetry::CallRecord{
@@ -337,6 +346,10 @@
   if (call.request.target_latency > base::Duration::zero()) {
     head.target_in = std::max<base::Duration>(
         call.arrived_at + call.request.target_latency - now, {});
+    if (call.is_nested) {
+      head.target_in =
+          calls::NestedTarget(*head.target_in, call.decision.deadline() - now);
+    }
   }
   head.usual_strain = call.service->chooser().UsualStrain();
   head.may_move = has_others && attempt < call.request.moves.if_poor;
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -22,6 +22,7 @@
 #include "node/caller_protocol.h"
 #include "node/node_identity.h"
 #include "node/peer_keys.h"
+#include "node/running_requests.h"
 #include "node/service_traffic.h"
 #include "node/traffic_recorder.h"
 #include "node/traffic_snapshot.h"
@@ -30,11 +31,12 @@
 
 class Ingress {
  public:
-  // `loop` must outlive the ingress.
+  // `loop` and `running` must outlive the ingress.
   Ingress(net::EventLoop& loop,
           NodeIdentity identity,
           PeerKeys keys,
           AnyCallerProtocol protocol,
+          RunningRequests& running,
           base::Random random);
   ~Ingress();
 
@@ -85,6 +87,7 @@
   net::EventLoop& loop_;
   NodeIdentity identity_;
   AnyCallerProtocol protocol_;
+  RunningRequests& running_;
   base::Random random_;
   uint64_t attempt_origin_;
   uint64_t last_attempt_ = 0;
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -76,6 +76,7 @@
              ToIdentity(self),
              keys,
              adapters.servers,
+             running,
              [this](const GateReport& report) {
                control_loop.Post(
                    [this, report] { control.OnGateReport(report); });
@@ -84,6 +85,7 @@
                 ToIdentity(self),
                 keys,
                 adapters.callers,
+                running,
                 SeededRandom()),
         metrics(control_loop, MetricsSources()),
         control(
@@ -133,6 +135,7 @@
   net::EventLoop control_loop;
   net::EventLoop gate_loop;
   net::EventLoop ingress_loop;
+  RunningRequests running;
   Gate gate;
   Ingress ingress;
   MetricsCollector metrics;
--- /dev/null
+++ b/src/libs/node/running_requests.h
@@ -0,0 +1,45 @@
+// What this node's server runs at the moment, by the names that callers gave
+// the requests. Shared by the gate thread, which writes it, and the ingress
+// thread, where the calls arrive that the server makes meanwhile.
+//
+// Servers name a call after the request that they make it for: the request's
+// name, a mark, and more. A call that is not named so is as any other request.
+#ifndef NODE_RUNNING_REQUESTS_H_
+#define NODE_RUNNING_REQUESTS_H_
+
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "absl/container/flat_hash_map.h"
+
+namespace chestnutport::node {
+
+class RunningRequests {
+ public:
+  // The server got the request; an empty name is not kept.
+  void OnStarted(const std::string& name);
+  // Returns whether a call failed that the server made for the request.
+  bool OnEnded(const std::string& name);
+
+  // Whether the server makes the call `name` for a request that it runs.
+  bool IsNested(std::string_view name) const;
+  // The call `name` got no good answer.
+  void OnCallFailed(std::string_view name);
+
+ private:
+  struct Running {
+    bool has_failed_call = false;
+  };
+
+  // The request that the call is made for, if it is running. Needs the lock.
+  const std::string* ParentOf(std::string_view name) const;
+
+  mutable std::mutex mutex_;
+  absl::flat_hash_map<std::string, Running> running_;
+};
+
+}  // namespace chestnutport::node
+
+#endif  // NODE_RUNNING_REQUESTS_H_
--- a/src/libs/node/server_observer.cc
+++ b/src/libs/node/server_observer.cc
@@ -29,25 +29,27 @@
   is_replaced_ = false;
 }
 
-void ServerObserver::OnRequestEnd(net::TransferEnd end,
-                                  ServerVerdict verdict,
+void ServerObserver::OnRequestEnd(const RequestEnd& request,
                                   const net::HttpAnswer& answer,
                                   base::Instant now) {
-  const bool is_whole = end == net::TransferEnd::kComplete;
+  const bool is_whole = request.end == net::TransferEnd::kComplete;
   if (is_whole) {
     prober_.OnAnswer(now);
     NoteLoad(answer.headers, now);
   }
-  if (is_whole && verdict == ServerVerdict::kOtherInstance) {
+  if (is_whole && request.verdict == ServerVerdict::kOtherInstance) {
     is_replaced_ = true;
     telemetry::LogEvent(telemetry::Event::kServerReplaced,
                         {{"expected", instance_},
                          {"found", protocol_.instance(answer.headers)}});
     return;
   }
-  pace_.OnResult(is_whole && verdict == ServerVerdict::kAnswered &&
-                     answer.status < kServerError,
-                 now);
+  const bool is_answered =
+      is_whole && request.verdict == ServerVerdict::kAnswered;
+  // Failed by another service, which any server of this one would be.
+  if (is_answered && request.has_failed_call)
+    return;
+  pace_.OnResult(is_answered && answer.status < kServerError, now);
 }
 
 void ServerObserver::OnProbed(const net::TransferResult& result) {
--- a/src/libs/node/server_observer.h
+++ b/src/libs/node/server_observer.h
@@ -15,6 +15,14 @@
 
 namespace chestnutport::node {
 
+// How a request to the server ended.
+struct RequestEnd {
+  net::TransferEnd end = net::TransferEnd::kLost;
+  ServerVerdict verdict = ServerVerdict::kUnusable;
+  // A call failed that the server made for it.
+  bool has_failed_call = false;
+};
+
 class ServerObserver {
  public:
   // `looked` is called when a look has ended. `loop` must outlive this object.
@@ -25,8 +33,7 @@
   // `has_started`: another life of the server begins.
   void SetServer(const ServerState& server, bool has_started);
   // A request to the server has ended.
-  void OnRequestEnd(net::TransferEnd end,
-                    ServerVerdict verdict,
+  void OnRequestEnd(const RequestEnd& request,
                     const net::HttpAnswer& answer,
                     base::Instant now);
   // Asks the server how it is if its last word is too old to start a request
--- a/src/libs/wire/header_names.h
+++ b/src/libs/wire/header_names.h
@@ -45,6 +45,8 @@
 // On an answer between nodes: when to come back, as a duration. Retry-After
 // has whole seconds only.
 inline constexpr char kRetryInHeader[] = "Chestnutport-Retry-In";
+// On an answer between nodes: a call failed that the server made for it.
+inline constexpr char kCallFailedHeader[] = "Chestnutport-Call-Failed";
 inline constexpr char kServerTimeHeader[] = "Chestnutport-Server-Time";
 
 }  // namespace chestnutport::wire
--- a/tests/auto/admission/gate_test.cc
+++ b/tests/auto/admission/gate_test.cc
@@ -72,6 +72,7 @@
               {kGateId, "a", "poa-a", "south"},
               kKeys,
               AnyServerProtocol::Of(OwnServerProtocol()),
+              running,
               [this](const GateReport& said) { report = said; }),
         peer_(loop_, net::HttpClientOptions{}) {
     server_ = net::HttpServer::Open(
@@ -98,6 +99,7 @@
     head.target = kGateId;
     head.service = "dossie";
     head.remaining = remaining;
+    head.request_name = "r" + std::to_string(last_);
     net::HttpRequest request{.method = method, .target = "/1"};
     head.AppendTo(request.headers, kKeys.current);
     transfers.push_back(peer_.Send(
@@ -170,8 +172,9 @@
     return holds();
   }
 
-  net::HttpAnswer answer;  // Of the server.
-  bool silent = false;     // The server answers nothing.
+  net::HttpAnswer answer;                 // Of the server.
+  std::function<void()> serving = [] {};  // Called while a request is served.
+  bool silent = false;                    // The server answers nothing.
   bool inquiry_may_move = true;
   ServerState state;
   GateReport report;
@@ -184,6 +187,7 @@
  private:
   void OnServed(net::HttpRequest request, net::Reply reply) {
     served.push_back(std::move(request));
+    serving();
     if (!silent) {
       reply.Send(answer);
       return;
@@ -193,6 +197,11 @@
   }
 
   net::EventLoop loop_;
+
+ public:
+  RunningRequests running;
+
+ private:
   Gate gate_;
   net::HttpClient peer_;
   std::unique_ptr<net::HttpServer> server_;
@@ -225,6 +234,24 @@
     CHECK(Outcome(result) == "answered");
   }
 
+  SECTION("a server fails by itself, or by a call that it made") {
+    scene.answer.status = 500;
+    const bool is_calls_fault = GENERATE(false, true);
+    scene.serving = [&] {
+      if (is_calls_fault)
+        scene.running.OnCallFailed(scene.served.size() == 1 ? "r1.1" : "r2.1");
+    };
+    const auto result = scene.Run("POST");
+    CHECK(result.answer.status == 500);
+    CHECK(FindHeader(result.answer.headers, wire::kCallFailedHeader).empty() !=
+          is_calls_fault);
+    const auto next = scene.Run("POST");
+    const auto load = wire::LoadReport::FromHeader(
+        FindHeader(next.answer.headers, wire::kLoadHeader));
+    REQUIRE(load);
+    CHECK((load->strain > 1.1) != is_calls_fault);
+  }
+
   SECTION("a 503 marked as not run is a refusal") {
     scene.answer.status = 503;
     scene.answer.headers = {{wire::kOutcomeHeader, "not-run"}};
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/node/ingress_test.cc
@@ -108,6 +108,7 @@
                  {},
                  {"key", ""},
                  AnyCallerProtocol::Of(OwnCallerProtocol()),
+                 running,
                  base::Random(1)) {
     address_ =
         ingress_.Listen(base::SocketAddress::Parse("127.0.0.1:0").value())
@@ -170,6 +171,11 @@
 
  private:
   net::EventLoop loop_;
+
+ public:
+  RunningRequests running;
+
+ private:
   net::HttpClient caller_;
   std::vector<std::unique_ptr<Peer>> peers_;
   Ingress ingress_;
--- /dev/null
+++ b/tests/auto/node/running_requests_test.cc
@@ -0,0 +1,47 @@
+// Which requests are calls that the own server makes.
+#include "node/running_requests.h"
+
+#include <catch2/catch.hpp>
+
+namespace chestnutport::node {
+namespace {
+
+TEST_CASE("while a server runs a request") {
+  RunningRequests running;
+  running.OnStarted("2489dd5a");
+
+  SECTION("a call named after it is nested") {
+    CHECK(running.IsNested("2489dd5a.6aba"));
+    CHECK(running.IsNested("2489dd5a-1"));
+    CHECK(running.IsNested("2489dd5a.6aba.7"));
+  }
+  SECTION("other requests are not") {
+    CHECK_FALSE(running.IsNested("2489dd5a"));
+    CHECK_FALSE(running.IsNested("2489dd5a6aba"));
+    CHECK_FALSE(running.IsNested("2489dd.6aba"));
+    CHECK_FALSE(running.IsNested(".2489dd5a"));
+    CHECK_FALSE(running.IsNested(""));
+  }
+  SECTION("its end tells whether a call of it failed") {
+    SECTION("which one did") {
+      running.OnCallFailed("2489dd5a.6aba");
+      CHECK(running.OnEnded("2489dd5a"));
+    }
+    SECTION("which none did") {
+      running.OnCallFailed("other.6aba");
+      CHECK_FALSE(running.OnEnded("2489dd5a"));
+    }
+    CHECK_FALSE(running.IsNested("2489dd5a.6aba"));
+    CHECK_FALSE(running.OnEnded("2489dd5a"));
+  }
+}
+
+TEST_CASE("a request without a name has no calls") {
+  RunningRequests running;
+  running.OnStarted("");
+  CHECK_FALSE(running.IsNested(".1"));
+  CHECK_FALSE(running.OnEnded(""));
+}
+
+}  // namespace
+}  // namespace chestnutport::node
