--- a/src/libs/admission/server_pace.cc
+++ b/src/libs/admission/server_pace.cc
@@ -64,6 +64,15 @@
   return Slowness(now) / (1 - std::min(FailureShare(now), kMostFailures));
 }
 
+std::optional<double> ServerPace::KnownStrain(Instant now) const {
+  const std::optional<Duration> age = Age(now);
+  const bool has_result = failures_at_ != Instant();
+  const bool is_known = age ? *age <= kTrusted : has_result;
+  if (!is_known)
+    return std::nullopt;
+  return Strain(now);
+}
+
 bool ServerPace::IsPoor(Instant now, double usual_strain) const {
   const double strain = Strain(now) / usual_strain;
   return strain >= kSlow ||
--- a/src/libs/admission/server_pace.h
+++ b/src/libs/admission/server_pace.h
@@ -32,6 +32,10 @@
   double FailureShare(base::Instant now) const;
   // How many times the usual work a good answer costs, as failures cost it too.
   double Strain(base::Instant now) const;
+  // The strain, if it is known at `now`; nothing: the server's last word is too
+  // old, or there was neither a word nor a result. Others that took no word for
+  // a good one would hold every server that tells its slowness for a poor one.
+  std::optional<double> KnownStrain(base::Instant now) const;
   // Whether a request does better at another server, if the strain of those is
   // `usual_strain` as a rule: when all servers fail or are slow alike, looking
   // for a better one is in vain.
--- a/src/libs/node/control_readings.cc
+++ b/src/libs/node/control_readings.cc
@@ -102,7 +102,8 @@
   readings.push_back(
       {Metric::kRevision, "", static_cast<double>(counts.revision)});
   AppendStoreCalls(readings, counts.store_calls);
-  readings.push_back({Metric::kServerStrain, "", counts.gate.load.strain});
+  if (counts.gate.load.strain)
+    readings.push_back({Metric::kServerStrain, "", *counts.gate.load.strain});
   readings.push_back(
       {Metric::kServerWordAge, "", Seconds(counts.gate.word_age)});
   readings.push_back(
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -213,7 +213,8 @@
     LogDecision({.request = head.request_name,
                  .error = ErrorKind::kServerSlow,
                  .admitted_slowness = observer_.pace().Slowness(now),
-                 .slowness_age = observer_.pace().Age(now)});
+                 .slowness_age = observer_.pace().Age(now),
+                 .usual_strain = head.usual_strain});
     SendAnswer(arrival.reply, wire::MakeErrorAnswer(ErrorKind::kServerSlow));
     return;
   }
@@ -501,7 +502,7 @@
 
 void Gate::AddLoad(net::HttpAnswer& answer) const {
   wire::LoadReport load = admission_.Load(loop_.now());
-  load.strain = observer_.pace().Strain(loop_.now());
+  load.strain = observer_.pace().KnownStrain(loop_.now());
   answer.headers.push_back({wire::kLoadHeader, load.ToHeader()});
 }
 
@@ -530,7 +531,7 @@
   reported_at_ = now;
   const admission::ProbeScheduler& probes = observer_.probes();
   wire::LoadReport load = admission_.Load(now);
-  load.strain = observer_.pace().Strain(now);
+  load.strain = observer_.pace().KnownStrain(now);
   report_({.last_answer = observer_.last_answer(),
            .load = load,
            .word_age = observer_.pace().Age(now).value_or(base::Duration()),
--- a/src/libs/node/request_log.cc
+++ b/src/libs/node/request_log.cc
@@ -146,6 +146,9 @@
        {"slowness_age", decision.slowness_age
                             ? base::FormatDuration(*decision.slowness_age)
                             : "none"},
+       {"usual_strain", decision.usual_strain
+                            ? absl::StrFormat("%.2f", *decision.usual_strain)
+                            : "none"},
        {"in_flight", absl::StrCat(decision.load.in_flight)},
        {"limit", absl::StrCat(decision.load.limit)},
        {"waiting", absl::StrCat(decision.load.queued)},
--- a/src/libs/node/request_log.h
+++ b/src/libs/node/request_log.h
@@ -41,6 +41,8 @@
   // By which the attempt was admitted.
   double admitted_slowness = 1;
   std::optional<base::Duration> slowness_age;  // Nothing: it was never told.
+  // What the asking node takes for usual in the service; see ServerPace.
+  std::optional<double> usual_strain;
   // The state of the server as of now.
   wire::LoadReport load;
   double slowness = 1;
--- a/src/libs/routing/server_estimate.cc
+++ b/src/libs/routing/server_estimate.cc
@@ -97,8 +97,8 @@
 void ServerEstimate::OnRefused(const AttemptResult& result, base::Instant now) {
   const auto& load = result.load;
   // A slow server hands work back though it has room: its report says enough.
-  const bool had_room =
-      load && load->in_flight < load->limit && load->strain < kUsualSpread;
+  const bool had_room = load && load->in_flight < load->limit &&
+                        load->strain.value_or(1) < kUsualSpread;
   refusing_until_ = now + (had_room ? kRefusesWithRoom : kRefusesAtLimit);
 }
 
@@ -153,11 +153,14 @@
   const double before = LoadOfOthers(service, now);
   load_of_others_ = before + kReportWeight * (share - before);
   limit_ = load.limit;
-  reported_strain_ = load.strain;
   has_report_ = true;
   reported_at_ = now;
   service.OnLoadOfOthers(share);
-  service.OnStrain(load.strain);
+  if (!load.strain)
+    return;
+  reported_strain_ = *load.strain;
+  strain_at_ = now;
+  service.OnStrain(*load.strain);
 }
 
 Seconds ServerEstimate::ExpectedTime(int slots,
@@ -177,9 +180,9 @@
 }
 
 double ServerEstimate::ReportedStrain(base::Instant now) const {
-  if (!has_report_ || reported_strain_ <= 1)
+  if (reported_strain_ <= 1)
     return 1;
-  const Seconds age = now - reported_at_;
+  const Seconds age = now - strain_at_;
   return 1 + (reported_strain_ - 1) * std::exp2(-(age / kSpellHalfLife));
 }
 
--- a/src/libs/routing/server_estimate.h
+++ b/src/libs/routing/server_estimate.h
@@ -64,6 +64,7 @@
   double load_of_others_ = 0;  // A share of the slots.
   int limit_ = 0;
   double reported_strain_ = 1;
+  base::Instant strain_at_{};  // Of the last report that told the strain.
 };
 
 }  // namespace chestnutport::routing
--- a/src/libs/wire/load_report.cc
+++ b/src/libs/wire/load_report.cc
@@ -17,25 +17,29 @@
 std::string LoadReport::ToHeader() const {
   const auto wait =
       std::chrono::duration_cast<std::chrono::microseconds>(expected_wait);
-  return absl::StrCat(in_flight, " ", limit, " ", queued, " ", wait.count(),
-                      " ", std::llround(strain * kPercent));
+  std::string header =
+      absl::StrCat(in_flight, " ", limit, " ", queued, " ", wait.count());
+  if (strain)
+    absl::StrAppend(&header, " ", std::llround(*strain * kPercent));
+  return header;
 }
 
 std::optional<LoadReport> LoadReport::FromHeader(std::string_view text) {
   const std::vector<std::string_view> words = base::Split(text, ' ');
   LoadReport report;
   int64_t wait = 0;
-  int strain = kPercent;
-  // A node of the version before tells no strain.
-  const bool has_size = words.size() == kWords || words.size() == kWords - 1;
+  int strain = 0;
+  const bool has_strain = words.size() == kWords;
+  const bool has_size = has_strain || words.size() == kWords - 1;
   if (!has_size || !base::ParseNumber(words[0], &report.in_flight) ||
       !base::ParseNumber(words[1], &report.limit) ||
       !base::ParseNumber(words[2], &report.queued) ||
       !base::ParseNumber(words[3], &wait) ||
-      (words.size() == kWords && !base::ParseNumber(words[4], &strain))) {
+      (has_strain && !base::ParseNumber(words[4], &strain))) {
     return std::nullopt;
   }
-  report.strain = static_cast<double>(strain) / kPercent;
+  if (has_strain)
+    report.strain = static_cast<double>(strain) / kPercent;
   report.expected_wait = std::chrono::microseconds(wait);
   return report;
 }
--- a/src/libs/wire/load_report.h
+++ b/src/libs/wire/load_report.h
@@ -18,8 +18,8 @@
   // What one more request would wait before it runs.
   base::Duration expected_wait{};
   // How many times the usual work a good answer costs there, as last known: its
-  // VM may be slow, and answers that fail cost work too.
-  double strain = 1;
+  // VM may be slow, and answers that fail cost work too. Nothing: not known.
+  std::optional<double> strain;
 
   std::string ToHeader() const;
   static std::optional<LoadReport> FromHeader(std::string_view text);
--- a/tests/auto/admission/server_pace_test.cc
+++ b/tests/auto/admission/server_pace_test.cc
@@ -24,6 +24,10 @@
     CHECK_FALSE(pace.IsPoor(kStart + milliseconds(200)));
     CHECK(pace.Slowness(kStart + milliseconds(200)) == 1);
   }
+  SECTION("and an old word is told to nobody, least of all as a good one") {
+    CHECK(pace.KnownStrain(kStart + milliseconds(100)) == 4);
+    CHECK_FALSE(pace.KnownStrain(kStart + milliseconds(200)));
+  }
   SECTION("unless the others are as slow") {
     CHECK_FALSE(pace.IsPoor(kStart, 4));
     pace.OnSlowness(8, kStart);
@@ -35,6 +39,16 @@
   }
 }
 
+TEST_CASE("of a server that said nothing yet, nothing is told") {
+  ServerPace pace;
+  CHECK_FALSE(pace.KnownStrain(kStart));
+
+  SECTION("until it has answered a request") {
+    pace.OnResult(true, kStart);
+    CHECK(pace.KnownStrain(kStart + std::chrono::hours(1)) == 1);
+  }
+}
+
 TEST_CASE("a probe without an answer says that the server is slow") {
   ServerPace pace;
   pace.OnSilentProbe(kStart);
