--- a/src/libs/configuration/read_pace.cc
+++ b/src/libs/configuration/read_pace.cc
@@ -7,6 +7,10 @@
 namespace {
 
 constexpr int kSpreadPart = 5;
+// This part of the spread is left for others to be heard of: a node that was
+// started beside a running fleet has its configuration from a neighbour by then
+// (some 70 ms on a tenth of a core), and makes no call.
+constexpr int kHeadStartPart = 2;
 
 base::Duration Draw(base::Duration least,
                     base::Duration most,
@@ -19,8 +23,9 @@
 }  // namespace
 
 base::Duration ReadPace::First(base::Random& random) const {
-  return Draw(base::Duration::zero(),
-              std::min(kFirstReadSpread, longest_ / kSpreadPart), random);
+  const base::Duration spread =
+      std::min(kFirstReadSpread, longest_ / kSpreadPart);
+  return Draw(spread / kHeadStartPart, spread, random);
 }
 
 base::Duration ReadPace::Next(bool read_failed,
--- a/src/libs/node/configuration_reader.cc
+++ b/src/libs/node/configuration_reader.cc
@@ -92,7 +92,9 @@
 }
 
 void ConfigurationReader::GoOn() {
-  if (is_reader_ && as_of_ > 0 && store_.CanWatch()) {
+  // After a start each node takes itself for a reader until it knows the fleet.
+  const bool is_settled = std::exchange(has_read_, true);
+  if (is_settled && is_reader_ && as_of_ > 0 && store_.CanWatch()) {
     NoteStore(false);
     Watch();
     return;
--- a/src/libs/node/configuration_reader.h
+++ b/src/libs/node/configuration_reader.h
@@ -62,6 +62,7 @@
   net::EventLoop::TimerId timer_ = 0;
   bool is_reader_ = true;  // Until other members are known.
   bool is_alone_ = true;
+  bool has_read_ = false;  // Since the start.
   bool store_failed_ = false;
 };
 
--- a/src/libs/node/seed_keeper.cc
+++ b/src/libs/node/seed_keeper.cc
@@ -11,16 +11,13 @@
 namespace chestnutport::node {
 namespace {
 
+using membership::SeedSearch;
 using nlohmann::json;
 
 constexpr std::chrono::seconds kTimeToLive(15);
-constexpr std::chrono::seconds kFirstBackoff(1);
-constexpr std::chrono::seconds kLongestBackoff(30);
 constexpr size_t kContacts = 3;
 // Unreadable entries that are logged, each once: another writer may make many.
 constexpr size_t kUnreadableKept = 32;
-// The first reads take this part of the longest wait.
-constexpr int kSpreadPart = 5;
 
 struct Seed {
   std::string id;
@@ -50,26 +47,32 @@
     : loop_(loop),
       store_(store),
       prefix_(absl::StrCat("chestnutport/", settings.fleet, "/seeds/")),
-      longest_backoff_(std::min<base::Duration>(settings.longest_store_wait,
-                                                kLongestBackoff)),
-      first_contacts_(settings.first_contacts),
-      random_(random),
-      backoff_(std::min<base::Duration>(kFirstBackoff, longest_backoff_)) {}
+      search_(store.CountsOldListings(), settings.longest_store_wait),
+      contacts_(settings.first_contacts),
+      random_(random) {}
 
 SeedKeeper::~SeedKeeper() {
   loop_.Cancel(timer_);
+  loop_.Cancel(greet_timer_);
 }
 
 void SeedKeeper::Start(const membership::Member& self, ContactHandler contact) {
   self_ = self;
   members_ = {self};
   contact_ = std::move(contact);
-  for (const base::SocketAddress& address : first_contacts_)
-    contact_({address.ip, self_.gossip_address.port});
-  const std::chrono::duration<double> spread =
-      std::min<base::Duration>(kStartSpread, longest_backoff_ / kSpreadPart);
-  RunAfter(std::chrono::duration_cast<base::Duration>(
-      spread * std::uniform_real_distribution<>(0, 1)(random_)));
+  for (base::SocketAddress& address : contacts_)
+    address.port = self_.gossip_address.port;
+  Greet();
+  RunAfter(search_.FirstWait(random_));
+}
+
+void SeedKeeper::Greet() {
+  if (!IsAlone())
+    return;
+  for (const base::SocketAddress& address : contacts_)
+    contact_(address);
+  loop_.Cancel(greet_timer_);
+  greet_timer_ = loop_.CallAfter(search_.NextGreeting(), [this] { Greet(); });
 }
 
 void SeedKeeper::SetMembers(const std::vector<membership::Member>& members) {
@@ -81,41 +84,34 @@
   timer_ = loop_.CallAfter(delay, [this] { Run(); });
 }
 
-void SeedKeeper::RunAgain() {
-  const double part = std::uniform_real_distribution<>(0.5, 1.5)(random_);
-  base::Duration delay = kDutyInterval;
-  if (IsAlone()) {
-    delay = backoff_;
-    backoff_ = std::min<base::Duration>(2 * backoff_, longest_backoff_);
-  } else {
-    backoff_ = std::min<base::Duration>(kFirstBackoff, longest_backoff_);
-  }
-  RunAfter(std::chrono::duration_cast<base::Duration>(part * delay));
-}
-
 void SeedKeeper::Run() {
   const bool has_duty = membership::SeedDuty(self_, members_).has_value();
   if (!has_duty)
     lease_ = 0;
   if (!IsAlone() && !has_duty) {
-    RunAgain();
+    RunAfter(search_.Wait(false, random_));
     return;
   }
-  // A node that is alone needs the entries of now; for a duty that comes round,
-  // those of some seconds ago will do: a write checks the revision.
-  const auto freshness =
-      IsAlone() ? store::Freshness::kLatest : store::Freshness::kMayBeOld;
+  const SeedSearch::Listing listing = search_.Next(IsAlone());
   store_.ListPrefix(
-      prefix_, freshness,
-      [this](base::Result<std::vector<store::StoreEntry>> entries) {
+      prefix_,
+      listing == SeedSearch::Listing::kLatest ? store::Freshness::kLatest
+                                              : store::Freshness::kMayBeOld,
+      [this, listing](base::Result<std::vector<store::StoreEntry>> entries) {
+        RunAfter(search_.Wait(IsAlone(), random_));
         if (entries)
-          OnEntries(entries.value());
-        RunAgain();
+          OnEntries(listing, entries.value());
       });
 }
 
-void SeedKeeper::OnEntries(const std::vector<store::StoreEntry>& entries) {
+void SeedKeeper::OnEntries(SeedSearch::Listing listing,
+                           const std::vector<store::StoreEntry>& entries) {
   ContactUnknown(entries);
+  const bool is_old = listing == SeedSearch::Listing::kMayBeOld;
+  if (IsAlone() && entries.empty() && is_old) {
+    RunAfter(search_.WaitAfterNobody(random_));
+    return;
+  }
   const bool may_join_others = IsAlone() && !entries.empty() && !was_alone_;
   was_alone_ = IsAlone();
   if (may_join_others)
@@ -139,8 +135,18 @@
   }
   std::ranges::shuffle(unknown, random_);
   unknown.resize(std::min(unknown.size(), kContacts));
+  if (!IsAlone()) {
+    for (const Seed& seed : unknown)
+      contact_(seed.gossip_address);
+    return;
+  }
+  if (unknown.empty())
+    return;
+  contacts_.clear();
   for (const Seed& seed : unknown)
-    contact_(seed.gossip_address);
+    contacts_.push_back(seed.gossip_address);
+  search_.RestartGreeting();
+  Greet();
 }
 
 void SeedKeeper::NoteUnreadable(const std::string& key) {
--- a/src/libs/node/seed_keeper.h
+++ b/src/libs/node/seed_keeper.h
@@ -10,21 +10,17 @@
 
 #include "base/random.h"
 #include "membership/member.h"
+#include "membership/seed_search.h"
 #include "net/event_loop.h"
 #include "settings/node_settings.h"
 #include "store/store_client.h"
 
 namespace chestnutport::node {
 
-// Calls to the store: one read for each starting node, and two calls for each
-// entry in each kDutyInterval, whatever the size of the fleet.
+// Calls to the store: one listing for each starting node, and two calls for
+// each entry in each SeedSearch::kDutyInterval, whatever the size of the fleet.
 class SeedKeeper {
  public:
-  static constexpr std::chrono::seconds kDutyInterval{5};
-  // Nodes that start together spread their first reads over this time, or over
-  // the longest wait of the settings if that is shorter.
-  static constexpr std::chrono::seconds kStartSpread{2};
-
   using ContactHandler = std::function<void(const base::SocketAddress&)>;
 
   // `loop` and `store` must outlive the keeper.
@@ -41,10 +37,12 @@
 
  private:
   bool IsAlone() const { return members_.size() <= 1; }
+  // Greets those that were named, again and again until one is known.
+  void Greet();
   void Run();
   void RunAfter(base::Duration delay);
-  void RunAgain();
-  void OnEntries(const std::vector<store::StoreEntry>& entries);
+  void OnEntries(membership::SeedSearch::Listing listing,
+                 const std::vector<store::StoreEntry>& entries);
   void ContactUnknown(const std::vector<store::StoreEntry>& entries);
   void NoteUnreadable(const std::string& key);
   void KeepEntry(size_t place, const std::vector<store::StoreEntry>& entries);
@@ -54,17 +52,18 @@
   net::EventLoop& loop_;
   store::StoreClient& store_;
   std::string prefix_;
-  base::Duration longest_backoff_;
-  std::vector<base::SocketAddress> first_contacts_;
+  membership::SeedSearch search_;
+  // To be greeted: of the settings, then those that the store named.
+  std::vector<base::SocketAddress> contacts_;
   base::Random random_;
   membership::Member self_;
   ContactHandler contact_;
   std::vector<membership::Member> members_;
   store::LeaseId lease_ = 0;
-  bool was_alone_ = false;  // Also after the seeds were greeted.
-  base::Duration backoff_;
+  bool was_alone_ = false;            // Also after the seeds were greeted.
   std::set<std::string> unreadable_;  // Keys that were logged.
   net::EventLoop::TimerId timer_ = 0;
+  net::EventLoop::TimerId greet_timer_ = 0;
 };
 
 }  // namespace chestnutport::node
--- a/src/libs/store/etcd_form.h
+++ b/src/libs/store/etcd_form.h
@@ -26,6 +26,7 @@
                          std::chrono::milliseconds wait) const;
   base::Result<StoreNews> ReadNews(const net::HttpAnswer& answer) const;
   bool CanWatch() const { return false; }
+  bool CountsOldListings() const { return true; }
 };
 
 }  // namespace chestnutport::store
--- a/src/libs/store/store_client.h
+++ b/src/libs/store/store_client.h
@@ -57,6 +57,9 @@
   void KeepAlive(LeaseId lease, SwapHandler handler);
   // Whether the form knows of watches; if not, changes are found by reading.
   bool CanWatch() const { return form_.can_watch; }
+  // Whether listings that may be old count toward the store's rate; if not,
+  // any number of nodes may ask for them at once.
+  bool CountsOldListings() const { return form_.counts_old_listings; }
   // Changes of keys that begin with `prefix` after the revision `after`, as
   // soon as there are any; none after `wait`.
   void Watch(const std::string& prefix,
--- a/src/libs/store/store_form.h
+++ b/src/libs/store/store_form.h
@@ -50,6 +50,8 @@
   { form.Watch(text, revision, time) } -> std::same_as<net::HttpRequest>;
   { form.ReadNews(answer) } -> std::same_as<base::Result<StoreNews>>;
   { form.CanWatch() } -> std::same_as<bool>;
+  // Whether listings that may be old count toward the store's rate.
+  { form.CountsOldListings() } -> std::same_as<bool>;
 };
 
 // Any StoreForm, by value.
@@ -73,7 +75,8 @@
         .watch = [form](const auto& prefix, int64_t after,
                         auto wait) { return form.Watch(prefix, after, wait); },
         .read_news = [form](const auto& a) { return form.ReadNews(a); },
-        .can_watch = form.CanWatch()};
+        .can_watch = form.CanWatch(),
+        .counts_old_listings = form.CountsOldListings()};
   }
 
   std::function<
@@ -93,6 +96,7 @@
       watch;
   std::function<base::Result<StoreNews>(const net::HttpAnswer&)> read_news;
   bool can_watch = false;
+  bool counts_old_listings = true;
 };
 
 }  // namespace chestnutport::store
--- a/tests/benchmarks/control/gossip_scenarios.cc
+++ b/tests/benchmarks/control/gossip_scenarios.cc
@@ -10,7 +10,7 @@
 #include "base/text.h"
 #include "control/process_usage.h"
 #include "membership/seed_duty.h"
-#include "node/seed_keeper.h"
+#include "membership/seed_search.h"
 #include "support/gossip_fleet.h"
 
 namespace chestnutport::bench {
@@ -354,7 +354,7 @@
   ReportFalseAlarms(report, "regions healed", fleet);
 }
 
-// All nodes start within SeedKeeper::kStartSpread. The first two of each data
+// All nodes start within SeedSearch::kStartSpread. The first two of each data
 // centre are its seeds; each node greets three that were there before it.
 void MeasureMassStart(FigureReport& report, size_t members) {
   GossipFleet fleet({.members = members, .seed = 8, .converged = false});
@@ -363,7 +363,7 @@
   const Cost cost(fleet);
   const size_t seeds = fleet.data_centres() * membership::kSeedsPerDataCentre;
   const base::Duration step =
-      base::Duration(node::SeedKeeper::kStartSpread) / members;
+      base::Duration(membership::SeedSearch::kStartSpread) / members;
   for (size_t slot = 0; slot < members; ++slot) {
     const size_t known = std::max<size_t>(1, std::min(seeds, slot));
     fleet.Start(slot, (slot * 31 + 7) % known);
@@ -382,14 +382,14 @@
   }
   constexpr double kCallsOfKeeper = 2;
   const double steady = static_cast<double>(keepers) * kCallsOfKeeper /
-                        Seconds(node::SeedKeeper::kDutyInterval);
+                        Seconds(membership::SeedSearch::kDutyInterval);
   report.Add({.name = Name("store", members, "steady calls"),
               .value = steady,
               .unit = "1/s fleet",
               .at_most = kLargestStoreRate});
   report.Add({.name = Name("store", members, "reads while all start"),
               .value = static_cast<double>(members) /
-                       Seconds(node::SeedKeeper::kStartSpread),
+                       Seconds(membership::SeedSearch::kStartSpread),
               .unit = "1/s fleet"});
 }
 
