--- a/src/libs/membership/gossip_pulling.cc
+++ b/src/libs/membership/gossip_pulling.cc
@@ -116,6 +116,9 @@
     PullIfDue(now, output);
   } else if (lacks_records_ ||
              learnt > std::max(kManyNews, table_.live() / kManyNewsPart)) {
+    // The one that was asked lacks those records too: another may have them.
+    if (lacks_records_)
+      pull_from_ = {};
     const double part = std::uniform_real_distribution<>(0.5, 1.5)(random_);
     next_pull_ = now + std::chrono::duration_cast<base::Duration>(
                            part * options_.hurried_pull_interval);
--- /dev/null
+++ b/tests/auto/membership/record_pull_test.cc
@@ -0,0 +1,63 @@
+// From whom a node asks for the records of members that it only knows by name.
+#include <catch2/catch.hpp>
+#include <set>
+#include <string>
+
+#include "membership/gossip.h"
+
+namespace chestnutport::membership {
+namespace {
+
+constexpr base::Instant kStart = base::Instant(std::chrono::hours(1));
+
+Member MakeMember(uint64_t id) {
+  Member member;
+  member.id = {id};
+  member.name = "node-" + std::to_string(id);
+  member.data_centre = "a";
+  member.control_address = {static_cast<uint32_t>(id), 1};
+  member.gossip_address = {static_cast<uint32_t>(id), 2};
+  return member;
+}
+
+NewsItem ItemOf(const Member& member) {
+  RecordCache records;
+  const SharedRecord record =
+      records.Intern(MemberRecord::Encode(member).bytes);
+  return {member.id, 1, MemberState::kAlive, record->hash, record->bytes};
+}
+
+TEST_CASE("a member whose record the node that is asked lacks as well") {
+  const Member asked = MakeMember(2);
+  RecordCache records;
+  Gossip gossip(MakeMember(1), {}, DatagramSeal("fleet", "key", ""), records,
+                base::Random(1), kStart);
+  NewsItem unknown = ItemOf(MakeMember(9));
+  unknown.record.clear();
+  const PullAnswer view{.sender = asked.id,
+                        .members = {ItemOf(asked), ItemOf(MakeMember(3)),
+                                    ItemOf(MakeMember(4)), unknown}};
+  GossipOutput output;
+  gossip.OnPullAnswer(kStart, view.Encode(), output);
+  REQUIRE(gossip.Members().size() == 4);
+
+  SECTION("is asked for elsewhere too") {
+    std::set<std::string> to;
+    base::Instant now = kStart;
+    for (int i = 0; i < 40; ++i, now += std::chrono::milliseconds(100)) {
+      for (const OutgoingPull& pull : output.pulls)
+        to.insert(pull.control_address.ToString());
+      const bool was_asked = !output.pulls.empty();
+      output = {};
+      if (was_asked) {
+        const PullAnswer nothing{.sender = asked.id};
+        gossip.OnPullAnswer(now, nothing.Encode(), output);
+      }
+      gossip.Run(now, output);
+    }
+    CHECK(to.size() > 1);
+  }
+}
+
+}  // namespace
+}  // namespace chestnutport::membership
