--- a/src/libs/membership/gossip.cc
+++ b/src/libs/membership/gossip.cc
@@ -13,8 +13,8 @@
 constexpr size_t kLargestWithNews = 700;
 // IP and UDP heads, which the budget counts too.
 constexpr size_t kPacketHead = 28;
-// A member that left in good order cannot come back; it is remembered only
-// while old news of it may still travel.
+// A member that left in good order cannot come back, but another may start at
+// its address; it is remembered while that is likely, and old news may travel.
 constexpr std::chrono::minutes kLeftMemory(2);
 // A member whose record nobody has is dropped.
 constexpr std::chrono::seconds kRecordPatience(30);
@@ -72,7 +72,7 @@
     next_probe_ = std::max(next_probe_ + options_.probe_interval, now);
     ProbeNext(now, output);
     ProbeForHearsay(now, output);
-    TryGone(output);
+    TryAbsent(output);
     EndSuspicions(now, output);
     ForgetGone(now);
   }
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -140,7 +140,7 @@
                   const MemberEntry& target,
                   GossipOutput& output);
   void ProbeForHearsay(base::Instant now, GossipOutput& output);
-  void TryGone(GossipOutput& output);
+  void TryAbsent(GossipOutput& output);
   void EndProbes(base::Instant now, GossipOutput& output);
   void ProbeThroughHelpers(base::Instant now,
                            Probe& probe,
--- a/src/libs/membership/gossip_probing.cc
+++ b/src/libs/membership/gossip_probing.cc
@@ -9,7 +9,8 @@
 
 constexpr size_t kLargestRelays = 64;
 constexpr std::chrono::seconds kSweepInterval(5);
-// How often all members together try each one that is gone, a second.
+// How often all members together try each one that is gone or has left, a
+// second: a node that was stopped and started in turn may have nobody to ask.
 constexpr double kTriesPerSecond = 2;
 
 }  // namespace
@@ -116,24 +117,27 @@
   }
 }
 
-void Gossip::TryGone(GossipOutput& output) {
-  if (table_.gone() == 0)
-    return;
+void Gossip::TryAbsent(GossipOutput& output) {
   const std::chrono::duration<double> interval = options_.probe_interval;
   const double chance = kTriesPerSecond * interval.count() *
-                        static_cast<double>(table_.gone()) /
+                        static_cast<double>(table_.absent()) /
                         static_cast<double>(table_.live() + 1);
   if (std::uniform_real_distribution<>(0, 1)(random_) >= chance)
     return;
-  const MemberEntry* gone = table_.PickGone(random_);
-  if (!gone)
+  const MemberEntry* absent = table_.PickAbsent(random_);
+  if (!absent)
+    return;
+  const base::SocketAddress address = absent->record->member.gossip_address;
+  if (absent->state == MemberState::kLeft && table_.IsTaken(address))
     return;
   // Waits for no ack: if the member is there, it refutes that it is gone. If
-  // another took its address, that one says so.
-  GossipMessage ping = MakeMessage(MessageType::kPing, gone->id);
+  // another took its address, that one says so; it may know nobody yet, and is
+  // told who asks.
+  GossipMessage ping = MakeMessage(MessageType::kPing, absent->id);
   ping.sequence = ++last_sequence_;
-  TellOfItself(gone->id, ping);
-  Send(gone->record->member.gossip_address, ping, output);
+  ping.news.push_back(ItemOf(*table_.Find(self_), true));
+  TellOfItself(absent->id, ping);
+  Send(address, ping, output);
 }
 
 void Gossip::EndProbes(base::Instant now, GossipOutput& output) {
--- a/src/libs/membership/member_table.cc
+++ b/src/libs/membership/member_table.cc
@@ -83,14 +83,18 @@
   return entry.IsLive() && entry.record && entry.id != self_;
 }
 
+bool MemberTable::IsAbsent(const MemberEntry& entry) {
+  return !entry.IsLive() && entry.record;
+}
+
 void MemberTable::Count(const MemberEntry& entry, int sign) {
   if (entry.IsLive()) {
     const uint64_t digest = DigestOf(entry);
     digest_ ^= digest;
     digests_[PartOf(entry.id)] ^= digest;
   }
-  if (entry.state == MemberState::kGone)
-    gone_ += static_cast<size_t>(sign);
+  if (IsAbsent(entry))
+    absent_ += static_cast<size_t>(sign);
   if (!IsTarget(entry))
     return;
   live_ += static_cast<size_t>(sign);
@@ -115,15 +119,25 @@
   return nullptr;
 }
 
-const MemberEntry* MemberTable::PickGone(base::Random& random) const {
-  for (int i = 0; i < kTries && gone_ > 0; ++i) {
-    const MemberEntry& entry = entries_[PickIndex(entries_.size(), random)];
-    if (entry.state == MemberState::kGone && entry.record)
+const MemberEntry* MemberTable::PickAbsent(base::Random& random) const {
+  if (absent_ == 0)
+    return nullptr;
+  const size_t start = PickIndex(entries_.size(), random);
+  for (size_t i = 0; i < entries_.size(); ++i) {
+    const MemberEntry& entry = entries_[(start + i) % entries_.size()];
+    if (IsAbsent(entry))
       return &entry;
   }
   return nullptr;
 }
 
+bool MemberTable::IsTaken(const base::SocketAddress& gossip_address) const {
+  return std::ranges::any_of(entries_, [&](const MemberEntry& entry) {
+    return entry.IsLive() && entry.record &&
+           entry.record->member.gossip_address == gossip_address;
+  });
+}
+
 const MemberEntry* MemberTable::NextInRound(bool near, base::Random& random) {
   return near ? NextNear(random) : NextFar(random);
 }
--- a/src/libs/membership/member_table.h
+++ b/src/libs/membership/member_table.h
@@ -45,14 +45,17 @@
 
   // Live members with a record, without this node.
   size_t live() const { return live_; }
-  size_t gone() const { return gone_; }
+  // Members with a record that are gone or have left.
+  size_t absent() const { return absent_; }
   // Of those, the ones in this node's data centre.
   const std::vector<base::NodeId>& near() const { return near_; }
 
   // Each is null if there is no such member.
   // A random live member; `near` keeps to this node's data centre.
   const MemberEntry* PickLive(bool near, base::Random& random) const;
-  const MemberEntry* PickGone(base::Random& random) const;
+  const MemberEntry* PickAbsent(base::Random& random) const;
+  // Whether a live member is known to be reached at the address.
+  bool IsTaken(const base::SocketAddress& gossip_address) const;
   // The next member of a round through all that are not suspected.
   const MemberEntry* NextInRound(bool near, base::Random& random);
   // The member after this node in the order of identities that is not
@@ -68,6 +71,7 @@
   using Index = uint32_t;
 
   bool IsTarget(const MemberEntry& entry) const;
+  static bool IsAbsent(const MemberEntry& entry);
   // Adds an entry to the counts and digests, or takes it out.
   void Count(const MemberEntry& entry, int sign);
   const MemberEntry* NextNear(base::Random& random);
@@ -82,7 +86,7 @@
   size_t far_turn_ = 0;
   bool far_began_ = false;
   size_t live_ = 0;
-  size_t gone_ = 0;
+  size_t absent_ = 0;
   uint64_t digest_ = 0;
   ViewDigests digests_{};
 };
--- a/tests/auto/membership/gossip_fleet_test.cc
+++ b/tests/auto/membership/gossip_fleet_test.cc
@@ -71,6 +71,24 @@
     CHECK(watch.last - start <= seconds(1));
   }
 
+  SECTION(
+      "a node that starts where one left is found, though it knows nobody") {
+    fleet.Leave(7);
+    fleet.RunFor(milliseconds(500));
+    fleet.StartAlone(7);
+    fleet.RunFor(seconds(3));
+    CHECK(fleet.gossip(7).Members().size() == 100);
+    CHECK(fleet.HasConverged());
+  }
+
+  SECTION("so is one that starts where one died") {
+    fleet.Kill(7);
+    fleet.RunFor(seconds(12));
+    fleet.StartAlone(7);
+    fleet.RunFor(seconds(3));
+    CHECK(fleet.gossip(7).Members().size() == 100);
+  }
+
   SECTION("a node that takes a dead one's address is told from it") {
     const base::NodeId old = fleet.member(7).id;
     fleet.Start(7, 20);
--- a/tests/support/gossip_fleet.cc
+++ b/tests/support/gossip_fleet.cc
@@ -293,9 +293,13 @@
 }
 
 void GossipFleet::Start(size_t slot, size_t seed) {
+  StartAlone(slot);
+  Greet(slot, seed);
+}
+
+void GossipFleet::StartAlone(size_t slot) {
   Kill(slot);
   AddGossip(slot);
-  Greet(slot, seed);
 }
 
 void GossipFleet::Greet(size_t slot, size_t seed) {
--- a/tests/support/gossip_fleet.h
+++ b/tests/support/gossip_fleet.h
@@ -63,6 +63,8 @@
   void Resume(size_t slot);
   // Starts a new node in the slot, which knows one seed.
   void Start(size_t slot, size_t seed);
+  // The same, but it knows nobody.
+  void StartAlone(size_t slot);
   // Lets the node in `slot` say hello to another seed.
   void Greet(size_t slot, size_t seed);
   void Drain(size_t slot);
