--- a/src/libs/admission/concurrency_limit.h
+++ b/src/libs/admission/concurrency_limit.h
@@ -10,6 +10,8 @@
 #ifndef ADMISSION_CONCURRENCY_LIMIT_H_
 #define ADMISSION_CONCURRENCY_LIMIT_H_
 
+#include <cstdint>
+
 #include "admission/smoothed_mean.h"
 #include "base/time.h"
 
@@ -39,7 +41,7 @@
   // The mean of recent service times; zero if there was none.
   base::Duration service_time() const;
   // Answers that the mean is made of.
-  int served() const { return recent_.count(); }
+  int64_t served() const { return recent_.count(); }
 
  private:
   enum class Trial { kNone, kDown, kUp };
--- a/src/libs/admission/smoothed_mean.h
+++ b/src/libs/admission/smoothed_mean.h
@@ -3,6 +3,7 @@
 #define ADMISSION_SMOOTHED_MEAN_H_
 
 #include <algorithm>
+#include <cstdint>
 
 namespace chestnutport::admission {
 
@@ -15,17 +16,18 @@
 
   void Add(double sample) {
     ++count_;
-    mean_ += std::max(gain_, 1.0 / count_) * (sample - mean_);
+    const double weight = 1.0 / static_cast<double>(count_);
+    mean_ += std::max(gain_, weight) * (sample - mean_);
   }
 
   // Zero without samples.
   double mean() const { return mean_; }
-  int count() const { return count_; }
+  int64_t count() const { return count_; }
 
  private:
   double gain_;
   double mean_ = 0;
-  int count_ = 0;
+  int64_t count_ = 0;
 };
 
 }  // namespace chestnutport::admission
