--- a/src/libs/membership/record_cache.h
+++ b/src/libs/membership/record_cache.h
@@ -10,7 +10,7 @@
 
 namespace chestnutport::membership {
 
-// Held by the member table and, in benchmarks, by those of many nodes.
+// The cache and the member table hold the same record.
 using SharedRecord = std::shared_ptr<const MemberRecord>;
 
 class RecordCache {
--- a/tests/auto/platform/hosted_path_test.cc
+++ b/tests/auto/platform/hosted_path_test.cc
@@ -1,5 +1,6 @@
 // Real nodes on the stand-in of the hosted platform: from the configuration in
 // the store to the answer of a server.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <filesystem>
@@ -249,6 +250,45 @@
   }
 }
 
+// Those that begin so.
+std::vector<std::string> CallsOf(const std::vector<std::string>& calls,
+                                 std::string_view begin) {
+  std::vector<std::string> found;
+  std::copy_if(
+      calls.begin(), calls.end(), std::back_inserter(found),
+      [&](const std::string& call) { return call.starts_with(begin); });
+  return found;
+}
+
+TEST_CASE("a node that starts asks the store for little") {
+  constexpr std::string_view kListing = "/chestnutport/kv-range?";
+  constexpr std::string_view kWatch = "/chestnutport/kv-watch?";
+  constexpr std::string_view kRead = "/chestnutport/kv-key?";
+  Scene scene;
+  scene.Configure(7, "/p/");
+
+  SECTION("a watch only once it has read twice: then it knows the others") {
+    std::vector<std::string> calls;
+    REQUIRE(WaitUntil([&] {
+      calls = scene.platform.StoreCalls();
+      return !CallsOf(calls, kWatch).empty();
+    }));
+    const auto watch = std::ranges::find_if(
+        calls, [&](const auto& call) { return call.starts_with(kWatch); });
+    const std::vector<std::string> before(calls.begin(), watch);
+    CHECK(CallsOf(before, kRead).size() >= 2);
+  }
+  SECTION("first a listing that may be old, and one of now as it is alone") {
+    std::vector<std::string> listings;
+    REQUIRE(WaitUntil([&] {
+      listings = CallsOf(scene.platform.StoreCalls(), kListing);
+      return listings.size() >= 2;
+    }));
+    CHECK(listings[0].find("staleOk=1") != std::string::npos);
+    CHECK(listings[1].find("staleOk=1") == std::string::npos);
+  }
+}
+
 TEST_CASE("a slow server's node hands work to another, unrun") {
   Scene scene;
   HostedServer& slow = scene.platform.AddServer("dossie", "i-slow");
--- a/tests/support/hosted_platform.cc
+++ b/tests/support/hosted_platform.cc
@@ -95,6 +95,12 @@
   return count;
 }
 
+std::vector<std::string> HostedPlatform::StoreCalls() {
+  std::vector<std::string> calls;
+  Run([&] { calls = store_calls_; });
+  return calls;
+}
+
 void HostedPlatform::OnServed(HostedServer& server,
                               net::HttpRequest request,
                               net::Reply reply) {
@@ -118,6 +124,7 @@
 
 void HostedPlatform::OnStoreCall(const net::HttpRequest& request,
                                  net::Reply reply) {
+  store_calls_.push_back(request.target);
   if (const int status = failure_) {
     reply.Send({.status = status});
     return;
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -43,6 +43,9 @@
   // usual.
   void set_failure(int status) { failure_ = status; }
 
+  // The targets of the calls to the store so far, in order.
+  std::vector<std::string> StoreCalls();
+
   HostedServer& AddServer(const std::string& service,
                           const std::string& instance);
   // Runs `task` on the thread of the store and the servers, and waits for it.
@@ -72,6 +75,7 @@
 
   net::EventLoop loop_;
   std::unique_ptr<net::HttpServer> store_;
+  std::vector<std::string> store_calls_;
   std::map<std::string, Item> items_;
   int64_t revision_ = 100;
   int64_t last_lease_ = 0;
