--- a/src/libs/node/attempt_settler.cc
+++ b/src/libs/node/attempt_settler.cc
@@ -11,8 +11,6 @@
 
 using calls::SettleAnswer;
 
-constexpr char kMethod[] = "attempt.settle";
-
 struct State {
   const char* name;
   SettleAnswer answer;
@@ -29,7 +27,7 @@
   std::string text;
   std::string error;
   if (result.end != net::TransferEnd::kComplete ||
-      !rpc::DecodeAnswer(kMethod, result.answer.body, &text, &error)) {
+      !rpc::DecodeAnswer(kSettleMethod, result.answer.body, &text, &error)) {
     return SettleAnswer::kNoAnswer;
   }
   const auto answer = nlohmann::json::parse(text, nullptr, false);
@@ -67,7 +65,7 @@
   const nlohmann::json params = {{"attempt", attempt.ToString()},
                                  {"cancel", question != Question::kAsk},
                                  {"stop_running", question == Question::kStop}};
-  request.body = rpc::EncodeCall(kMethod, params.dump());
+  request.body = rpc::EncodeCall(kSettleMethod, params.dump());
   client_.Send(
       server.peer_address, std::move(request), timeout,
       [handler = std::move(handler)](const net::TransferResult& result) {
--- a/src/libs/node/attempt_settler.h
+++ b/src/libs/node/attempt_settler.h
@@ -40,6 +40,7 @@
 
 // The path of the question on the peer listener.
 inline constexpr char kSettlePath[] = "/chestnutport/settle";
+inline constexpr char kSettleMethod[] = "attempt.settle";
 
 }  // namespace chestnutport::node
 
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -1,7 +1,6 @@
 #include "node/gate.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "base/encoding.h"
@@ -44,39 +43,6 @@
 
 }  // namespace
 
-// An attempt as it came from its ingress.
-struct Gate::Arrival {
-  wire::PeerRequestHead head;
-  net::HttpRequest request;
-  net::Reply reply;
-  base::Instant arrived_at;
-  base::Instant deadline;
-  std::optional<base::Instant> target;  // An answer is worth less after it.
-  bool is_inquiry = false;  // Asks for a place; the request itself follows.
-};
-
-// An attempt from its admission to its answer.
-struct Gate::Attempt {
-  AttemptId id;
-  base::Instant deadline;
-  bool may_stop = false;
-  std::string name;  // As the caller named it.
-  std::string service;
-  std::string tenant;
-  std::string traffic_class;
-  base::Instant arrived_at;
-  std::optional<base::Instant> started_at;  // When the server got it.
-  std::optional<base::Instant> target;      // An answer is worth less after it.
-  // Of the server, as it was known when the attempt was admitted.
-  double slowness = 1;
-  std::optional<base::Duration> slowness_age;
-  std::string method;
-  net::HttpRequest request;
-  net::Reply reply;
-  net::HttpClient::TransferId transfer = 0;
-  std::unique_ptr<AnswerRelay> relay;  // Of an answer that is streamed.
-};
-
 Gate::Gate(net::EventLoop& loop,
            NodeIdentity identity,
            PeerKeys keys,
@@ -93,11 +59,9 @@
       keyed_requests_(identity_.id),
       client_(loop, ServerConnections(protocol_)),
       observer_(loop, protocol_, [this] { AdmitWaiting(); }),
-      report_(std::move(report)) {
-  dispatcher_.Add("attempt.settle", [this](const std::string& params) {
-    return AnswerSettle(params);
-  });
-}
+      report_(std::move(report)),
+      settle_calls_(
+          [this](const SettleRequest& request) { return Settle(request); }) {}
 
 Gate::~Gate() {
   loop_.Cancel(ticker_);
@@ -161,7 +125,7 @@
     return;
   }
   if (request.target == kSettlePath)
-    Settle(request, std::move(reply));
+    SendAnswer(reply, settle_calls_.Answer(request.body));
   else
     Receive(*head, std::move(request), std::move(reply));
 }
@@ -177,7 +141,7 @@
                    net::Reply reply) {
   const base::Instant now = base::Clock::now();
   freeze_watch_.Look(now);
-  Arrival arrival{
+  GateArrival arrival{
       .head = head,
       .request = std::move(request),
       .reply = std::move(reply),
@@ -197,11 +161,11 @@
 }
 
 void Gate::AdmitWaiting() {
-  for (Arrival& arrival : std::exchange(waiting_for_look_, {}))
+  for (GateArrival& arrival : std::exchange(waiting_for_look_, {}))
     Admit(std::move(arrival));
 }
 
-void Gate::Admit(Arrival arrival) {
+void Gate::Admit(GateArrival arrival) {
   const wire::PeerRequestHead& head = arrival.head;
   if (!server_.announced || server_.service != head.service ||
       observer_.is_replaced()) {
@@ -249,9 +213,9 @@
   SendAnswer(reply, {.status = kPlaceFree});
 }
 
-void Gate::Keep(Arrival arrival) {
+void Gate::Keep(GateArrival arrival) {
   const wire::PeerRequestHead& head = arrival.head;
-  auto attempt = std::make_unique<Attempt>();
+  auto attempt = std::make_unique<GateAttempt>();
   attempt->id = head.attempt;
   attempt->deadline = arrival.deadline;
   attempt->may_stop = head.may_stop;
@@ -279,29 +243,9 @@
          (head.may_move_if_full && !admission_.HasRoom(now));
 }
 
-void Gate::Settle(const net::HttpRequest& request, net::Reply reply) {
-  net::HttpAnswer answer;
-  answer.headers = {{"Content-Type", "application/json"}};
-  answer.body = dispatcher_.Handle(request.body);
-  SendAnswer(reply, std::move(answer));
-}
-
-std::string Gate::AnswerSettle(const std::string& params) {
-  const auto read = nlohmann::json::parse(params, nullptr, false);
-  if (!read.is_object() || !read.contains("attempt") ||
-      !read["attempt"].is_string()) {
-    return "";
-  }
-  const auto id = AttemptId::Parse(read["attempt"].get<std::string>());
-  if (!id)
-    return "";
-  AttemptState state = admission_.State(*id);
-  if (!read.contains("cancel") || read["cancel"] != false)
-    state = CancelAttempt(*id, read.value("stop_running", true));
-  const nlohmann::json result = {
-      {"state", std::string(ToString(state))},
-      {"never_runs", state == AttemptState::kNeverRuns}};
-  return result.dump();
+AttemptState Gate::Settle(const SettleRequest& request) {
+  return request.cancel ? CancelAttempt(request.attempt, request.stop_running)
+                        : admission_.State(request.attempt);
 }
 
 // Returns the state after it; kRunning: it runs on or, if stopped, ran until
@@ -376,7 +320,7 @@
     Refuse(id, ErrorKind::kKeyRecordUnavailable, {});
     return admission_.Finish(id, now, ServerResult::kNotSent);
   }
-  Attempt& attempt = *found->second;
+  GateAttempt& attempt = *found->second;
   net::HttpRequest request = std::move(attempt.request);
   net::RemoveHopByHop(request.headers);
   net::RemoveHeader(request.headers, "Content-Length");
@@ -398,7 +342,7 @@
       protocol_.judge(head) != ServerVerdict::kAnswered) {
     return false;
   }
-  Attempt& attempt = *found->second;
+  GateAttempt& attempt = *found->second;
   if (!IsRelayed(attempt.method, head))
     return false;
   const base::Instant now = base::Clock::now();
@@ -431,7 +375,7 @@
       admission_.Finish(id, now, ToServerResult(result.end, verdict));
   auto node = attempts_.extract(id);
   if (!node.empty()) {
-    Attempt& attempt = *node.mapped();
+    GateAttempt& attempt = *node.mapped();
     const auto error = ErrorOf(result.end, verdict);
     Record(attempt, error, now);
     if (attempt.relay) {
@@ -460,12 +404,12 @@
   Answer(*node.mapped(), wire::MakePeerErrorAnswer(error, retry_after));
 }
 
-void Gate::Answer(Attempt& attempt, net::HttpAnswer answer) {
+void Gate::Answer(GateAttempt& attempt, net::HttpAnswer answer) {
   keyed_requests_.OnEnd(attempt.id, answer, base::Clock::now());
   SendAnswer(attempt.reply, std::move(answer));
 }
 
-void Gate::Record(const Attempt& attempt,
+void Gate::Record(const GateAttempt& attempt,
                   std::optional<ErrorKind> error,
                   base::Instant now) {
   telemetry::AttemptRecord record{.service = attempt.service,
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -15,6 +15,8 @@
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "node/gate_arrival.h"
+#include "node/gate_attempt.h"
 #include "node/gate_report.h"
 #include "node/keyed_requests.h"
 #include "node/node_identity.h"
@@ -24,8 +26,8 @@
 #include "node/server_observer.h"
 #include "node/server_protocol.h"
 #include "node/server_state.h"
+#include "node/settle_calls.h"
 #include "node/traffic_recorder.h"
-#include "rpc/dispatcher.h"
 #include "wire/peer_request_head.h"
 
 namespace chestnutport::node {
@@ -63,9 +65,6 @@
   size_t in_flight() const { return attempts_.size(); }
 
  private:
-  struct Arrival;
-  struct Attempt;
-
   void OnRequest(net::HttpRequest request, net::Reply reply);
   bool IsAuthorized(const wire::PeerRequestHead& head,
                     const net::HttpHeaders& headers) const;
@@ -74,14 +73,13 @@
                net::Reply reply);
   // Admits those that waited for the server's word on its pace.
   void AdmitWaiting();
-  void Admit(Arrival arrival);
+  void Admit(GateArrival arrival);
   // Says whether the attempt would be let in now. Nothing is kept of it.
   void AnswerInquiry(const admission::Arrival& asked, net::Reply& reply);
-  void Keep(Arrival arrival);
+  void Keep(GateArrival arrival);
   // Whether another server would do better with a request that may move.
   bool HandsBack(const wire::PeerRequestHead& head, base::Instant now) const;
-  void Settle(const net::HttpRequest& request, net::Reply reply);
-  std::string AnswerSettle(const std::string& params);
+  admission::AttemptState Settle(const SettleRequest& request);
   admission::AttemptState CancelAttempt(const base::AttemptId& id,
                                         bool stop_running);
   // Whether the attempt was admitted, but waited for a connection to the
@@ -99,14 +97,14 @@
   void Refuse(const base::AttemptId& id,
               base::ErrorKind error,
               base::Duration retry_after);
-  void Record(const Attempt& attempt,
+  void Record(const GateAttempt& attempt,
               std::optional<base::ErrorKind> error,
               base::Instant now);
   // Tells why an attempt has no answer of the server, or a late one.
   // Adds the state of the server to `decision`.
   void LogDecision(GateDecision decision) const;
   // Ends an attempt with the answer to it.
-  void Answer(Attempt& attempt, net::HttpAnswer answer);
+  void Answer(GateAttempt& attempt, net::HttpAnswer answer);
   void SendAnswer(net::Reply& reply, net::HttpAnswer answer);
   void AddLoad(net::HttpAnswer& answer) const;
   void Tick();
@@ -124,13 +122,13 @@
   KeyedRequests keyed_requests_;
   net::HttpClient client_;
   ServerObserver observer_;
-  std::vector<Arrival> waiting_for_look_;
+  std::vector<GateArrival> waiting_for_look_;
   ReportHandler report_;
   base::Instant reported_at_;
-  rpc::Dispatcher dispatcher_;
+  SettleCalls settle_calls_;
   TrafficRecorder recorder_;
   std::unique_ptr<net::HttpServer> listener_;
-  absl::flat_hash_map<base::AttemptId, std::unique_ptr<Attempt>> attempts_;
+  absl::flat_hash_map<base::AttemptId, std::unique_ptr<GateAttempt>> attempts_;
   std::function<void()> on_empty_;
   bool empty_told_ = false;  // That the draining server has no work left.
   net::EventLoop::TimerId ticker_ = 0;
--- /dev/null
+++ b/src/libs/node/gate_attempt.h
@@ -0,0 +1,41 @@
+// An attempt at a gate, from its admission to its answer.
+#ifndef NODE_GATE_ATTEMPT_H_
+#define NODE_GATE_ATTEMPT_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/attempt_id.h"
+#include "base/time.h"
+#include "net/http_client.h"
+#include "net/http_message.h"
+#include "net/reply.h"
+#include "node/answer_relay.h"
+
+namespace chestnutport::node {
+
+struct GateAttempt {
+  base::AttemptId id;
+  base::Instant deadline;
+  bool may_stop = false;
+  std::string name;  // As the caller named it.
+  std::string service;
+  std::string tenant;
+  std::string traffic_class;
+  base::Instant arrived_at;
+  std::optional<base::Instant> started_at;  // When the server got it.
+  std::optional<base::Instant> target;      // An answer is worth less after it.
+  // Of the server, as it was known when the attempt was admitted.
+  double slowness = 1;
+  std::optional<base::Duration> slowness_age;
+  std::string method;
+  net::HttpRequest request;
+  net::Reply reply;
+  net::HttpClient::TransferId transfer = 0;
+  std::unique_ptr<AnswerRelay> relay;  // Of an answer that is streamed.
+};
+
+}  // namespace chestnutport::node
+
+#endif  // NODE_GATE_ATTEMPT_H_
--- /dev/null
+++ b/src/libs/node/settle_calls.cc
@@ -0,0 +1,58 @@
+#include "node/settle_calls.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "node/attempt_settler.h"
+
+namespace chestnutport::node {
+namespace {
+
+using admission::AttemptState;
+using base::AttemptId;
+using nlohmann::json;
+
+// True also if it is left out.
+bool IsWanted(const json& request, const char* field) {
+  return !request.contains(field) || request[field] != false;
+}
+
+std::optional<SettleRequest> ReadRequest(const std::string& text) {
+  const json read = json::parse(text, nullptr, false);
+  if (!read.is_object() || !read.contains("attempt") ||
+      !read["attempt"].is_string()) {
+    return std::nullopt;
+  }
+  const auto attempt = AttemptId::Parse(read["attempt"].get<std::string>());
+  if (!attempt)
+    return std::nullopt;
+  return SettleRequest{*attempt, IsWanted(read, "cancel"),
+                       IsWanted(read, "stop_running")};
+}
+
+}  // namespace
+
+SettleCalls::SettleCalls(Handler handler) : handler_(std::move(handler)) {
+  dispatcher_.Add(kSettleMethod,
+                  [this](const std::string& params) { return Settle(params); });
+}
+
+net::HttpAnswer SettleCalls::Answer(const std::string& body) {
+  net::HttpAnswer answer;
+  answer.headers = {{"Content-Type", "application/json"}};
+  answer.body = dispatcher_.Handle(body);
+  return answer;
+}
+
+std::string SettleCalls::Settle(const std::string& params) const {
+  const auto request = ReadRequest(params);
+  if (!request)
+    return "";
+  const AttemptState state = handler_(*request);
+  return json{{"state", std::string(ToString(state))},
+              {"never_runs", state == AttemptState::kNeverRuns}}
+      .dump();
+}
+
+}  // namespace chestnutport::node
--- /dev/null
+++ b/tests/auto/node/settle_calls_test.cc
@@ -0,0 +1,61 @@
+// The control call that asks what became of an attempt, or cancels it.
+#include "node/settle_calls.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "node/attempt_settler.h"
+#include "rpc/call_codec.h"
+
+namespace chestnutport::node {
+namespace {
+
+using admission::AttemptState;
+using nlohmann::json;
+
+TEST_CASE("another node's question is read and answered") {
+  std::optional<SettleRequest> asked;
+  AttemptState state = AttemptState::kNeverRuns;
+  SettleCalls calls([&](const SettleRequest& request) {
+    asked = request;
+    return state;
+  });
+  const base::AttemptId attempt{3, 7};
+  json params = {{"attempt", attempt.ToString()}};
+  const auto answer = [&] {
+    const auto sent =
+        calls.Answer(rpc::EncodeCall(kSettleMethod, params.dump()));
+    return json::parse(sent.body);
+  };
+
+  SECTION("it cancels and stops, unless it says otherwise") {
+    CHECK(answer()["result"]["never_runs"] == true);
+    REQUIRE(asked);
+    CHECK(asked->attempt == attempt);
+    CHECK(asked->cancel);
+    CHECK(asked->stop_running);
+  }
+  SECTION("it may ask only") {
+    params["cancel"] = false;
+    state = AttemptState::kRunning;
+    const json got = answer();
+    CHECK(got["result"]["state"] == std::string(ToString(state)));
+    CHECK(got["result"]["never_runs"] == false);
+    CHECK_FALSE(asked->cancel);
+  }
+  SECTION("it may let one that runs go on") {
+    params["stop_running"] = false;
+    answer();
+    CHECK(asked->cancel);
+    CHECK_FALSE(asked->stop_running);
+  }
+  SECTION("what names no attempt does nothing") {
+    params["attempt"] = GENERATE(json("no name"), json(7), json());
+    CHECK(answer().contains("error"));
+    CHECK_FALSE(asked);
+  }
+}
+
+}  // namespace
+}  // namespace chestnutport::node
