--- a/tests/auto/failures/leaving_server_test.cc
+++ b/tests/auto/failures/leaving_server_test.cc
@@ -55,16 +55,14 @@
     drain_and_count([&] {
       fleet.CommandStore(R"({"mode": "down"})");
       REQUIRE(fleet.Operate(small.b, "POST", "/v1/drain", "").status == 200);
-      // Two calls of the operators' API later the gate has heard.
-      fleet.Status(small.b);
-      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+      REQUIRE(is_leaving_everywhere());
     });
   }
   SECTION("when another node was frozen meanwhile and sends it late work") {
     drain_and_count([&] {
       small.c.node->Signal(SIGSTOP);
       REQUIRE(fleet.Operate(small.b, "POST", "/v1/drain", "").status == 200);
-      std::this_thread::sleep_for(std::chrono::milliseconds(500));
+      REQUIRE(WaitUntil([&] { return fleet.IsLeavingAt(small.a, small.b); }));
       small.c.node->Signal(SIGCONT);
     });
   }
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -200,14 +200,16 @@
 
 bool Fleet::IsLeavingEverywhere(const Vm& vm) const {
   return std::ranges::all_of(vms_, [&](const auto& other) {
-    if (other.get() == &vm)
-      return true;
-    const json status = Status(*other);
-    if (!status.is_object())
-      return false;
-    return std::ranges::none_of(status["members"], [&](const json& member) {
-      return member.value("name", "") == vm.name && IsServing(member);
-    });
+    return other.get() == &vm || IsLeavingAt(*other, vm);
+  });
+}
+
+bool Fleet::IsLeavingAt(const Vm& observer, const Vm& vm) const {
+  const json status = Status(observer);
+  if (!status.is_object())
+    return false;
+  return std::ranges::none_of(status["members"], [&](const json& member) {
+    return member.value("name", "") == vm.name && IsServing(member);
   });
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -87,6 +87,8 @@
   bool WaitAllReady(size_t servers, uint64_t revision) const;
   // Whether every other node that runs knows that `vm` takes no new work.
   bool IsLeavingEverywhere(const Vm& vm) const;
+  // The same as seen by one of them.
+  bool IsLeavingAt(const Vm& observer, const Vm& vm) const;
 
   // How often each request id was started, by any server at any time.
   std::map<std::string, int> Executions() const;
