--- a/src/libs/routing/server_chooser.cc
+++ b/src/libs/routing/server_chooser.cc
@@ -7,12 +7,12 @@
 namespace chestnutport::routing {
 namespace {
 
-// Servers weighed for a choice: from all, and from the own data centre.
+// Servers weighed for a choice: from all, and from the own data centre, as
+// bytes between data centres cost. Near ones get no further advantage: by a
+// factor of 1.15 calls of a chain of 24 filled their own data centre and waited
+// for each other (goodput 0.15 in place of 1, virtual time, Kivisaar's fleet).
 constexpr int kDrawn = 3;
 constexpr int kDrawnNear = 2;
-// What a server in another data centre has to be better by: bytes between data
-// centres cost, and their links fail apart from the rest.
-constexpr double kFarFactor = 1.15;
 
 bool Contains(std::span<const base::NodeId> nodes, base::NodeId node) {
   return std::ranges::find(nodes, node) != nodes.end();
@@ -125,10 +125,9 @@
 void ServerChooser::Weigh(const Known& server,
                           base::Instant now,
                           Best& best) const {
-  const bool is_near = server.candidate.data_centre == own_place_.data_centre;
   const Seconds expected = server.estimate.ExpectedTime(
       std::max(1, server.candidate.slots), service_, now);
-  const Seconds time = server.distance + expected * (is_near ? 1 : kFarFactor);
+  const Seconds time = server.distance + expected;
   if (time < best.time) {
     best.time = time;
     best.server = &server;
--- a/tests/auto/routing/decisions_rows_test.cc
+++ b/tests/auto/routing/decisions_rows_test.cc
@@ -42,6 +42,25 @@
   }
 }
 
+// Each call holds a slot until those below it have answered, so that servers
+// which are preferred too much fill up and wait for themselves.
+TEST_CASE("A chain of calls does not block itself") {
+  constexpr uint64_t kSeeds = 9;
+  const Condition chain{"chain-24", ConditionKind::kChain};
+  double ratios = 0;
+  for (uint64_t seed = kSeed; seed < kSeed + kSeeds; ++seed) {
+    const auto shipped =
+        Simulation<ShippedPolicy>(Kivisaar(), chain, seed).Run();
+    const auto omniscient =
+        Simulation<OmniscientPolicy>(Kivisaar(), chain, seed).Run();
+    INFO(seed);
+    CHECK(shipped.wrong == 0);
+    CHECK(shipped.Goodput() >= 0.95);
+    ratios += shipped.Quantile(0.99) / omniscient.Quantile(0.99);
+  }
+  CHECK(ratios / kSeeds <= 2.3);
+}
+
 TEST_CASE("The rows can tell a bad chooser") {
   const Condition straggler{"straggler", ConditionKind::kStraggler};
   const auto random =
