Show which requests a server ran when it ended

Cause: the lines of the incident name a request by what its caller calls it, which is new at each return; no line says that a server ended, nor what it was running; lines of what a server lost shared their limit of 60 a second with refusals and were held back; connection-lost was both a server that broke off and a node out of reach; a scrape cut short held one histogram and no count.

Change: a fingerprint of what is asked for goes with each request and stands in its lines; the node beside a server says that it ended (after it broke something off, nobody listens at its address, or another start takes its place) and what it ran; what is broken off has lines of its own, and an error kind of its own; server-replaced says which start was meant; metrics begin with counts. What is decided for a request is not changed.

--- a/src/libs/base/error_kind.h
+++ b/src/libs/base/error_kind.h
@@ -31,6 +31,7 @@
   kCancelled,
   kConnectFailed,
   kConnectionLost,
+  kServerLost,
   kSilentConnection,
   kDeadlinePassed,
   kServerShed,
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -218,6 +218,7 @@
   result.end = end;
   result.answer = std::move(transfer.answer);
   result.is_streamed = transfer.is_streamed;
+  result.is_refused = transfer.is_refused;
   const Done done = std::move(transfer.done);
   ended_transfers_.push_back(std::move(node.mapped()));
   DestroySoon();
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -34,6 +34,8 @@
   // The head, and the body unless it was streamed; status zero: no head came.
   HttpAnswer answer{.status = 0, .headers = {}, .body = ""};
   bool is_streamed = false;  // The body was handed on.
+  // Of kNotSent: nobody listens at the address.
+  bool is_refused = false;
 };
 
 struct HttpClientOptions {
--- a/src/libs/net/http_client_connection.cc
+++ b/src/libs/net/http_client_connection.cc
@@ -129,6 +129,8 @@
   socklen_t size = sizeof(error);
   getsockopt(fd_, SOL_SOCKET, SO_ERROR, &error, &size);
   if (error != 0) {
+    if (transfer_)
+      transfer_->is_refused = error == ECONNREFUSED;
     Fail(TransferEnd::kNotSent);
     return;
   }
--- a/src/libs/node/caller_request.h
+++ b/src/libs/node/caller_request.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "base/request_fingerprint.h"
 #include "base/result.h"
 #include "base/time.h"
 #include "calls/move_limits.h"
@@ -18,6 +19,7 @@
   std::string tenant;
   std::string traffic_class;
   std::string name;  // As the caller named it, for the logs; may be empty.
+  base::RequestFingerprint fingerprint;  // Of what it asks for.
   bool is_repeatable = false;
   base::Duration remaining{};      // Until the caller's deadline.
   int depth = 0;                   // Calls above this one.
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -175,6 +175,7 @@
   const base::Instant now = base::Clock::now();
   if (head.may_move && server_.TakesWork() && HandsBack(head, now)) {
     LogDecision({.request = head.request_name,
+                 .fingerprint = head.fingerprint,
                  .error = ErrorKind::kServerSlow,
                  .admitted_slowness = observer_.pace().Slowness(now),
                  .slowness_age = observer_.pace().Age(now),
@@ -220,6 +221,7 @@
   attempt->deadline = arrival.deadline;
   attempt->may_stop = head.may_stop;
   attempt->name = head.request_name;
+  attempt->fingerprint = head.fingerprint;
   attempt->service = head.service;
   attempt->tenant = head.tenant;
   attempt->traffic_class = head.traffic_class;
@@ -325,6 +327,7 @@
   net::RemoveHopByHop(request.headers);
   net::RemoveHeader(request.headers, "Content-Length");
   attempt.started_at = now;
+  attempt.instance = server_.instance;
   running_.OnStarted(attempt.name);
   const base::Duration remaining = attempt.deadline - now;
   protocol_.prepare(request, {remaining, server_.instance});
@@ -369,8 +372,13 @@
   const auto ended = attempts_.find(id);
   const bool has_failed_call =
       ended != attempts_.end() && running_.OnEnded(ended->second->name);
-  observer_.OnRequestEnd({result.end, verdict, has_failed_call}, result.answer,
-                         now);
+  RequestEnd end{result.end, verdict, has_failed_call, result.is_refused};
+  if (ended != attempts_.end()) {
+    end.fingerprint = ended->second->fingerprint;
+    end.started_at = *ended->second->started_at;
+    end.instance = ended->second->instance;
+  }
+  observer_.OnRequestEnd(end, result.answer, now);
   AdmissionActions actions =
       admission_.Finish(id, now, ToServerResult(result.end, verdict));
   auto node = attempts_.extract(id);
@@ -423,6 +431,7 @@
   const bool is_late = attempt.target && now > *attempt.target;
   if (error || is_late)
     LogDecision({.request = attempt.name,
+                 .fingerprint = attempt.fingerprint,
                  .error = error,
                  .queued = record.queued,
                  .serving = record.serving,
@@ -455,6 +464,8 @@
   freeze_watch_.Look(now);
   Perform(admission_.Tick(now));
   observer_.Tick(now);
+  if (const auto end = observer_.TakeEnd(now))
+    LogServerEnd(server_.service, *end);
   if (now >= reported_at_ + kReportInterval)
     Report(now);
   ticker_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
--- a/src/libs/node/gate_attempt.h
+++ b/src/libs/node/gate_attempt.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/attempt_id.h"
+#include "base/request_fingerprint.h"
 #include "base/time.h"
 #include "net/http_client.h"
 #include "net/http_message.h"
@@ -20,6 +21,8 @@
   base::Instant deadline;
   bool may_stop = false;
   std::string name;  // As the caller named it.
+  base::RequestFingerprint fingerprint;
+  std::string instance;  // The start of the server that it was sent to.
   std::string service;
   std::string tenant;
   std::string traffic_class;
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -35,9 +35,19 @@
   head.depth = request.depth;
   head.may_stop = request.may_stop;
   head.request_name = request.name;
+  head.fingerprint = request.fingerprint;
   return head;
 }
 
+base::RequestFingerprint FingerprintOf(const CallerRequest& request) {
+  return base::RequestFingerprint::Of(
+      {.tenant = request.tenant,
+       .method = request.http.method,
+       .host = net::FindHeader(request.http.headers, "Host"),
+       .target = request.http.target,
+       .body = request.http.body});
+}
+
 // Tells the levels below which one repeats, and which attempt this is.
 void AddRetryHeaders(const CallerRequest& request,
                      int attempt,
@@ -179,6 +189,7 @@
     return;
   }
   CallerRequest request = std::move(read).value();
+  request.fingerprint = FingerprintOf(request);
   ServiceTraffic& service = Traffic(request.service);
   const base::Instant now = loop_.now();
   const calls::Call decision(service.Policy(request), now,
--- a/src/libs/node/request_log.cc
+++ b/src/libs/node/request_log.cc
@@ -86,6 +86,30 @@
   return error ? std::string(base::AnswerTo(*error).name) : "none";
 }
 
+// What reached the server has lines of its own: while servers are missing,
+// those of what is refused use up the limit of theirs within a tenth of a
+// second.
+Event EventOf(const GateDecision& decision) {
+  if (!decision.error)
+    return Event::kServerLate;
+  return decision.error == base::ErrorKind::kServerLost ? Event::kAttemptLost
+                                                        : Event::kGateDecided;
+}
+
+// As many as a value of a line holds; with how long each had run.
+std::string DescribeRunning(std::span<const admission::BrokenRequest> running) {
+  std::string text;
+  for (const admission::BrokenRequest& request : running) {
+    const std::string one =
+        absl::StrCat(request.fingerprint.ToString(), "+",
+                     Rounded(request.broken_at - request.started_at));
+    if (text.size() + one.size() > kLongestSent)
+      break;
+    absl::StrAppend(&text, text.empty() ? "" : " ", one);
+  }
+  return text;
+}
+
 // Plain successes are counted, not written.
 bool IsOrdinary(const ActiveCall& call, const CallEnd& end, bool is_late) {
   return !end.error && !is_late && end.status < kServerError &&
@@ -102,6 +126,7 @@
     return;
   LogRequestEvent(Event::kCallEnded,
                   {{"request", call.request.name},
+                   {"fingerprint", call.request.fingerprint.ToString()},
                    {"service", call.request.service},
                    {"class", call.request.traffic_class},
                    {"status", absl::StrCat(end.status)},
@@ -125,6 +150,7 @@
 void LogCallerGone(const ActiveCall& call, base::Instant now) {
   LogRequestEvent(Event::kCallerGone,
                   {{"request", call.request.name},
+                   {"fingerprint", call.request.fingerprint.ToString()},
                    {"service", call.request.service},
                    {"took", base::FormatDuration(now - call.arrived_at)},
                    {"sent", DescribeAttempts(call, now)}});
@@ -133,8 +159,9 @@
 void LogGateDecision(const GateDecision& decision) {
   const bool reached = decision.serving.has_value();
   LogRequestEvent(
-      decision.error ? Event::kGateDecided : Event::kServerLate,
+      EventOf(decision),
       {{"request", decision.request},
+       {"fingerprint", decision.fingerprint.ToString()},
        {"instance", decision.instance},
        {"error", NameOf(decision.error)},
        {"reached_server", reached ? "yes" : "no"},
@@ -157,4 +184,14 @@
        {"failing", absl::StrFormat("%.2f", decision.failure_share)}});
 }
 
+void LogServerEnd(const std::string& service,
+                  std::span<const admission::BrokenRequest> running) {
+  telemetry::LogEvent(
+      Event::kServerEnded,
+      {{"service", service},
+       {"instance", running.empty() ? "" : running.front().instance},
+       {"running", absl::StrCat(running.size())},
+       {"requests", DescribeRunning(running)}});
+}
+
 }  // namespace chestnutport::node
--- a/src/libs/node/request_log.h
+++ b/src/libs/node/request_log.h
@@ -5,9 +5,12 @@
 #define NODE_REQUEST_LOG_H_
 
 #include <optional>
+#include <span>
 #include <string>
 
+#include "admission/server_end_watch.h"
 #include "base/error_kind.h"
+#include "base/request_fingerprint.h"
 #include "base/time.h"
 #include "node/active_call.h"
 #include "wire/load_report.h"
@@ -34,6 +37,7 @@
 // What a gate did with an attempt, and the state of its server just then.
 struct GateDecision {
   std::string request;  // As the caller named it.
+  base::RequestFingerprint fingerprint;
   std::string instance;
   std::optional<base::ErrorKind> error;  // None: the server's answer.
   base::Duration queued{};
@@ -52,6 +56,10 @@
 // For what the server did not answer, and for what it answered late.
 void LogGateDecision(const GateDecision& decision);
 
+// The gate's server ended while it ran these.
+void LogServerEnd(const std::string& service,
+                  std::span<const admission::BrokenRequest> running);
+
 }  // namespace chestnutport::node
 
 #endif  // NODE_REQUEST_LOG_H_
--- a/src/libs/node/server_answer.cc
+++ b/src/libs/node/server_answer.cc
@@ -48,7 +48,7 @@
     case net::TransferEnd::kNotSent:
       return ErrorKind::kConnectFailed;
     case net::TransferEnd::kLost:
-      return ErrorKind::kConnectionLost;
+      return ErrorKind::kServerLost;
     case net::TransferEnd::kTimedOut:
       return ErrorKind::kDeadlinePassed;
     case net::TransferEnd::kComplete:
--- a/src/libs/node/server_observer.cc
+++ b/src/libs/node/server_observer.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr int kServerError = 500;
+// Between two probes that ask a server whether it is still there: one that
+// breaks off everything it gets costs four a second.
+constexpr std::chrono::milliseconds kAskInterval(250);
 
 }  // namespace
 
@@ -17,18 +20,31 @@
     : protocol_(std::move(protocol)),
       looked_(std::move(looked)),
       prober_(loop,
-              [this](const net::TransferResult& result) { OnProbed(result); }) {
-}
+              [this](const net::TransferResult& result, base::Instant begun) {
+                OnProbed(result, begun);
+              }) {}
 
 void ServerObserver::SetServer(const ServerState& server, bool has_started) {
   instance_ = server.instance;
   prober_.SetServer(server);
   if (!has_started)
     return;
+  end_watch_.OnStarted(base::Clock::now());
   pace_.Reset();
   is_replaced_ = false;
 }
 
+void ServerObserver::Tick(base::Instant now) {
+  prober_.Tick(now);
+  AskIfInDoubt(now);
+}
+
+void ServerObserver::AskIfInDoubt(base::Instant now) {
+  const bool is_due = end_watch_.IsInDoubt() && now >= ask_again_at_;
+  if (is_due && prober_.Ask(now))
+    ask_again_at_ = now + kAskInterval;
+}
+
 void ServerObserver::OnRequestEnd(const RequestEnd& request,
                                   const net::HttpAnswer& answer,
                                   base::Instant now) {
@@ -36,14 +52,23 @@
   if (is_whole) {
     prober_.OnAnswer(now);
     NoteLoad(answer.headers, now);
+  } else if (request.end == net::TransferEnd::kLost) {
+    end_watch_.OnBroken(
+        {request.fingerprint, request.instance, request.started_at, now});
+    AskIfInDoubt(now);
+  } else if (request.is_refused) {
+    end_watch_.OnRefused(now);
   }
   if (is_whole && request.verdict == ServerVerdict::kOtherInstance) {
     is_replaced_ = true;
     telemetry::LogEvent(telemetry::Event::kServerReplaced,
                         {{"expected", instance_},
+                         {"meant_for", request.instance},
                          {"found", protocol_.instance(answer.headers)}});
     return;
   }
+  if (is_whole)
+    end_watch_.OnAnswer(request.started_at);
   const bool is_answered =
       is_whole && request.verdict == ServerVerdict::kAnswered;
   // Failed by another service, which any server of this one would be.
@@ -52,8 +77,15 @@
   pace_.OnResult(is_answered && answer.status < kServerError, now);
 }
 
-void ServerObserver::OnProbed(const net::TransferResult& result) {
+void ServerObserver::OnProbed(const net::TransferResult& result,
+                              base::Instant begun) {
   const base::Instant now = base::Clock::now();
+  const std::string found = protocol_.instance(result.answer.headers);
+  const bool is_own = found.empty() || instance_.empty() || found == instance_;
+  if (result.end == net::TransferEnd::kComplete && is_own)
+    end_watch_.OnAnswer(begun);
+  if (result.is_refused)
+    end_watch_.OnRefused(now);
   if (result.end == net::TransferEnd::kComplete)
     NoteLoad(result.answer.headers, now);
   else if (result.end == net::TransferEnd::kTimedOut)
--- a/src/libs/node/server_observer.h
+++ b/src/libs/node/server_observer.h
@@ -1,13 +1,17 @@
 // What a gate knows of its own server, from each answer and from probes: its
-// pace, and whether another server has taken its address. Runs on the gate
-// thread.
+// pace, whether another server has taken its address, and whether it ended with
+// requests that it ran. Runs on the gate thread.
 #ifndef NODE_SERVER_OBSERVER_H_
 #define NODE_SERVER_OBSERVER_H_
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <vector>
 
+#include "admission/server_end_watch.h"
 #include "admission/server_pace.h"
+#include "base/request_fingerprint.h"
 #include "net/event_loop.h"
 #include "node/server_prober.h"
 #include "node/server_protocol.h"
@@ -21,6 +25,10 @@
   ServerVerdict verdict = ServerVerdict::kUnusable;
   // A call failed that the server made for it.
   bool has_failed_call = false;
+  bool is_refused = false;  // Nobody listens at the server's address.
+  base::RequestFingerprint fingerprint;
+  base::Instant started_at;
+  std::string instance;  // The start of the server that was meant.
 };
 
 class ServerObserver {
@@ -40,7 +48,12 @@
   // by. Returns whether an answer, or the end of the wait for it, is to come.
   bool Look(base::Instant now) { return prober_.Look(now); }
   // Call about each 10 ms.
-  void Tick(base::Instant now) { prober_.Tick(now); }
+  void Tick(base::Instant now);
+  // What the server ran when it ended, once for each end.
+  std::optional<std::vector<admission::BrokenRequest>> TakeEnd(
+      base::Instant now) {
+    return end_watch_.TakeEnd(now);
+  }
 
   const admission::ServerPace& pace() const { return pace_; }
   // Another server answered at the address: nothing is sent there until the
@@ -53,7 +66,9 @@
   }
 
  private:
-  void OnProbed(const net::TransferResult& result);
+  void OnProbed(const net::TransferResult& result, base::Instant begun);
+  // Finds out whether the server is still there if it broke something off.
+  void AskIfInDoubt(base::Instant now);
   // Takes note of what the server says of itself with an answer.
   void NoteLoad(const net::HttpHeaders& headers, base::Instant now);
 
@@ -61,6 +76,8 @@
   std::function<void()> looked_;
   std::string instance_;
   admission::ServerPace pace_;
+  admission::ServerEndWatch end_watch_;
+  base::Instant ask_again_at_;
   bool is_replaced_ = false;
   ServerProber prober_;
 };
--- a/src/libs/node/server_prober.cc
+++ b/src/libs/node/server_prober.cc
@@ -32,8 +32,12 @@
 bool ServerProber::Look(base::Instant now) {
   if (path_.empty() || !scheduler_.IsStale(now))
     return false;
-  if (scheduler_.IsRunning())
-    return true;
+  return scheduler_.IsRunning() || Ask(now);
+}
+
+bool ServerProber::Ask(base::Instant now) {
+  if (path_.empty())
+    return false;
   const auto allowed = scheduler_.BeginLook(now);
   if (!allowed)
     return false;
@@ -61,7 +65,7 @@
                  scheduler_.End(end - begun, answered, end);
                  if (answered)
                    last_answer_ = end;
-                 handler_(result);
+                 handler_(result, begun);
                });
 }
 
--- a/src/libs/node/server_prober.h
+++ b/src/libs/node/server_prober.h
@@ -14,9 +14,10 @@
 
 class ServerProber {
  public:
-  // What a probe brought; no answer: the server was silent for the time that a
-  // probe has.
-  using Handler = std::function<void(const net::TransferResult&)>;
+  // What a probe brought that was begun at `begun`; no answer: the server was
+  // silent for the time that a probe has.
+  using Handler =
+      std::function<void(const net::TransferResult&, base::Instant begun)>;
 
   // `loop` must outlive this object.
   ServerProber(net::EventLoop& loop, Handler handler);
@@ -27,6 +28,9 @@
   // Probes if the server's last word is too old to start a request by. Returns
   // whether the end of a probe is to come.
   bool Look(base::Instant now);
+  // Probes at once, as something was seen that only a probe explains. Returns
+  // whether it did: not if one is running, or the budget is used up.
+  bool Ask(base::Instant now);
   // Probes if it is time to. Call about each 10 ms.
   void Tick(base::Instant now);
 
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -84,6 +84,9 @@
                      "A server's answer bears no proof that it is whole and "
                      "its own; it was not handed on.",
                      "Look at that server."},
+    EventDescription{Event::kServerLost, "server-lost", Level::kWarning,
+                     "A server broke off with a request in flight.",
+                     "Look for server-ended of that node about then."},
     EventDescription{Event::kCallEnded, "call-ended", Level::kInfo,
                      "A request ended in another way than a success in time at "
                      "the first server; the line has what decided it.",
@@ -101,6 +104,10 @@
                      "A server answered later than the request's target; the "
                      "line has its pace when the request was started.",
                      "Follow the request's name with chestnutport explain."},
+    EventDescription{Event::kAttemptLost, "attempt-lost", Level::kInfo,
+                     "A gate's server broke off a request; the line has the "
+                     "state of the server.",
+                     "Follow the request's name with chestnutport explain."},
     EventDescription{Event::kServerAnnounced, "server-announced", Level::kInfo,
                      "This node's server announced itself.", "None."},
     EventDescription{Event::kServerWithdrawn, "server-withdrawn",
@@ -123,6 +130,12 @@
                      "is not declared in place of one that is; it changes "
                      "nothing.",
                      "See who else writes to the node's server address."},
+    EventDescription{
+        Event::kServerEnded, "server-ended", Level::kWarning,
+        "This node's server ended while it ran requests: how many, "
+        "and the fingerprints of some with how long they had run.",
+        "If a fingerprint stands in the lines of several ends, "
+        "look at what that request does to its server."},
     EventDescription{Event::kStoreUnavailable, "store-unavailable",
                      Level::kWarning, "The platform's store does not answer.",
                      "Traffic goes on; changes wait for the store."},
--- a/src/libs/telemetry/exposition.cc
+++ b/src/libs/telemetry/exposition.cc
@@ -177,24 +177,25 @@
 
 }  // namespace
 
+// Histograms come last: a reader that takes a part only has what is counted.
 std::string WriteExposition(const MetricsReport& report) {
   std::string text;
-  AppendHistograms(text, Metric::kCallSeconds, report.calls,
-                   &CallSeries::total);
-  AppendHistograms(text, Metric::kCallAddedSeconds, report.calls,
-                   &CallSeries::added);
-  AppendOutcomes(text, report.calls);
   AppendErrors(text, Metric::kCallErrors, report.calls);
+  AppendErrors(text, Metric::kAttemptErrors, report.attempts);
+  AppendReadings(text, report.readings);
+  AppendOutcomes(text, report.calls);
   AppendCounts(text, Metric::kAttempts, report.calls, &CallSeries::attempts);
   AppendCounts(text, Metric::kRetries, report.calls, &CallSeries::retries);
   AppendCounts(text, Metric::kMoves, report.calls, &CallSeries::moves);
   AppendCounts(text, Metric::kHedges, report.calls, &CallSeries::hedges);
+  AppendHistograms(text, Metric::kCallSeconds, report.calls,
+                   &CallSeries::total);
+  AppendHistograms(text, Metric::kCallAddedSeconds, report.calls,
+                   &CallSeries::added);
   AppendHistograms(text, Metric::kAttemptQueueSeconds, report.attempts,
                    &AttemptSeries::queued);
   AppendHistograms(text, Metric::kAttemptServerSeconds, report.attempts,
                    &AttemptSeries::serving);
-  AppendErrors(text, Metric::kAttemptErrors, report.attempts);
-  AppendReadings(text, report.readings);
   return text;
 }
 
--- a/src/libs/telemetry/request_story.cc
+++ b/src/libs/telemetry/request_story.cc
@@ -12,6 +12,7 @@
 constexpr std::string_view kRejected = "call-rejected";
 constexpr std::string_view kGone = "caller-gone";
 constexpr std::string_view kGate = "gate-decided";
+constexpr std::string_view kLost = "attempt-lost";
 constexpr std::string_view kLate = "server-late";
 
 // A value: quoted, with backslashes before what is escaped, or up to a space.
@@ -45,9 +46,10 @@
 
 // What the last gate that spoke said of its server.
 std::string GateState(const std::vector<StoryLine>& lines) {
-  const auto found = std::find_if(
-      lines.rbegin(), lines.rend(),
-      [](const StoryLine& line) { return line.Field("name") == kGate; });
+  const auto found =
+      std::find_if(lines.rbegin(), lines.rend(), [](const StoryLine& line) {
+        return line.Field("name") == kGate || line.Field("name") == kLost;
+      });
   if (found == lines.rend())
     return "";
   std::string text = " Node ";
--- a/src/libs/wire/header_names.h
+++ b/src/libs/wire/header_names.h
@@ -42,6 +42,8 @@
 inline constexpr char kMayStopHeader[] = "Chestnutport-May-Stop";
 // On a request between nodes: how the caller named it, for the logs.
 inline constexpr char kRequestNameHeader[] = "Chestnutport-Request-Name";
+// On a request between nodes: the same for what is sent again.
+inline constexpr char kFingerprintHeader[] = "Chestnutport-Fingerprint";
 // On an answer between nodes: when to come back, as a duration. Retry-After
 // has whole seconds only.
 inline constexpr char kRetryInHeader[] = "Chestnutport-Retry-In";
--- a/src/libs/wire/peer_request_head.cc
+++ b/src/libs/wire/peer_request_head.cc
@@ -49,6 +49,8 @@
     headers.push_back({kMayStopHeader, kYes});
   if (!request_name.empty())
     headers.push_back({kRequestNameHeader, request_name});
+  if (fingerprint.value != 0)
+    headers.push_back({kFingerprintHeader, fingerprint.ToString()});
   headers.push_back({kSignatureHeader, Signature(key)});
 }
 
@@ -74,6 +76,9 @@
   head.usual_strain = ReadStrain(FindHeader(headers, kUsualStrainHeader));
   head.may_stop = FindHeader(headers, kMayStopHeader) == kYes;
   head.request_name = FindHeader(headers, kRequestNameHeader);
+  head.fingerprint =
+      base::RequestFingerprint::Parse(FindHeader(headers, kFingerprintHeader))
+          .value_or(base::RequestFingerprint());
   head.service = FindHeader(headers, kServiceHeader);
   head.tenant = FindHeader(headers, kTenantHeader);
   head.traffic_class = FindHeader(headers, kClassHeader);
--- a/src/libs/wire/peer_request_head.h
+++ b/src/libs/wire/peer_request_head.h
@@ -8,6 +8,7 @@
 
 #include "base/attempt_id.h"
 #include "base/node_id.h"
+#include "base/request_fingerprint.h"
 #include "base/time.h"
 #include "net/http_message.h"
 
@@ -33,6 +34,8 @@
   double usual_strain = 1;
   bool may_stop = false;     // One that runs may be stopped halfway.
   std::string request_name;  // As the caller named it; may be empty.
+  // Of what the caller asks for. Zero: the sender did not tell it.
+  base::RequestFingerprint fingerprint;
 
   // Adds the head to `headers`, signed with `key`.
   void AppendTo(net::HttpHeaders& headers, std::string_view key) const;
--- /dev/null
+++ b/tests/auto/admission/server_end_watch_test.cc
@@ -0,0 +1,90 @@
+// Which requests a server was running when it ended.
+#include "admission/server_end_watch.h"
+
+#include <catch2/catch.hpp>
+
+namespace chestnutport::admission {
+namespace {
+
+using base::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{std::chrono::hours(1)};
+
+// Of a request with this fingerprint that ran for 90 ms until it was broken off
+// at `at`.
+BrokenRequest Broken(uint64_t fingerprint, Instant at) {
+  return {{fingerprint}, "i-1", at - milliseconds(90), at};
+}
+
+TEST_CASE("a server breaks off what it runs") {
+  ServerEndWatch watch;
+  watch.OnBroken(Broken(1, kStart));
+  CHECK(watch.IsInDoubt());
+  CHECK_FALSE(watch.TakeEnd(kStart + seconds(1)));
+
+  SECTION("and nobody listens at its address after that: it has ended") {
+    watch.OnRefused(kStart + milliseconds(1));
+    CHECK_FALSE(watch.IsInDoubt());
+    SECTION("with all that is found broken a moment later") {
+      watch.OnBroken(Broken(2, kStart + milliseconds(2)));
+      CHECK_FALSE(watch.TakeEnd(kStart + milliseconds(3)));
+      const auto ran = watch.TakeEnd(kStart + milliseconds(6));
+      REQUIRE(ran);
+      REQUIRE(ran->size() == 2);
+      CHECK(ran->front().fingerprint.value == 1);
+      CHECK(ran->back().fingerprint.value == 2);
+      CHECK(ran->front().instance == "i-1");
+    }
+    SECTION("once, however often it is looked for") {
+      watch.OnRefused(kStart + milliseconds(4));
+      CHECK(watch.TakeEnd(kStart + milliseconds(6)));
+      watch.OnRefused(kStart + milliseconds(20));
+      CHECK_FALSE(watch.TakeEnd(kStart + seconds(1)));
+    }
+  }
+
+  SECTION("and another start takes its place: it has ended") {
+    watch.OnStarted(kStart + seconds(2));
+    CHECK(watch.TakeEnd(kStart + seconds(2) + ServerEndWatch::kSettle));
+  }
+
+  SECTION("but answers what was begun after that: it is well") {
+    watch.OnAnswer(kStart + milliseconds(1));
+    CHECK_FALSE(watch.IsInDoubt());
+    watch.OnRefused(kStart + milliseconds(50));
+    CHECK_FALSE(watch.TakeEnd(kStart + seconds(1)));
+  }
+
+  SECTION("an answer to what was begun before says nothing") {
+    watch.OnAnswer(kStart - milliseconds(1));
+    CHECK(watch.IsInDoubt());
+  }
+
+  SECTION("and ends much later: of something else") {
+    watch.OnRefused(kStart + ServerEndWatch::kMemory + milliseconds(1));
+    CHECK_FALSE(watch.TakeEnd(kStart + seconds(60)));
+  }
+}
+
+TEST_CASE("a server that ends with nothing to do has run nothing") {
+  ServerEndWatch watch;
+  watch.OnRefused(kStart);
+  CHECK_FALSE(watch.TakeEnd(kStart + seconds(1)));
+  watch.OnStarted(kStart + seconds(2));
+  CHECK_FALSE(watch.TakeEnd(kStart + seconds(3)));
+}
+
+TEST_CASE("a server that breaks off everything takes no more room") {
+  ServerEndWatch watch;
+  for (size_t i = 0; i < 2 * ServerEndWatch::kMostBroken; ++i)
+    watch.OnBroken(Broken(i, kStart));
+  watch.OnRefused(kStart);
+  const auto ran = watch.TakeEnd(kStart + seconds(1));
+  REQUIRE(ran);
+  CHECK(ran->size() == ServerEndWatch::kMostBroken);
+}
+
+}  // namespace
+}  // namespace chestnutport::admission
