--- a/tests/auto/admission/gate_test.cc
+++ b/tests/auto/admission/gate_test.cc
@@ -1,33 +1,24 @@
 // The gate of a node, between another node and a server that behaves as the
 // test wants.
-#include "node/gate.h"
-
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <catch2/catch.hpp>
-#include <memory>
-#include <nlohmann/json.hpp>
-#include <vector>
 
 #include "node/attempt_sender.h"
-#include "node/attempt_settler.h"
-#include "node/own_server_protocol.h"
-#include "rpc/call_codec.h"
+#include "support/gate_scene.h"
 #include "wire/header_names.h"
+#include "wire/load_report.h"
 
-namespace chestnutport::node {
+namespace chestnutport::test {
 namespace {
 
 using net::FindHeader;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const PeerKeys kKeys{"0123456789abcdef0123456789abcdef", ""};
-constexpr base::NodeId kGateId{7};
-
 base::SocketAddress AnyPort() {
   return base::SocketAddress::Parse("127.0.0.1:0").value();
 }
@@ -64,161 +55,8 @@
   base::SocketAddress address_;
 };
 
-// The gate, its server and the other node, on one loop.
-class Scene {
- public:
-  Scene()
-      : gate_(loop_,
-              {kGateId, "a", "poa-a", "south"},
-              kKeys,
-              AnyServerProtocol::Of(OwnServerProtocol()),
-              running,
-              [this](const GateReport& said) { report = said; }),
-        peer_(loop_, net::HttpClientOptions{}) {
-    server_ = net::HttpServer::Open(
-                  loop_, AnyPort(), net::HttpServerLimits{},
-                  [this](net::HttpRequest request, net::Reply reply) {
-                    OnServed(std::move(request), std::move(reply));
-                  })
-                  .value();
-    address_ = gate_.Listen(AnyPort()).value();
-    state.announced = true;
-    state.service = "dossie";
-    state.address = server_->address();
-    state.life = 1;
-    Apply();
-  }
-
-  void Apply() { gate_.SetServer(state); }
-
-  // Begins an attempt; the result is in `results` once it ends.
-  base::AttemptId Begin(const std::string& method,
-                        base::Duration remaining = seconds(10)) {
-    wire::PeerRequestHead head;
-    head.attempt = {1, ++last_};
-    head.target = kGateId;
-    head.service = "dossie";
-    head.remaining = remaining;
-    head.request_name = "r" + std::to_string(last_);
-    net::HttpRequest request{.method = method, .target = "/1"};
-    head.AppendTo(request.headers, kKeys.current);
-    transfers.push_back(peer_.Send(
-        address_, std::move(request), seconds(10),
-        [this, id = last_](const auto& done) { results[id] = done; }));
-    return head.attempt;
-  }
-
-  // Whether the gate would let a request in.
-  net::TransferResult Inquire() {
-    wire::PeerRequestHead head;
-    head.attempt = {1, ++last_};
-    head.target = kGateId;
-    head.service = "dossie";
-    head.remaining = seconds(10);
-    head.target_in = milliseconds(1);
-    head.may_move = true;
-    head.may_move_if_full = inquiry_may_move;
-    net::HttpRequest request{.method = "POST", .target = kInquiryPath};
-    head.AppendTo(request.headers, kKeys.current);
-    peer_.Send(address_, std::move(request), seconds(10),
-               [this, id = last_](const auto& done) { results[id] = done; });
-    const uint64_t id = last_;
-    REQUIRE(Until([&] { return results.contains(id); }));
-    return results[id];
-  }
-
-  net::TransferResult Run(const std::string& method) {
-    const uint64_t id = Begin(method).sequence;
-    REQUIRE(Until([&] { return results.contains(id); }));
-    return results[id];
-  }
-
-  std::string Settle(const base::AttemptId& attempt,
-                     bool cancel,
-                     bool stop_running = true) {
-    AttemptSettler settler(loop_, kKeys);
-    std::string state = "none";
-    wire::PeerRequestHead head;
-    head.attempt = attempt;
-    head.target = kGateId;
-    head.remaining = seconds(5);
-    net::HttpRequest request{.method = "POST", .target = kSettlePath};
-    head.AppendTo(request.headers, kKeys.current);
-    const nlohmann::json asked = {{"attempt", attempt.ToString()},
-                                  {"cancel", cancel},
-                                  {"stop_running", stop_running}};
-    request.body = rpc::EncodeCall("attempt.settle", asked.dump());
-    peer_.Send(address_, std::move(request), seconds(5),
-               [&](const net::TransferResult& done) {
-                 std::string text;
-                 std::string error;
-                 rpc::DecodeAnswer("attempt.settle", done.answer.body, &text,
-                                   &error);
-                 state = nlohmann::json::parse(text)["state"];
-               });
-    REQUIRE(Until([&] { return state != "none"; }));
-    return state;
-  }
-
-  void Leave(size_t transfer) { peer_.Cancel(transfers.at(transfer)); }
-
-  // Runs until `holds`, for ten seconds at most.
-  template <typename Condition>
-  bool Until(Condition holds) {
-    for (int i = 0; i < 1000 && !holds(); ++i) {
-      loop_.CallAfter(milliseconds(10), [this] { loop_.Stop(); });
-      loop_.Run();
-    }
-    return holds();
-  }
-
-  net::HttpAnswer answer;                 // Of the server.
-  std::function<void()> serving = [] {};  // Called while a request is served.
-  bool silent = false;                    // The server answers nothing.
-  bool inquiry_may_move = true;
-  ServerState state;
-  GateReport report;
-  std::vector<net::HttpRequest> served;
-  std::vector<net::Reply> held;
-  int gone = 0;  // Requests whose connection the gate closed.
-  std::map<uint64_t, net::TransferResult> results;
-  std::vector<net::HttpClient::TransferId> transfers;
-
- private:
-  void OnServed(net::HttpRequest request, net::Reply reply) {
-    served.push_back(std::move(request));
-    serving();
-    if (!silent) {
-      reply.Send(answer);
-      return;
-    }
-    reply.OnGone([this] { ++gone; });
-    held.push_back(std::move(reply));
-  }
-
-  net::EventLoop loop_;
-
- public:
-  RunningRequests running;
-
- private:
-  Gate gate_;
-  net::HttpClient peer_;
-  std::unique_ptr<net::HttpServer> server_;
-  base::SocketAddress address_;
-  uint64_t last_ = 0;
-};
-
-std::string Outcome(const net::TransferResult& result) {
-  return std::string(FindHeader(result.answer.headers, wire::kOutcomeHeader));
-}
-
-std::string Error(const net::TransferResult& result) {
-  return std::string(FindHeader(result.answer.headers, wire::kErrorHeader));
-}
-
 TEST_CASE("a gate hands requests to its server") {
-  Scene scene;
+  GateScene scene;
 
   SECTION("with the time that is left as a duration") {
     CHECK(Outcome(scene.Run("GET")) == "answered");
@@ -283,15 +121,15 @@
 }
 
 TEST_CASE("a gate that is asked whether it has a place") {
-  Scene scene;
+  GateScene scene;
   scene.silent = true;
   scene.state.admission.slots = 1;
   scene.state.admission.adaptive = false;
   scene.Apply();
 
   SECTION("says so while it has, and keeps nothing of it") {
-    CHECK(scene.Inquire().answer.status == kPlaceFree);
-    CHECK(scene.Inquire().answer.status == kPlaceFree);
+    CHECK(scene.Inquire().answer.status == node::kPlaceFree);
+    CHECK(scene.Inquire().answer.status == node::kPlaceFree);
     CHECK(scene.served.empty());
     CHECK(scene.Settle({1, 1}, false) == "unknown-here");
   }
@@ -319,7 +157,7 @@
 }
 
 TEST_CASE("an attempt that waits for a connection to its server") {
-  Scene scene;
+  GateScene scene;
   const FullListener full;
   scene.state.address = full.address();
   ++scene.state.life;
@@ -342,7 +180,7 @@
 }
 
 TEST_CASE("an attempt on a slow server") {
-  Scene scene;
+  GateScene scene;
   scene.silent = true;
   scene.state.admission.slots = 1;
   scene.Apply();
@@ -395,7 +233,7 @@
 }
 
 TEST_CASE("a gate probes its server when there is no traffic") {
-  Scene scene;
+  GateScene scene;
   scene.state.health_path = "/health";
   scene.Apply();
   REQUIRE(scene.Until([&] { return scene.report.probes == 1; }));
@@ -403,7 +241,7 @@
   CHECK(scene.report.probe_time <= milliseconds(50));
 
   SECTION("and not at all without a budget") {
-    Scene frugal;
+    GateScene frugal;
     frugal.state.health_path = "/health";
     frugal.state.probes.budget = 0;
     frugal.Apply();
@@ -437,4 +275,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::node
+}  // namespace chestnutport::test
--- a/tests/auto/base/request_fingerprint_test.cc
+++ b/tests/auto/base/request_fingerprint_test.cc
@@ -21,11 +21,21 @@
   SECTION("and one that differs in any part has another") {
     const auto usual = RequestFingerprint::Of(kReading);
     RequestContent other = kReading;
-    SECTION("for another customer") { other.tenant = "b"; }
-    SECTION("by another method") { other.method = "POST"; }
-    SECTION("of another host") { other.host = "b.example"; }
-    SECTION("for another page") { other.target = "/gauge/7?page=2"; }
-    SECTION("with a body") { other.body = "x"; }
+    SECTION("for another customer") {
+      other.tenant = "b";
+    }
+    SECTION("by another method") {
+      other.method = "POST";
+    }
+    SECTION("of another host") {
+      other.host = "b.example";
+    }
+    SECTION("for another page") {
+      other.target = "/gauge/7?page=2";
+    }
+    SECTION("with a body") {
+      other.body = "x";
+    }
     CHECK(RequestFingerprint::Of(other) != usual);
   }
 }
--- /dev/null
+++ b/tests/support/gate_scene.cc
@@ -0,0 +1,152 @@
+#include "support/gate_scene.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "node/attempt_sender.h"
+#include "node/attempt_settler.h"
+#include "node/own_server_protocol.h"
+#include "rpc/call_codec.h"
+#include "wire/header_names.h"
+
+namespace chestnutport::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const node::PeerKeys kKeys{"0123456789abcdef0123456789abcdef", ""};
+constexpr base::NodeId kGateId{7};
+
+base::SocketAddress AnyPort() {
+  return base::SocketAddress::Parse("127.0.0.1:0").value();
+}
+
+wire::PeerRequestHead MakeHead(uint64_t sequence) {
+  wire::PeerRequestHead head;
+  head.attempt = {1, sequence};
+  head.target = kGateId;
+  head.service = "dossie";
+  head.remaining = seconds(10);
+  head.request_name = "r" + std::to_string(sequence);
+  return head;
+}
+
+}  // namespace
+
+GateScene::GateScene(const node::AnyServerProtocol& protocol)
+    : gate_(loop_,
+            {kGateId, "a", "poa-a", "south"},
+            kKeys,
+            protocol,
+            running,
+            [this](const node::GateReport& said) { report = said; }),
+      peer_(loop_, net::HttpClientOptions{}) {
+  server_ = net::HttpServer::Open(
+                loop_, AnyPort(), net::HttpServerLimits{},
+                [this](net::HttpRequest request, net::Reply reply) {
+                  OnServed(std::move(request), std::move(reply));
+                })
+                .value();
+  address_ = gate_.Listen(AnyPort()).value();
+  state.announced = true;
+  state.service = "dossie";
+  state.address = server_->address();
+  state.life = 1;
+  Apply();
+}
+
+GateScene::GateScene()
+    : GateScene(node::AnyServerProtocol::Of(node::OwnServerProtocol())) {}
+
+base::AttemptId GateScene::Begin(const std::string& method,
+                                 base::Duration remaining) {
+  wire::PeerRequestHead head = MakeHead(++last_);
+  head.remaining = remaining;
+  net::HttpRequest request{.method = method, .target = "/1"};
+  head.AppendTo(request.headers, kKeys.current);
+  transfers.push_back(
+      peer_.Send(address_, std::move(request), seconds(10),
+                 [this, id = last_](const auto& done) { results[id] = done; }));
+  return head.attempt;
+}
+
+net::TransferResult GateScene::Inquire() {
+  wire::PeerRequestHead head = MakeHead(++last_);
+  head.target_in = milliseconds(1);
+  head.may_move = true;
+  head.may_move_if_full = inquiry_may_move;
+  net::HttpRequest request{.method = "POST", .target = node::kInquiryPath};
+  head.AppendTo(request.headers, kKeys.current);
+  const uint64_t id = last_;
+  peer_.Send(address_, std::move(request), seconds(10),
+             [this, id](const auto& done) { results[id] = done; });
+  if (!Until([&] { return results.contains(id); }))
+    throw std::runtime_error("the inquiry was not answered");
+  return results[id];
+}
+
+net::TransferResult GateScene::Run(const std::string& method) {
+  const uint64_t id = Begin(method).sequence;
+  if (!Until([&] { return results.contains(id); }))
+    throw std::runtime_error("the attempt did not end");
+  return results[id];
+}
+
+std::string GateScene::Settle(const base::AttemptId& attempt,
+                              bool cancel,
+                              bool stop_running) {
+  std::string said = "none";
+  wire::PeerRequestHead head;
+  head.attempt = attempt;
+  head.target = kGateId;
+  head.remaining = seconds(5);
+  net::HttpRequest request{.method = "POST", .target = node::kSettlePath};
+  head.AppendTo(request.headers, kKeys.current);
+  const nlohmann::json asked = {{"attempt", attempt.ToString()},
+                                {"cancel", cancel},
+                                {"stop_running", stop_running}};
+  request.body = rpc::EncodeCall("attempt.settle", asked.dump());
+  peer_.Send(
+      address_, std::move(request), seconds(5),
+      [&](const net::TransferResult& done) {
+        std::string text;
+        std::string error;
+        rpc::DecodeAnswer("attempt.settle", done.answer.body, &text, &error);
+        said = nlohmann::json::parse(text)["state"];
+      });
+  if (!Until([&] { return said != "none"; }))
+    throw std::runtime_error("the question was not answered");
+  return said;
+}
+
+bool GateScene::Until(const std::function<bool()>& holds) {
+  for (int i = 0; i < 1000 && !holds(); ++i) {
+    loop_.CallAfter(milliseconds(10), [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+  return holds();
+}
+
+void GateScene::OnServed(net::HttpRequest request, net::Reply reply) {
+  served.push_back(std::move(request));
+  serving();
+  if (!silent) {
+    reply.Send(answer);
+    return;
+  }
+  reply.OnGone([this] { ++gone; });
+  held.push_back(std::move(reply));
+}
+
+std::string Outcome(const net::TransferResult& result) {
+  return std::string(
+      net::FindHeader(result.answer.headers, wire::kOutcomeHeader));
+}
+
+std::string Error(const net::TransferResult& result) {
+  return std::string(
+      net::FindHeader(result.answer.headers, wire::kErrorHeader));
+}
+
+}  // namespace chestnutport::test
--- /dev/null
+++ b/tests/support/hosted_node.cc
@@ -0,0 +1,107 @@
+#include "support/hosted_node.h"
+
+#include <fstream>
+#include <stdexcept>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "support/raw_socket.h"
+
+namespace chestnutport::test {
+namespace {
+
+constexpr int kOk = 200;
+
+std::string Settings(const std::string& name,
+                     const base::SocketAddress& store,
+                     const std::string& server_address) {
+  return absl::StrCat(
+      "[node]\nname = ", name,
+      "\ndata_centre = one\nregion = south\nfleet = fleet\n"
+      "adapter = hosted\nservice = dossie\nfirst_contacts =\n"
+      "server_address = ",
+      server_address,
+      "\n"
+      "stop_grace = 6s\nleave_notice = 200ms\n[listen]\n"
+      "caller = 127.0.0.1:0\npeer = 127.0.0.1:0\noperator = 127.0.0.1:0\n"
+      "server = 127.0.0.1:0\ncontrol = 127.0.0.1:0\ngossip = 127.0.0.1:0\n"
+      "[store]\naddresses = ",
+      store.ToString(),
+      "\nlongest_wait = 300ms\n[retries]\nshare = 0.2\nburst = 64\n"
+      "[keys]\npeer = 0123456789abcdef0123\n");
+}
+
+net::HttpAnswer ReadAnswer(RawSocket& socket) {
+  const std::string text = socket.ReadMessage();
+  net::HttpAnswer answer{.status = 0};
+  if (text.size() > 12)
+    answer.status = std::stoi(text.substr(9, 3));
+  answer.body = text.substr(text.find("\r\n\r\n") + 4);
+  const size_t wait = text.find("Retry-After: ");
+  if (wait != std::string::npos)
+    answer.headers.push_back({"Retry-After", text.substr(wait + 13, 5)});
+  return answer;
+}
+
+net::HttpAnswer Ask(const base::SocketAddress& to,
+                    const std::string& method,
+                    const std::string& path,
+                    const std::string& body = "") {
+  RawSocket socket(to);
+  socket.Send(absl::StrCat(method, " ", path, " HTTP/1.1\r\nHost: x\r\n",
+                           "Content-Length: ", body.size(), "\r\n\r\n", body));
+  return ReadAnswer(socket);
+}
+
+}  // namespace
+
+HostedNode::HostedNode(const std::string& name,
+                       const base::SocketAddress& store,
+                       const std::filesystem::path& folder,
+                       const std::string& server_address)
+    : path_(folder / (name + ".ini")) {
+  std::ofstream(path_) << Settings(name, store, server_address);
+  process_ = std::make_unique<Process>(
+      "chestnutportd",
+      std::vector<std::string>{"--settings=" + path_.string()});
+  callers_ = Listening("caller");
+  operators_ = Listening("operator");
+  servers_ = Listening("server");
+}
+
+bool HostedNode::IsReady() const {
+  return Ask(operators_, "GET", "/v1/ready").status == kOk;
+}
+
+void HostedNode::Announce(HostedServer& server,
+                          const std::string& state,
+                          int sequence) {
+  const std::string body =
+      absl::StrCat(R"({"service":")", server.service, R"(","address":")",
+                   server.listener->address().ToString(),
+                   R"(","zone":"z","version":"v1","slots":12,"state":")", state,
+                   R"(","cold_for":"0ms","sequence":)", sequence, "}");
+  const auto answer =
+      Ask(servers_, "POST", "/v1/server/" + server.instance, body);
+  if (answer.status != kOk)
+    throw std::runtime_error("announcement refused: " + answer.body);
+}
+
+net::HttpAnswer HostedNode::Call(const std::string& path,
+                                 const std::string& id) const {
+  RawSocket socket(callers_);
+  socket.Send(absl::StrCat("GET ", path,
+                           " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: ", id,
+                           "\r\nDeadline-Ms: 1500\r\n\r\n"));
+  return ReadAnswer(socket);
+}
+
+net::HttpAnswer HostedNode::Read(const std::string& path) const {
+  return Ask(operators_, "GET", path);
+}
+
+base::SocketAddress HostedNode::Listening(const std::string& name) {
+  return *base::SocketAddress::Parse(process_->WaitForField(name));
+}
+
+}  // namespace chestnutport::test
--- /dev/null
+++ b/tests/support/hosted_node.h
@@ -0,0 +1,47 @@
+// A node on the stand-in of the hosted platform, as a process of its own.
+#ifndef SUPPORT_HOSTED_NODE_H_
+#define SUPPORT_HOSTED_NODE_H_
+
+#include <filesystem>
+#include <memory>
+#include <string>
+
+#include "base/socket_address.h"
+#include "net/http_message.h"
+#include "support/hosted_platform.h"
+#include "support/process.h"
+
+namespace chestnutport::test {
+
+class HostedNode {
+ public:
+  // Starts it. `folder` is for its settings; `server_address`: where its server
+  // is looked for.
+  HostedNode(const std::string& name,
+             const base::SocketAddress& store,
+             const std::filesystem::path& folder,
+             const std::string& server_address = "127.0.0.1:0");
+
+  Process& process() { return *process_; }
+
+  bool IsReady() const;
+  // The server beside it says that it is there; `state`: ready or draining.
+  void Announce(HostedServer& server, const std::string& state, int sequence);
+  // Sends a caller's GET of `path` under the name `id`.
+  net::HttpAnswer Call(const std::string& path, const std::string& id) const;
+  // What an operator or a gatherer of metrics reads.
+  net::HttpAnswer Read(const std::string& path) const;
+
+ private:
+  base::SocketAddress Listening(const std::string& name);
+
+  std::filesystem::path path_;
+  std::unique_ptr<Process> process_;
+  base::SocketAddress callers_;
+  base::SocketAddress operators_;
+  base::SocketAddress servers_;
+};
+
+}  // namespace chestnutport::test
+
+#endif  // SUPPORT_HOSTED_NODE_H_
