--- a/src/libs/admission/server_end_watch.h
+++ b/src/libs/admission/server_end_watch.h
@@ -7,6 +7,7 @@
 #ifndef ADMISSION_SERVER_END_WATCH_H_
 #define ADMISSION_SERVER_END_WATCH_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,7 +20,8 @@
 // A request that the server got and broke off.
 struct BrokenRequest {
   base::RequestFingerprint fingerprint;
-  std::string instance;  // The start of the server that ran it.
+  uint64_t life = 0;     // Of the server that ran it, as its node counts.
+  std::string instance;  // How that life names itself.
   base::Instant started_at;
   base::Instant broken_at;
 };
--- a/src/libs/base/error_kind.cc
+++ b/src/libs/base/error_kind.cc
@@ -71,6 +71,13 @@
     ErrorAnswer{ErrorKind::kServerReplaced, "server-replaced", 503,
                 Outcome::kNotRun, seconds(1), 2018,
                 "another start of a server holds the address"},
+    ErrorAnswer{ErrorKind::kRequestSuspected, "request-suspected", 503,
+                Outcome::kNotRun, seconds(1), 2021,
+                "servers ended while they ran this request; it is run by one "
+                "server at a time, which runs another such request"},
+    ErrorAnswer{ErrorKind::kRequestQuarantined, "request-quarantined", 503,
+                Outcome::kNotRun, seconds(600), 2022,
+                "servers ended each time they ran this request"},
     ErrorAnswer{ErrorKind::kAnswerUnusable, "answer-unusable", 502,
                 Outcome::kUnknown, seconds(1), 2019,
                 "the server's answer cannot be handed on"},
--- a/src/libs/base/error_kind.h
+++ b/src/libs/base/error_kind.h
@@ -37,6 +37,8 @@
   kServerShed,
   kServerSlow,
   kServerReplaced,
+  kRequestSuspected,
+  kRequestQuarantined,
   kAnswerUnusable,
   kKeyInUse,
   kKeyUncertain,
--- a/src/libs/calls/call.cc
+++ b/src/libs/calls/call.cc
@@ -22,6 +22,12 @@
          refusal == ErrorKind::kServerShed;
 }
 
+// No other server would take it either, or only one that is to be spared.
+bool IsAboutRequest(ErrorKind refusal) {
+  return refusal == ErrorKind::kRequestSuspected ||
+         refusal == ErrorKind::kRequestQuarantined;
+}
+
 }  // namespace
 
 Call::Call(const CallPolicy& policy,
@@ -184,8 +190,10 @@
 }
 
 bool Call::MaySendElsewhere(ErrorKind refusal, Instant now) {
-  if (!MaySend(now) || IsInFlight() || (!policy_.is_repeatable && MayHaveRun()))
+  if (IsAboutRequest(refusal) || !MaySend(now) || IsInFlight() ||
+      (!policy_.is_repeatable && MayHaveRun())) {
     return false;
+  }
   if (refusal == ErrorKind::kServerShed && policy_.server_refusals_count)
     return TryTakeRepeat();
   return !IsBackPressure(refusal) || budgets_.refusals.TryTake();
--- a/src/libs/membership/gossip.cc
+++ b/src/libs/membership/gossip.cc
@@ -9,6 +9,8 @@
 // Fits an Ethernet frame; the same as net::UdpSocket::kLargestDatagram.
 constexpr size_t kLargestDatagram = 1400;
 constexpr size_t kLargestMessage = kLargestDatagram - DatagramSeal::kTagSize;
+// Of evidence in a message; other versions read no longer parts.
+constexpr size_t kLargestEvidence = 1000;
 // News on a ping or an ack stay small.
 constexpr size_t kLargestWithNews = 700;
 // IP and UDP heads, which the budget counts too.
@@ -27,6 +29,7 @@
                const GossipOptions& options,
                DatagramSeal seal,
                RecordCache& records,
+               quarantine::CrashLedger& ledger,
                const base::Random& random,
                base::Instant now)
     : options_(options),
@@ -35,6 +38,7 @@
       random_(random),
       self_(self.id),
       table_(self.id, self.data_centre),
+      evidence_(ledger, options, now),
       budget_(options.bytes_per_second, options.burst_bytes, now),
       acks_(options.acks_per_second, 2 * options.acks_per_second, now),
       last_sequence_(static_cast<uint32_t>(random_())),
@@ -60,6 +64,8 @@
     next = std::min(next, probe.deadline);
   if (news_.HasFresh())
     next = std::min(next, next_flush_);
+  if (evidence_.HasFresh())
+    next = std::min(next, evidence_.next_flush());
   return next;
 }
 
@@ -78,6 +84,8 @@
   }
   if (news_.HasFresh() && now >= next_flush_)
     Flush(now, output);
+  if (evidence_.HasFresh() && now >= evidence_.next_flush())
+    FlushEvidence(now, output);
   PullIfDue(now, output);
 }
 
@@ -115,6 +123,7 @@
   if (is_trusted) {
     table_.SetRevision(message->sender, message->revision);
     HearRevision(now, *message, output);
+    output.has_evidence |= evidence_.Learn(message->evidence, true, now);
     CompareDigest(now, *message);
   }
   switch (message->type) {
@@ -170,7 +179,13 @@
   reported_revision_ = std::max(reported_revision_, revision);
   const GossipMessage message = MakeMessage(MessageType::kNews, {});
   budget_.IsOpen(now);
-  FanOut(message, output);
+  FanOut(message, budget_, output);
+}
+
+void Gossip::TellEvidence(base::Instant now,
+                          base::RequestFingerprint fingerprint) {
+  if (!left_)
+    evidence_.Tell(fingerprint, now);
 }
 
 void Gossip::Leave(GossipOutput& output) {
@@ -328,7 +343,8 @@
           .hash = self.hash,
           .revision = revision_,
           .digest = table_.digest(),
-          .subject = subject};
+          .subject = subject,
+          .evidence_digest = evidence_.digest()};
 }
 
 void Gossip::Send(const base::SocketAddress& to,
@@ -347,7 +363,7 @@
   size_t size = GossipMessage::kLargestHead;
   for (const NewsItem& item : message.news)
     size += GossipMessage::SizeOf(item);
-  news_.TakeRepeats([&](const QueuedNews& news) {
+  news_.TakeRepeats([&](const QueuedNews<base::NodeId>& news) {
     const MemberEntry* entry = table_.Find(news.id);
     if (!entry || entry->state == MemberState::kGone)
       return true;
@@ -360,6 +376,8 @@
     message.news.push_back(std::move(item));
     return true;
   });
+  if (size < kLargestWithNews)
+    message.evidence = evidence_.TakeRepeats(now, kLargestWithNews - size);
   Send(to, message, output);
 }
 
@@ -371,7 +389,7 @@
   while (news_.HasFresh() && budget_.IsOpen(now)) {
     GossipMessage message = MakeMessage(MessageType::kNews, {});
     size_t size = GossipMessage::kLargestHead;
-    news_.TakeFresh([&](const QueuedNews& news) {
+    news_.TakeFresh([&](const QueuedNews<base::NodeId>& news) {
       const MemberEntry* entry = table_.Find(news.id);
       if (!entry || entry->state == MemberState::kGone)
         return true;
@@ -382,14 +400,30 @@
       message.news.push_back(std::move(item));
       return true;
     });
-    FanOut(message, output);
+    FanOut(message, budget_, output);
   }
   next_flush_ = news_.HasFresh() ? budget_.OpensAt() : now;
 }
 
+void Gossip::FlushEvidence(base::Instant now, GossipOutput& output) {
+  if (table_.live() == 0) {
+    evidence_.Postpone(now + options_.probe_interval);
+    return;
+  }
+  while (evidence_.HasFresh()) {
+    GossipMessage message = MakeMessage(MessageType::kNews, {});
+    message.evidence = evidence_.TakeFresh(now, kLargestEvidence);
+    if (message.evidence.empty())
+      return;
+    FanOut(message, evidence_.budget(), output);
+  }
+}
+
 // The neighbour is always told: as each node does so, news come round the whole
 // data centre, and the random ones only make that fast.
-void Gossip::FanOut(const GossipMessage& message, GossipOutput& output) {
+void Gossip::FanOut(const GossipMessage& message,
+                    ByteBudget& budget,
+                    GossipOutput& output) {
   std::vector<base::NodeId> told;
   const bool has_near = !table_.near().empty();
   const size_t count = options_.near_fan_out + options_.far_fan_out;
@@ -401,7 +435,7 @@
       continue;
     told.push_back(to->id);
     Send(to->record->member.gossip_address, message, output);
-    budget_.Spend(output.datagrams.back().bytes.size() + kPacketHead);
+    budget.Spend(output.datagrams.back().bytes.size() + kPacketHead);
   }
 }
 
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -15,6 +15,7 @@
 #include "base/time.h"
 #include "membership/byte_budget.h"
 #include "membership/datagram_seal.h"
+#include "membership/evidence_spread.h"
 #include "membership/gossip_counters.h"
 #include "membership/gossip_message.h"
 #include "membership/gossip_options.h"
@@ -22,17 +23,19 @@
 #include "membership/member_table.h"
 #include "membership/news_queue.h"
 #include "membership/record_cache.h"
+#include "quarantine/crash_ledger.h"
 
 namespace chestnutport::membership {
 
 // Pure: times and random numbers come in, datagrams come in and go out by
-// value. `records` must outlive the gossip.
+// value. `records` and `ledger` must outlive the gossip.
 class Gossip {
  public:
   Gossip(const Member& self,
          const GossipOptions& options,
          DatagramSeal seal,
          RecordCache& records,
+         quarantine::CrashLedger& ledger,
          const base::Random& random,
          base::Instant now);
 
@@ -56,11 +59,14 @@
   void AnnounceRevision(base::Instant now,
                         uint64_t revision,
                         GossipOutput& output);
+  // The ledger has something new on the request, to be told to all. Look at
+  // NextRun() after it.
+  void TellEvidence(base::Instant now, base::RequestFingerprint fingerprint);
   // Tells a few members that this node leaves; the last call.
   void Leave(GossipOutput& output);
 
   // The answer to another node's pull; empty if the request is no pull.
-  std::string AnswerPull(std::string_view request) const;
+  std::string AnswerPull(base::Instant now, std::string_view request) const;
   void OnPullAnswer(base::Instant now,
                     std::string_view answer,
                     GossipOutput& output);
@@ -119,7 +125,10 @@
                     GossipMessage message,
                     GossipOutput& output);
   void Flush(base::Instant now, GossipOutput& output);
-  void FanOut(const GossipMessage& message, GossipOutput& output);
+  void FlushEvidence(base::Instant now, GossipOutput& output);
+  void FanOut(const GossipMessage& message,
+              ByteBudget& budget,
+              GossipOutput& output);
 
   // gossip_probing.cc: pings, acks, suspicion.
   void Answer(base::Instant now,
@@ -169,7 +178,8 @@
   uint64_t reported_revision_ = 0;
   base::Instant revision_reported_at_;
   MemberTable table_;
-  NewsQueue news_;
+  NewsQueue<base::NodeId> news_;
+  EvidenceSpread evidence_;
   ByteBudget budget_;
   ByteBudget acks_;
   GossipCounters counters_;
--- a/src/libs/membership/gossip_message.cc
+++ b/src/libs/membership/gossip_message.cc
@@ -8,7 +8,9 @@
 namespace chestnutport::membership {
 namespace {
 
-constexpr uint32_t kFields = 10;
+constexpr uint32_t kFields = 12;
+// Older versions send so many.
+constexpr uint32_t kLeastFields = 10;
 constexpr size_t kLargestArray = 512;
 
 }  // namespace
@@ -36,13 +38,16 @@
   packer.pack_array(static_cast<uint32_t>(news.size()));
   for (const NewsItem& item : news)
     PackNews(packer, item);
+  packer.pack(evidence_digest.value_or(0));
+  packer.pack_bin(static_cast<uint32_t>(evidence.size()));
+  packer.pack_bin_body(evidence.data(), static_cast<uint32_t>(evidence.size()));
   return std::string(buffer.data(), buffer.size());
 }
 
 std::optional<GossipMessage> GossipMessage::Decode(std::string_view bytes) {
   try {
     const auto handle = Unpack(bytes, kLargestArray);
-    const msgpack::object* fields = ReadArray(handle.get(), kFields);
+    const msgpack::object* fields = ReadArray(handle.get(), kLeastFields);
     GossipMessage message;
     const auto type = fields[0].as<uint8_t>();
     if (type > static_cast<uint8_t>(MessageType::kNews))
@@ -64,6 +69,10 @@
       message.news.push_back(ReadNews(items[i]));
     if (message.sender.value == 0)
       return std::nullopt;
+    if (handle.get().via.array.size >= kFields) {
+      message.evidence_digest = fields[kLeastFields].as<uint64_t>();
+      message.evidence = ReadBytes(fields[kLeastFields + 1]);
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/libs/membership/gossip_message.h
+++ b/src/libs/membership/gossip_message.h
@@ -34,11 +34,16 @@
   uint32_t sequence = 0;
   base::SocketAddress address;
   std::vector<NewsItem> news;
+  // Of requests that servers ran when they ended, as quarantine::EncodeEvidence
+  // writes it.
+  std::string evidence;
+  // Of all that the sender knows of those; nothing: it is of an older version.
+  std::optional<uint64_t> evidence_digest;
 
   // The bytes that `item` adds to a message, at most.
   static size_t SizeOf(const NewsItem& item);
   // The bytes of a message without news, at most.
-  static constexpr size_t kLargestHead = 80;
+  static constexpr size_t kLargestHead = 92;
 
   std::string Encode() const;
   // None if the bytes are no message.
--- a/src/libs/membership/gossip_options.h
+++ b/src/libs/membership/gossip_options.h
@@ -43,6 +43,10 @@
   // What does not fit waits, and has to be pulled: with 40 kB a node knew three
   // quarters of the others after a second, with 160 kB all (virtual time).
   size_t burst_bytes = 160000;
+  // The same for what nodes tell of servers that ended and what those ran. An
+  // end with 12 requests running costs a node that passes it on 2.5 kB.
+  size_t evidence_per_second = 2000;
+  size_t evidence_burst = 20000;
   // Acks are limited by construction, as another end decides their rate.
   size_t acks_per_second = 100;
 };
--- a/src/libs/membership/gossip_output.h
+++ b/src/libs/membership/gossip_output.h
@@ -38,6 +38,8 @@
   std::vector<OutgoingPull> pulls;
   std::vector<MemberChange> changes;
   std::optional<RevisionHeard> revision;
+  // Something was learnt of requests that servers ran when they ended.
+  bool has_evidence = false;
 };
 
 }  // namespace chestnutport::membership
--- a/src/libs/membership/gossip_pulling.cc
+++ b/src/libs/membership/gossip_pulling.cc
@@ -18,7 +18,10 @@
 }  // namespace
 
 void Gossip::CompareDigest(base::Instant now, const GossipMessage& message) {
-  if (message.digest == table_.digest()) {
+  const uint64_t evidence = evidence_.digest();
+  const bool is_same = message.digest == table_.digest() &&
+                       message.evidence_digest.value_or(evidence) == evidence;
+  if (is_same) {
     differs_ = false;
     return;
   }
@@ -38,7 +41,7 @@
     from = table_.PickLive(false, random_);
   if (!from)
     return;
-  PullRequest request{self_, table_.digests(), Wanted()};
+  PullRequest request{self_, table_.digests(), Wanted(), evidence_.digest()};
   lacks_records_ = !request.wanted.empty();
   pulling_ = true;
   ++counters_.pulls;
@@ -62,7 +65,8 @@
   return wanted;
 }
 
-std::string Gossip::AnswerPull(std::string_view bytes) const {
+std::string Gossip::AnswerPull(base::Instant now,
+                               std::string_view bytes) const {
   const auto request = PullRequest::Decode(bytes);
   if (!request || left_)
     return "";
@@ -85,6 +89,9 @@
     if (entry && entry->record && answer.records.size() < kLargestWanted)
       answer.records.push_back(entry->record->bytes);
   }
+  const uint64_t evidence = evidence_.digest();
+  if (request->evidence_digest.value_or(evidence) != evidence)
+    answer.evidence = evidence_.All(now);
   return answer.Encode();
 }
 
@@ -106,6 +113,7 @@
   const size_t known_before = table_.entries().size();
   for (const NewsItem& item : answer->members)
     Learn(now, item, Source::kPull, output);
+  output.has_evidence |= evidence_.Learn(answer->evidence, false, now);
   DoubtAbsent(*answer);
   const size_t learnt = output.changes.size() - changes_before +
                         table_.entries().size() - known_before;
--- a/src/libs/membership/news_codec.h
+++ b/src/libs/membership/news_codec.h
@@ -55,16 +55,19 @@
   return item;
 }
 
+// Bytes of a text or of a binary part.
+inline constexpr size_t kLargestPart = 1024;
+
 // Parts refer to the input, which must outlive the handle.
 inline msgpack::object_handle Unpack(std::string_view bytes,
-                                     size_t largest_array) {
-  constexpr size_t kLargestPart = 1024;
+                                     size_t largest_array,
+                                     size_t largest_part = kLargestPart) {
   constexpr size_t kDepth = 8;
   return msgpack::unpack(
       bytes.data(), bytes.size(),
       [](msgpack::type::object_type, size_t, void*) { return true; }, nullptr,
       msgpack::unpack_limit(largest_array, kLargestPart, kLargestPart,
-                            kLargestPart, kLargestPart, kDepth));
+                            largest_part, kLargestPart, kDepth));
 }
 
 }  // namespace chestnutport::membership
--- a/src/libs/membership/pull_message.cc
+++ b/src/libs/membership/pull_message.cc
@@ -8,10 +8,16 @@
 namespace chestnutport::membership {
 namespace {
 
-constexpr uint32_t kRequestFields = 3;
-constexpr uint32_t kAnswerFields = 4;
+constexpr uint32_t kRequestFields = 4;
+constexpr uint32_t kAnswerFields = 5;
+// Older versions send so many.
+constexpr uint32_t kLeastRequestFields = 3;
+constexpr uint32_t kLeastAnswerFields = 4;
 constexpr size_t kLargestArray = 16384;
 
+// Of the evidence: what nodes tell is 512 requests of at most 200 bytes.
+constexpr size_t kLargestEvidence = 128 * 1024;
+
 std::string ToString(const msgpack::sbuffer& buffer) {
   return std::string(buffer.data(), buffer.size());
 }
@@ -29,13 +35,15 @@
   packer.pack_array(static_cast<uint32_t>(wanted.size()));
   for (const base::NodeId& id : wanted)
     packer.pack(id.value);
+  packer.pack(evidence_digest.value_or(0));
   return ToString(buffer);
 }
 
 std::optional<PullRequest> PullRequest::Decode(std::string_view bytes) {
   try {
     const auto handle = Unpack(bytes, kLargestArray);
-    const msgpack::object* fields = ReadArray(handle.get(), kRequestFields);
+    const msgpack::object* fields =
+        ReadArray(handle.get(), kLeastRequestFields);
     PullRequest request;
     request.sender.value = fields[0].as<uint64_t>();
     const msgpack::object* digests = ReadArray(fields[1], kViewParts);
@@ -44,6 +52,8 @@
     const msgpack::object* wanted = ReadArray(fields[2], 0);
     for (uint32_t i = 0; i < fields[2].via.array.size; ++i)
       request.wanted.push_back({wanted[i].as<uint64_t>()});
+    if (handle.get().via.array.size >= kRequestFields)
+      request.evidence_digest = fields[kLeastRequestFields].as<uint64_t>();
     return request;
   } catch (const std::exception&) {
     return std::nullopt;
@@ -66,13 +76,15 @@
     packer.pack_bin(static_cast<uint32_t>(record.size()));
     packer.pack_bin_body(record.data(), static_cast<uint32_t>(record.size()));
   }
+  packer.pack_bin(static_cast<uint32_t>(evidence.size()));
+  packer.pack_bin_body(evidence.data(), static_cast<uint32_t>(evidence.size()));
   return ToString(buffer);
 }
 
 std::optional<PullAnswer> PullAnswer::Decode(std::string_view bytes) {
   try {
-    const auto handle = Unpack(bytes, kLargestArray);
-    const msgpack::object* fields = ReadArray(handle.get(), kAnswerFields);
+    const auto handle = Unpack(bytes, kLargestArray, kLargestEvidence);
+    const msgpack::object* fields = ReadArray(handle.get(), kLeastAnswerFields);
     PullAnswer answer;
     answer.sender.value = fields[0].as<uint64_t>();
     const msgpack::object* parts = ReadArray(fields[1], 0);
@@ -84,6 +96,8 @@
     const msgpack::object* records = ReadArray(fields[3], 0);
     for (uint32_t i = 0; i < fields[3].via.array.size; ++i)
       answer.records.emplace_back(ReadBytes(records[i]));
+    if (handle.get().via.array.size >= kAnswerFields)
+      answer.evidence = ReadBytes(fields[kLeastAnswerFields]);
     return answer;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/libs/membership/pull_message.h
+++ b/src/libs/membership/pull_message.h
@@ -24,6 +24,8 @@
   base::NodeId sender;
   ViewDigests digests{};
   std::vector<base::NodeId> wanted;  // Members whose records are asked for.
+  // See GossipMessage.
+  std::optional<uint64_t> evidence_digest;
 
   std::string Encode() const;
   static std::optional<PullRequest> Decode(std::string_view bytes);
@@ -34,6 +36,7 @@
   std::vector<uint8_t> parts;        // Those that differ.
   std::vector<NewsItem> members;     // All live members in those parts.
   std::vector<std::string> records;  // Of the wanted members, as bytes.
+  std::string evidence;  // If the digests differ; see GossipMessage.
 
   std::string Encode() const;
   static std::optional<PullAnswer> Decode(std::string_view bytes);
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -80,10 +80,15 @@
       store_(store_http_, settings.store, kStoreTimeout, adapters.store),
       control_listener_(loop, keys),
       control_caller_(http_, keys),
+      quarantine_(loop,
+                  [this](quarantine::SharedVerdicts verdicts) {
+                    outputs_.publish_verdicts(std::move(verdicts));
+                  }),
       membership_(loop,
                   store_,
                   control_listener_,
                   control_caller_,
+                  quarantine_.ledger(),
                   settings,
                   random),
       configuration_(loop,
@@ -164,6 +169,10 @@
       [this](uint64_t revision, const membership::Member& from) {
         configuration_.OnRevisionHeard(revision, from);
       });
+  membership_.OnEvidence([this] { quarantine_.OnLearnt(); });
+  quarantine_.OnTell([this](base::RequestFingerprint fingerprint) {
+    membership_.TellEvidence(fingerprint);
+  });
   membership_.Start(self_, [this](std::vector<membership::Member> members) {
     OnMembers(std::move(members));
   });
@@ -221,6 +230,7 @@
   if (members == members_)
     return;
   members_ = std::move(members);
+  quarantine_.SetMembers(members_);
   configuration_.SetMembers(self_, members_);
   PublishSnapshot();
 }
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -23,6 +23,7 @@
 #include "node/metrics_api.h"
 #include "node/own_server.h"
 #include "node/peer_keys.h"
+#include "node/request_quarantine.h"
 #include "node/server_finder.h"
 #include "node/traffic_snapshot.h"
 #include "settings/node_settings.h"
@@ -39,6 +40,7 @@
   struct Outputs {
     std::function<void(TrafficSnapshot)> publish_snapshot;
     std::function<void(ServerState)> publish_server;
+    std::function<void(quarantine::SharedVerdicts)> publish_verdicts;
     // The nodes of this node's service, repeated also without a change.
     std::function<void(std::vector<keys::OwnerNode>, base::Instant as_of)>
         publish_key_view;
@@ -67,6 +69,14 @@
   // The same by an operator's wish, until it is taken back.
   void SetDraining(bool draining);
   void OnGateReport(const GateReport& report);
+  // Of this node's server.
+  void OnServerCrash(const quarantine::ServerCrash& crash,
+                     const std::string& service) {
+    quarantine_.OnServerCrash(crash, service);
+  }
+  void OnSuspectAnswered(base::RequestFingerprint fingerprint) {
+    quarantine_.OnAnswered(fingerprint);
+  }
 
   // Whether callers should be directed to this node.
   bool IsReady() const;
@@ -79,6 +89,7 @@
   const membership::Member& self() const { return self_; }
   const GateReport& gate_report() const { return gate_report_; }
   MetricsApi& metrics() { return metrics_; }
+  RequestQuarantine& quarantine() { return quarantine_; }
 
   // The addresses of this thread's listeners, bound.
   const base::SocketAddress& operator_address() const;
@@ -106,6 +117,7 @@
   store::StoreClient store_;
   ControlListener control_listener_;
   ControlCaller control_caller_;
+  RequestQuarantine quarantine_;
   FleetMembership membership_;
   ConfigurationKeeper configuration_;
   OwnServer own_server_;
--- a/src/libs/node/fleet_membership.cc
+++ b/src/libs/node/fleet_membership.cc
@@ -42,12 +42,14 @@
                                  store::StoreClient& store,
                                  ControlListener& listener,
                                  ControlCaller& caller,
+                                 quarantine::CrashLedger& ledger,
                                  const settings::NodeSettings& settings,
                                  const base::Random& random)
     : loop_(loop),
       listener_(listener),
       caller_(caller),
       seal_(settings.fleet, settings.peer_key, settings.previous_peer_key),
+      ledger_(ledger),
       random_(random),
       seeds_(loop, store, settings, base::Random(random_())) {}
 
@@ -77,7 +79,7 @@
 void FleetMembership::Start(const membership::Member& self, Handler handler) {
   handler_ = std::move(handler);
   gossip_ = std::make_unique<membership::Gossip>(
-      self, membership::GossipOptions{}, seal_, records_,
+      self, membership::GossipOptions{}, seal_, records_, ledger_,
       base::Random(random_()), loop_.now());
   listener_.Add(kPullMethod, [this](const std::string& params) {
     return AnswerPull(params);
@@ -114,6 +116,18 @@
   Apply(output);
 }
 
+void FleetMembership::OnEvidence(EvidenceHandler handler) {
+  evidence_handler_ = std::move(handler);
+}
+
+void FleetMembership::TellEvidence(base::RequestFingerprint fingerprint) {
+  if (!gossip_)
+    return;
+  GossipOutput output;
+  gossip_->TellEvidence(loop_.now(), fingerprint);
+  Apply(output);
+}
+
 std::vector<membership::Member> FleetMembership::Members() const {
   if (!gossip_)
     return {};
@@ -146,6 +160,8 @@
     PublishSoon();
   loop_.Cancel(run_timer_);
   run_timer_ = loop_.CallAt(gossip_->NextRun(), [this] { Run(); });
+  if (output.has_evidence && evidence_handler_)
+    evidence_handler_();
   if (output.revision && revision_handler_)
     revision_handler_(output.revision->revision, output.revision->from);
 }
@@ -168,7 +184,8 @@
 
 std::string FleetMembership::AnswerPull(const std::string& params) const {
   const auto request = UnwrapView(params);
-  const std::string answer = request ? gossip_->AnswerPull(*request) : "";
+  const std::string answer =
+      request ? gossip_->AnswerPull(loop_.now(), *request) : "";
   return answer.empty() ? "" : WrapView(answer);
 }
 
--- a/src/libs/node/fleet_membership.h
+++ b/src/libs/node/fleet_membership.h
@@ -33,11 +33,15 @@
   using RevisionHandler =
       std::function<void(uint64_t revision, const membership::Member& from)>;
 
+  // Something was learnt of requests that servers ran when they ended.
+  using EvidenceHandler = std::function<void()>;
+
   // The references must outlive this object.
   FleetMembership(net::EventLoop& loop,
                   store::StoreClient& store,
                   ControlListener& listener,
                   ControlCaller& caller,
+                  quarantine::CrashLedger& ledger,
                   const settings::NodeSettings& settings,
                   const base::Random& random);
   // Tells the fleet that this node leaves.
@@ -59,6 +63,11 @@
   // Tells the fleet that this node holds `revision`; lower ones are ignored.
   void AnnounceRevision(uint64_t revision);
 
+  // Set before Start().
+  void OnEvidence(EvidenceHandler handler);
+  // The ledger has something new on the request, to be told to the fleet.
+  void TellEvidence(base::RequestFingerprint fingerprint);
+
   // All live members as of now, this node included.
   std::vector<membership::Member> Members() const;
   const membership::GossipCounters& counters() const {
@@ -79,6 +88,7 @@
   ControlListener& listener_;
   ControlCaller& caller_;
   membership::DatagramSeal seal_;
+  quarantine::CrashLedger& ledger_;
   base::Random random_;
   SeedKeeper seeds_;
   membership::RecordCache records_;
@@ -86,6 +96,7 @@
   std::unique_ptr<membership::Gossip> gossip_;
   Handler handler_;
   RevisionHandler revision_handler_;
+  EvidenceHandler evidence_handler_;
   MembershipLog log_;
   uint64_t announced_revision_ = 0;
   net::EventLoop::TimerId run_timer_ = 0;
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -48,7 +48,7 @@
            PeerKeys keys,
            AnyServerProtocol protocol,
            RunningRequests& running,
-           ReportHandler report)
+           Outputs outputs)
     : loop_(loop),
       identity_(std::move(identity)),
       keys_(std::move(keys)),
@@ -59,7 +59,7 @@
       keyed_requests_(identity_.id),
       client_(loop, ServerConnections(protocol_)),
       observer_(loop, protocol_, [this] { AdmitWaiting(); }),
-      report_(std::move(report)),
+      outputs_(std::move(outputs)),
       settle_calls_(
           [this](const SettleRequest& request) { return Settle(request); }) {}
 
@@ -100,6 +100,26 @@
   CheckEmpty();
 }
 
+void Gate::SetVerdicts(quarantine::SharedVerdicts verdicts) {
+  guard_.SetVerdicts(std::move(verdicts));
+  DropQuarantined();
+}
+
+void Gate::DropQuarantined() {
+  const base::Instant now = base::Clock::now();
+  std::vector<AttemptId> dropped;
+  for (const auto& [id, attempt] : attempts_) {
+    const auto refusal = guard_.Judge(attempt->fingerprint, now);
+    if (refusal && refusal->error == ErrorKind::kRequestQuarantined)
+      dropped.push_back(id);
+  }
+  for (const AttemptId& id : dropped) {
+    const auto found = attempts_.find(id);
+    if (found != attempts_.end())
+      CancelAttempt(id, found->second->may_stop);
+  }
+}
+
 void Gate::SetKeyView(std::vector<keys::OwnerNode> nodes, base::Instant as_of) {
   keyed_requests_.SetView(std::move(nodes), as_of);
 }
@@ -173,6 +193,14 @@
     return;
   }
   const base::Instant now = base::Clock::now();
+  if (const auto refusal = guard_.Judge(head.fingerprint, now)) {
+    LogDecision({.request = head.request_name,
+                 .fingerprint = head.fingerprint,
+                 .error = refusal->error});
+    SendAnswer(arrival.reply,
+               wire::MakePeerErrorAnswer(refusal->error, refusal->retry_after));
+    return;
+  }
   if (head.may_move && server_.TakesWork() && HandsBack(head, now)) {
     LogDecision({.request = head.request_name,
                  .fingerprint = head.fingerprint,
@@ -269,6 +297,7 @@
   if (!node.empty()) {
     client_.Cancel(node.mapped()->transfer);
     running_.OnEnded(node.mapped()->name);
+    guard_.OnEnded(id, node.mapped()->fingerprint, std::nullopt, now);
     Record(*node.mapped(), ErrorKind::kConnectionLost, now);
     Answer(*node.mapped(), wire::MakeErrorAnswer(ErrorKind::kConnectionLost));
   }
@@ -283,6 +312,7 @@
     return false;
   client_.Cancel(found->second->transfer);
   running_.OnEnded(found->second->name);
+  guard_.OnEnded(id, found->second->fingerprint, std::nullopt, now);
   Refuse(id, ErrorKind::kCancelled, {});
   Perform(admission_.Finish(id, now, ServerResult::kNotSent));
   CheckEmpty();
@@ -323,6 +353,11 @@
     return admission_.Finish(id, now, ServerResult::kNotSent);
   }
   GateAttempt& attempt = *found->second;
+  // It may have waited while the verdict was passed.
+  if (const auto refusal = guard_.Judge(attempt.fingerprint, now)) {
+    Refuse(id, refusal->error, refusal->retry_after);
+    return admission_.Finish(id, now, ServerResult::kNotSent);
+  }
   net::HttpRequest request = std::move(attempt.request);
   net::RemoveHopByHop(request.headers);
   net::RemoveHeader(request.headers, "Content-Length");
@@ -330,6 +365,7 @@
   attempt.life = server_.life;
   attempt.instance = server_.instance;
   running_.OnStarted(attempt.name);
+  guard_.OnStarted(id, attempt.fingerprint);
   const base::Duration remaining = attempt.deadline - now;
   protocol_.prepare(request, {remaining, server_.instance});
   attempt.transfer = client_.Stream(
@@ -384,6 +420,15 @@
     end.instance = ended->second->instance;
   }
   observer_.OnRequestEnd(end, result.answer, now);
+  // Also an answer that cannot be handed on comes from a server that goes on.
+  const bool is_answered = result.end == net::TransferEnd::kComplete &&
+                           (verdict == ServerVerdict::kAnswered ||
+                            verdict == ServerVerdict::kUnusable);
+  if (guard_.OnEnded(id, end.fingerprint,
+                     is_answered ? std::optional(end.life) : std::nullopt,
+                     now)) {
+    outputs_.suspect_answered(end.fingerprint);
+  }
   AdmissionActions actions =
       admission_.Finish(id, now, ToServerResult(result.end, verdict));
   auto node = attempts_.extract(id);
@@ -469,13 +514,27 @@
   freeze_watch_.Look(now);
   Perform(admission_.Tick(now));
   observer_.Tick(now);
-  if (const auto end = observer_.TakeEnd(now))
-    LogServerEnd(server_.service, *end);
+  if (const auto broken = observer_.TakeEnd(now))
+    OnServerEnded(*broken);
   if (now >= reported_at_ + kReportInterval)
     Report(now);
   ticker_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
 
+void Gate::OnServerEnded(const std::vector<admission::BrokenRequest>& broken) {
+  LogServerEnd(server_.service, broken);
+  const admission::BrokenRequest& first = broken.front();
+  std::vector<quarantine::RunningRequest> running;
+  for (const admission::BrokenRequest& request : broken) {
+    running.push_back(
+        {request.fingerprint, request.broken_at - request.started_at});
+  }
+  outputs_.server_crash(
+      {.crash = {identity_.id, static_cast<uint32_t>(first.life)},
+       .running = guard_.Blame(running, first.life, base::Clock::now())},
+      server_.service);
+}
+
 void Gate::CheckEmpty() {
   if (!admission_.IsEmpty())
     return;
@@ -492,11 +551,12 @@
   const admission::ProbeScheduler& probes = observer_.probes();
   wire::LoadReport load = admission_.Load(now);
   load.strain = observer_.pace().KnownStrain(now);
-  report_({.last_answer = observer_.last_answer(),
-           .load = load,
-           .word_age = observer_.pace().Age(now).value_or(base::Duration()),
-           .probes = probes.probes(),
-           .probe_time = probes.spent()});
+  outputs_.report(
+      {.last_answer = observer_.last_answer(),
+       .load = load,
+       .word_age = observer_.pace().Age(now).value_or(base::Duration()),
+       .probes = probes.probes(),
+       .probe_time = probes.spent()});
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -28,14 +28,24 @@
 #include "node/server_state.h"
 #include "node/settle_calls.h"
 #include "node/traffic_recorder.h"
+#include "quarantine/gate_guard.h"
+#include "quarantine/server_crash.h"
 #include "wire/peer_request_head.h"
 
 namespace chestnutport::node {
 
 class Gate {
  public:
-  // Called on the gate's thread, a few times a second.
-  using ReportHandler = std::function<void(const GateReport&)>;
+  // What the gate tells of its server. Each is called on the gate's thread.
+  struct Outputs {
+    std::function<void(const GateReport&)> report;  // A few times a second.
+    // The server, of `service`, ended with what it ran.
+    std::function<void(const quarantine::ServerCrash&,
+                       const std::string& service)>
+        server_crash;
+    // The server answered a request that is not free.
+    std::function<void(base::RequestFingerprint)> suspect_answered;
+  };
 
   // `loop` and `running` must outlive the gate.
   Gate(net::EventLoop& loop,
@@ -43,7 +53,7 @@
        PeerKeys keys,
        AnyServerProtocol protocol,
        RunningRequests& running,
-       ReportHandler report);
+       Outputs outputs);
   ~Gate();
 
   // Binds the peer listener. Call before the loop runs.
@@ -54,6 +64,7 @@
   void SetConfiguration(const declarations::Configuration& configuration) {
     recorder_.SetConfiguration(configuration);
   }
+  void SetVerdicts(quarantine::SharedVerdicts verdicts);
   void SetKeyView(std::vector<keys::OwnerNode> nodes, base::Instant as_of);
   // Refuses new work; `empty` is called once nothing is in flight.
   void Drain(std::function<void()> empty);
@@ -100,6 +111,11 @@
   void Record(const GateAttempt& attempt,
               std::optional<base::ErrorKind> error,
               base::Instant now);
+  // Refuses what waits, and stops what may be stopped, of requests that were
+  // put in quarantine meanwhile.
+  void DropQuarantined();
+  // The server ended while it ran these.
+  void OnServerEnded(const std::vector<admission::BrokenRequest>& broken);
   // Tells why an attempt has no answer of the server, or a late one.
   // Adds the state of the server to `decision`.
   void LogDecision(GateDecision decision) const;
@@ -123,7 +139,8 @@
   net::HttpClient client_;
   ServerObserver observer_;
   std::vector<GateArrival> waiting_for_look_;
-  ReportHandler report_;
+  quarantine::GateGuard guard_;
+  Outputs outputs_;
   base::Instant reported_at_;
   SettleCalls settle_calls_;
   TrafficRecorder recorder_;
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -12,6 +12,7 @@
 #include "node/caller_request.h"
 #include "node/key_owner_view.h"
 #include "node/request_log.h"
+#include "quarantine/crash_ledger.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 #include "wire/peer_request_head.h"
@@ -190,6 +191,8 @@
   }
   CallerRequest request = std::move(read).value();
   request.fingerprint = FingerprintOf(request);
+  if (RefuseQuarantined(request, reply))
+    return;
   ServiceTraffic& service = Traffic(request.service);
   const base::Instant now = loop_.now();
   const calls::Call decision(service.Policy(request), now,
@@ -213,12 +216,33 @@
   Follow(id, steps);
 }
 
+bool Ingress::RefuseQuarantined(const CallerRequest& request,
+                                net::Reply& reply) {
+  const quarantine::VerdictUntil verdict = verdicts_->Of(request.fingerprint);
+  if (verdict.verdict != quarantine::Verdict::kQuarantined)
+    return false;
+  constexpr auto kError = base::ErrorKind::kRequestQuarantined;
+  recorder_.Record(
+      telemetry::CallRecord{.service = request.service,
+                            .tenant = request.tenant,
+                            .traffic_class = request.traffic_class,
+                            .outcome = base::AnswerTo(kError).outcome,
+                            .error = kError});
+  LogCallRejected(request.name, request.fingerprint, kError);
+  if (running_.IsNested(request.name))
+    running_.OnCallFailed(request.name);
+  const base::Duration left =
+      std::max<base::Duration>(verdict.until - loop_.now(), kLeastRemaining);
+  reply.Send(protocol_.error_answer({kError, left, request.name}));
+  return true;
+}
+
 void Ingress::Reject(const std::string& request_id,
                      net::Reply reply,
                      base::ErrorKind error) {
   recorder_.Record(telemetry::CallRecord{
       .outcome = base::AnswerTo(error).outcome, .error = error});
-  LogCallRejected(request_id, error);
+  LogCallRejected(request_id, {}, error);
   reply.Send(protocol_.error_answer(
       {error, base::AnswerTo(error).retry_after, request_id}));
 }
@@ -227,7 +251,9 @@
   const base::ErrorKind error = ErrorForCaller(call, step.error);
   Record(call, error, {});
   base::Duration retry_after = step.retry_after;
-  if (protocol_.tells_return_time) {
+  // A quarantine lasts longer than any deadline: it is told as long as it is.
+  const bool is_held = error == base::ErrorKind::kRequestQuarantined;
+  if (protocol_.tells_return_time && !is_held) {
     retry_after = calls::ReturnTime(
         retry_after, call.decision.deadline() - loop_.now(), random_);
   }
@@ -334,39 +360,56 @@
   return OwnerAmong(scope.Hash(), snapshot_.servers[request.service]);
 }
 
+bool Ingress::IsSuspect(const ActiveCall& call) const {
+  const auto ended_by =
+      std::ranges::count_if(call.attempts, [](const SentAttempt& sent) {
+        return sent.end && sent.end->error == base::ErrorKind::kServerLost;
+      });
+  return ended_by >= static_cast<std::ptrdiff_t>(
+                         quarantine::CrashLedger::kSuspectMarks) ||
+         !verdicts_->IsFree(call.request.fingerprint);
+}
+
+const routing::ServerCandidate* Ingress::ChooseForSuspect(
+    const ActiveCall& call) {
+  const bool is_under_way =
+      std::ranges::any_of(call.attempts, [](const SentAttempt& sent) {
+        return sent.sent_at != base::Instant() && !sent.end;
+      });
+  if (is_under_way)
+    return nullptr;
+  return OwnerAmong(call.request.fingerprint.value,
+                    snapshot_.servers[call.request.service], call.tried);
+}
+
+const routing::ServerCandidate* Ingress::ChooseForAttempt(ActiveCall& call,
+                                                          base::Instant now) {
+  const auto* server = ChooseServer(call, now);
+  if (server || call.handed_back.empty())
+    return server;
+  // All others were tried: the least poor of those that handed it back.
+  ForgetHandedBack(call);
+  return ChooseServer(call, now);
+}
+
 bool Ingress::SendAttempt(ActiveCall& call, int attempt) {
   const base::Instant now = loop_.now();
   call.attempts.resize(attempt + 1);
-  const auto* server = ChooseServer(call, now);
-  if (!server && !call.handed_back.empty()) {
-    // All others were tried: the least poor of those that handed it back.
-    ForgetHandedBack(call);
-    server = ChooseServer(call, now);
-  }
+  const bool is_suspect = IsSuspect(call);
+  const auto* server =
+      is_suspect ? ChooseForSuspect(call) : ChooseForAttempt(call, now);
   if (!server)
     return false;
   call.tried.push_back(server->node);
-  const bool has_others = call.service->chooser().size() > call.tried.size();
   SentAttempt& sent = call.attempts[attempt];
   sent.id = {attempt_origin_, ++last_attempt_};
   sent.server = *server;
   sent.sent_at = now;
-  wire::PeerRequestHead head = MakeHead(call.request);
-  head.attempt = sent.id;
-  head.target = server->node;
-  if (call.request.target_latency > base::Duration::zero()) {
-    head.target_in = std::max<base::Duration>(
-        call.arrived_at + call.request.target_latency - now, {});
-    if (call.is_nested) {
-      head.target_in =
-          calls::NestedTarget(*head.target_in, call.decision.deadline() - now);
-    }
+  wire::PeerRequestHead head = HeadOf(call, attempt, now);
+  if (is_suspect) {
+    head.may_move = false;
+    head.may_move_if_full = false;
   }
-  head.usual_strain = call.service->chooser().UsualStrain();
-  head.may_move = has_others && attempt < call.request.moves.if_poor;
-  head.may_move_if_full = has_others && attempt < call.request.moves.if_full;
-  head.remaining =
-      std::max<base::Duration>(call.decision.deadline() - now, kLeastRemaining);
   net::HttpRequest request = call.request.http;
   AddRetryHeaders(call.request, attempt, request.headers);
   AddKeyAge(call.request, request.headers);
@@ -386,6 +429,28 @@
   return true;
 }
 
+wire::PeerRequestHead Ingress::HeadOf(const ActiveCall& call,
+                                      int attempt,
+                                      base::Instant now) const {
+  const CallerRequest& request = call.request;
+  const base::Duration remaining = call.decision.deadline() - now;
+  wire::PeerRequestHead head = MakeHead(request);
+  head.attempt = call.attempts[attempt].id;
+  head.target = call.attempts[attempt].server.node;
+  if (request.target_latency > base::Duration::zero()) {
+    head.target_in = std::max<base::Duration>(
+        call.arrived_at + request.target_latency - now, {});
+    if (call.is_nested)
+      head.target_in = calls::NestedTarget(*head.target_in, remaining);
+  }
+  const bool has_others = call.service->chooser().size() > call.tried.size();
+  head.usual_strain = call.service->chooser().UsualStrain();
+  head.may_move = has_others && attempt < request.moves.if_poor;
+  head.may_move_if_full = has_others && attempt < request.moves.if_full;
+  head.remaining = std::max<base::Duration>(remaining, kLeastRemaining);
+  return head;
+}
+
 void Ingress::Settle(const ActiveCall& call, int attempt, bool cancel) {
   const SentAttempt& sent = call.attempts[attempt];
   const base::Instant asked_at = loop_.now();
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -26,6 +26,8 @@
 #include "node/service_traffic.h"
 #include "node/traffic_recorder.h"
 #include "node/traffic_snapshot.h"
+#include "quarantine/gate_guard.h"
+#include "wire/peer_request_head.h"
 
 namespace chestnutport::node {
 
@@ -45,6 +47,9 @@
 
   // Called on the ingress thread.
   void SetSnapshot(TrafficSnapshot snapshot);
+  void SetVerdicts(quarantine::SharedVerdicts verdicts) {
+    verdicts_ = std::move(verdicts);
+  }
   // Takes no new connection; calls `empty` once every caller has its answer.
   void Drain(std::function<void()> empty);
 
@@ -56,6 +61,9 @@
 
  private:
   void OnRequest(net::HttpRequest request, net::Reply reply);
+  // Answers a request that servers ended with each time. Returns whether it was
+  // one.
+  bool RefuseQuarantined(const CallerRequest& request, net::Reply& reply);
   // Answers a request that no attempt is made for.
   void Reject(const std::string& request_id,
               net::Reply reply,
@@ -74,6 +82,19 @@
   // Null if there is none.
   const routing::ServerCandidate* ChooseServer(const ActiveCall& call,
                                                base::Instant now);
+  // Whether servers ended with the request twice, by what this node knows of it
+  // or by the call's own attempts.
+  bool IsSuspect(const ActiveCall& call) const;
+  // The one server, of those that were not tried, that runs the suspect; null
+  // if there is none, or an attempt is under way.
+  const routing::ServerCandidate* ChooseForSuspect(const ActiveCall& call);
+  // For a request that is no suspect. Null if there is none.
+  const routing::ServerCandidate* ChooseForAttempt(ActiveCall& call,
+                                                   base::Instant now);
+  // What the gate is told of an attempt whose server is chosen.
+  wire::PeerRequestHead HeadOf(const ActiveCall& call,
+                               int attempt,
+                               base::Instant now) const;
   // False if there was no server to send to.
   bool SendAttempt(ActiveCall& call, int attempt);
   void Settle(const ActiveCall& call, int attempt, bool cancel);
@@ -93,6 +114,8 @@
   uint64_t last_attempt_ = 0;
   CallId last_call_ = 0;
   TrafficSnapshot snapshot_;
+  quarantine::SharedVerdicts verdicts_ =
+      std::make_shared<const quarantine::Verdicts>();
   calls::RetryBudget node_retries_;
   std::map<std::string, std::unique_ptr<ServiceTraffic>, std::less<>> services_;
   AttemptSender sender_;
--- a/src/libs/node/key_owner_view.cc
+++ b/src/libs/node/key_owner_view.cc
@@ -32,8 +32,13 @@
 
 const routing::ServerCandidate* OwnerAmong(
     uint64_t key_hash,
-    std::span<const routing::ServerCandidate> servers) {
-  const auto owner = keys::OwnerOf(key_hash, ToOwnerNodes(servers));
+    std::span<const routing::ServerCandidate> servers,
+    std::span<const base::NodeId> without) {
+  std::vector<keys::OwnerNode> nodes = ToOwnerNodes(servers);
+  std::erase_if(nodes, [without](const keys::OwnerNode& node) {
+    return std::ranges::find(without, node.id) != without.end();
+  });
+  const auto owner = keys::OwnerOf(key_hash, nodes);
   if (!owner)
     return nullptr;
   const auto found =
--- a/src/libs/node/key_owner_view.h
+++ b/src/libs/node/key_owner_view.h
@@ -14,10 +14,12 @@
 std::vector<keys::OwnerNode> ToOwnerNodes(
     std::span<const routing::ServerCandidate> servers);
 
-// The server whose node owns the key; null if there is none.
+// The server whose node owns the key, those of `without` left out; null if
+// there is none.
 const routing::ServerCandidate* OwnerAmong(
     uint64_t key_hash,
-    std::span<const routing::ServerCandidate> servers);
+    std::span<const routing::ServerCandidate> servers,
+    std::span<const base::NodeId> without = {});
 
 }  // namespace chestnutport::node
 
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -83,10 +83,21 @@
              keys,
              adapters.servers,
              running,
-             [this](const GateReport& report) {
-               control_loop.Post(
-                   [this, report] { control.OnGateReport(report); });
-             }),
+             {[this](const GateReport& report) {
+                control_loop.Post(
+                    [this, report] { control.OnGateReport(report); });
+              },
+              [this](const quarantine::ServerCrash& crash,
+                     const std::string& service) {
+                control_loop.Post([this, crash, service] {
+                  control.OnServerCrash(crash, service);
+                });
+              },
+              [this](base::RequestFingerprint fingerprint) {
+                control_loop.Post([this, fingerprint] {
+                  control.OnSuspectAnswered(fingerprint);
+                });
+              }}),
         ingress(ingress_loop,
                 ToIdentity(self),
                 keys,
@@ -111,6 +122,11 @@
              [this](const ServerState& server) {
                gate_loop.Post([this, server] { gate.SetServer(server); });
              },
+             [this](quarantine::SharedVerdicts verdicts) {
+               gate_loop.Post([this, verdicts] { gate.SetVerdicts(verdicts); });
+               ingress_loop.Post(
+                   [this, verdicts] { ingress.SetVerdicts(verdicts); });
+             },
              [this](std::vector<keys::OwnerNode> nodes, base::Instant as_of) {
                gate_loop.Post([this, nodes = std::move(nodes), as_of] {
                  gate.SetKeyView(nodes, as_of);
--- a/src/libs/node/request_log.cc
+++ b/src/libs/node/request_log.cc
@@ -142,9 +142,13 @@
                    {"sent", DescribeAttempts(call, now)}});
 }
 
-void LogCallRejected(const std::string& request, base::ErrorKind error) {
+void LogCallRejected(const std::string& request,
+                     base::RequestFingerprint fingerprint,
+                     base::ErrorKind error) {
   LogRequestEvent(Event::kCallRejected,
-                  {{"request", request}, {"error", NameOf(error)}});
+                  {{"request", request},
+                   {"fingerprint", fingerprint.ToString()},
+                   {"error", NameOf(error)}});
 }
 
 void LogCallerGone(const ActiveCall& call, base::Instant now) {
--- a/src/libs/node/request_log.h
+++ b/src/libs/node/request_log.h
@@ -29,7 +29,9 @@
 void LogCallEnd(const ActiveCall& call, const CallEnd& end, base::Instant now);
 
 // A request that was not read as a call at all.
-void LogCallRejected(const std::string& request, base::ErrorKind error);
+void LogCallRejected(const std::string& request,
+                     base::RequestFingerprint fingerprint,
+                     base::ErrorKind error);
 
 // The caller went away before its answer.
 void LogCallerGone(const ActiveCall& call, base::Instant now);
--- /dev/null
+++ b/src/libs/node/request_quarantine.cc
@@ -0,0 +1,168 @@
+#include "node/request_quarantine.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "base/encoding.h"
+#include "telemetry/log.h"
+
+namespace chestnutport::node {
+namespace {
+
+using base::RequestFingerprint;
+using quarantine::CrashMark;
+using quarantine::RequestEvidence;
+using quarantine::Verdict;
+using quarantine::VerdictUntil;
+using telemetry::Event;
+
+// Verdicts last for minutes; a second more or less is of no account.
+constexpr std::chrono::seconds kTickInterval(1);
+// Names of nodes that are gone are kept for the lines on their servers' ends.
+constexpr size_t kMostNames = 10000;
+
+}  // namespace
+
+RequestQuarantine::RequestQuarantine(net::EventLoop& loop,
+                                     VerdictsHandler publish)
+    : loop_(loop),
+      publish_(std::move(publish)),
+      known_(std::make_shared<const quarantine::Verdicts>()) {
+  timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
+}
+
+RequestQuarantine::~RequestQuarantine() {
+  loop_.Cancel(timer_);
+}
+
+void RequestQuarantine::SetMembers(
+    std::span<const membership::Member> members) {
+  if (names_.size() > kMostNames)
+    names_.clear();
+  services_.clear();
+  for (const membership::Member& member : members) {
+    names_[member.id] = member.name;
+    if (member.server)
+      services_[member.id] = member.server->service;
+  }
+}
+
+void RequestQuarantine::OnServerCrash(const quarantine::ServerCrash& crash,
+                                      const std::string& service) {
+  std::vector<base::NodeId> peers;
+  for (const auto& [node, beside] : services_) {
+    if (beside == service)
+      peers.push_back(node);
+  }
+  for (const RequestEvidence& evidence :
+       ledger_.AddCrash(crash, peers, loop_.now())) {
+    tell_(evidence.fingerprint);
+  }
+  Publish("");
+}
+
+void RequestQuarantine::OnAnswered(RequestFingerprint fingerprint) {
+  if (!ledger_.Refute(fingerprint, loop_.now()))
+    return;
+  tell_(fingerprint);
+  Publish("answered");
+}
+
+void RequestQuarantine::OnLearnt() {
+  Publish("told");
+}
+
+bool RequestQuarantine::Release(RequestFingerprint fingerprint,
+                                const std::string& who) {
+  if (!ledger_.Refute(fingerprint, loop_.now()))
+    return false;
+  tell_(fingerprint);
+  Publish("released by " + who);
+  return true;
+}
+
+std::vector<HeldRequest> RequestQuarantine::Held() const {
+  std::vector<HeldRequest> held;
+  for (const auto& [fingerprint, verdict] : known_->all()) {
+    if (auto evidence = ledger_.Find(fingerprint))
+      held.push_back({*std::move(evidence), verdict});
+  }
+  std::ranges::sort(held, [](const HeldRequest& a, const HeldRequest& b) {
+    return std::pair(b.verdict.verdict, a.evidence.fingerprint) <
+           std::pair(a.verdict.verdict, b.evidence.fingerprint);
+  });
+  return held;
+}
+
+size_t RequestQuarantine::CountOf(Verdict verdict) const {
+  return static_cast<size_t>(
+      std::ranges::count_if(known_->all(), [verdict](const auto& item) {
+        return item.second.verdict == verdict;
+      }));
+}
+
+void RequestQuarantine::Tick() {
+  if (ledger_.size() > 0) {
+    ledger_.Expire(loop_.now());
+    Publish("time");
+  }
+  timer_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
+}
+
+void RequestQuarantine::Publish(const std::string& why) {
+  auto verdicts = std::make_shared<const quarantine::Verdicts>(
+      ledger_.AllVerdicts(loop_.now()));
+  if (verdicts->all() == known_->all())
+    return;
+  const auto before = std::exchange(known_, std::move(verdicts));
+  for (const auto& [fingerprint, verdict] : known_->all()) {
+    if (before->Of(fingerprint).verdict != verdict.verdict)
+      LogPassed(fingerprint, verdict);
+  }
+  for (const auto& [fingerprint, verdict] : before->all()) {
+    if (known_->IsFree(fingerprint))
+      LogEnded(fingerprint, verdict, why);
+  }
+  publish_(known_);
+}
+
+void RequestQuarantine::LogEnded(RequestFingerprint fingerprint,
+                                 const VerdictUntil& verdict,
+                                 const std::string& why) {
+  telemetry::LogEvent(Event::kVerdictEnded,
+                      {{"fingerprint", fingerprint.ToString()},
+                       {"was", std::string(ToString(verdict.verdict))},
+                       {"by", why}});
+}
+
+void RequestQuarantine::LogPassed(RequestFingerprint fingerprint,
+                                  const VerdictUntil& verdict) const {
+  const auto evidence = ledger_.Find(fingerprint);
+  const base::Duration left = verdict.until - loop_.now();
+  telemetry::LogEvent(
+      Event::kVerdictPassed,
+      {{"fingerprint", fingerprint.ToString()},
+       {"verdict", std::string(ToString(verdict.verdict))},
+       {"for", base::FormatDuration(
+                   std::chrono::round<std::chrono::seconds>(left))},
+       {"ends", evidence ? Describe(*evidence) : ""}});
+}
+
+std::string RequestQuarantine::Describe(const RequestEvidence& evidence) const {
+  std::string text;
+  for (const CrashMark& mark : evidence.marks) {
+    const auto name = names_.find(mark.crash.node);
+    const auto age = std::chrono::round<std::chrono::milliseconds>(
+        loop_.now() - mark.at);
+    absl::StrAppend(&text, text.empty() ? "" : " ",
+                    name == names_.end() ? mark.crash.node.ToString()
+                                         : name->second,
+                    "/", mark.crash.life, "-", base::FormatDuration(age), "=",
+                    mark.surprise);
+  }
+  return text;
+}
+
+}  // namespace chestnutport::node
--- /dev/null
+++ b/src/libs/node/request_quarantine.h
@@ -0,0 +1,85 @@
+// Holds what this node knows of requests that servers ran when they ended, and
+// tells the traffic threads the verdicts. Runs on the control thread.
+#ifndef NODE_REQUEST_QUARANTINE_H_
+#define NODE_REQUEST_QUARANTINE_H_
+
+#include <functional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "membership/member.h"
+#include "net/event_loop.h"
+#include "quarantine/crash_ledger.h"
+#include "quarantine/gate_guard.h"
+#include "quarantine/server_crash.h"
+
+namespace chestnutport::node {
+
+// A request that is not free, as operators are shown it.
+struct HeldRequest {
+  quarantine::RequestEvidence evidence;
+  quarantine::VerdictUntil verdict;
+};
+
+class RequestQuarantine {
+ public:
+  using VerdictsHandler = std::function<void(quarantine::SharedVerdicts)>;
+  // The ledger has something new on a request, to be told to other nodes.
+  using TellHandler = std::function<void(base::RequestFingerprint)>;
+
+  // `loop` must outlive this object.
+  RequestQuarantine(net::EventLoop& loop, VerdictsHandler publish);
+  ~RequestQuarantine();
+
+  quarantine::CrashLedger& ledger() { return ledger_; }
+  const quarantine::CrashLedger& ledger() const { return ledger_; }
+
+  // Set before anything is known.
+  void OnTell(TellHandler tell) { tell_ = std::move(tell); }
+  // The names in the lines of verdicts; all members, this node included.
+  void SetMembers(std::span<const membership::Member> members);
+
+  // This node's server ended. `service` is its service.
+  void OnServerCrash(const quarantine::ServerCrash& crash,
+                     const std::string& service);
+  // This node's server answered a request that is not free.
+  void OnAnswered(base::RequestFingerprint fingerprint);
+  // Other nodes, or the store, told something new.
+  void OnLearnt();
+  // By an operator's wish the request runs like any other again. Returns whether
+  // it did not.
+  bool Release(base::RequestFingerprint fingerprint, const std::string& who);
+
+  // All that are not free; those in quarantine first.
+  std::vector<HeldRequest> Held() const;
+  // How many have this verdict.
+  size_t CountOf(quarantine::Verdict verdict) const;
+
+ private:
+  void Tick();
+  // Publishes the verdicts, and logs each that changed. `why`: what may have
+  // ended one.
+  void Publish(const std::string& why);
+  void LogPassed(base::RequestFingerprint fingerprint,
+                 const quarantine::VerdictUntil& verdict) const;
+  static void LogEnded(base::RequestFingerprint fingerprint,
+                       const quarantine::VerdictUntil& verdict,
+                       const std::string& why);
+  // By which ends: node, life, how long ago, and the surprise of each.
+  std::string Describe(const quarantine::RequestEvidence& evidence) const;
+
+  net::EventLoop& loop_;
+  VerdictsHandler publish_;
+  TellHandler tell_;
+  quarantine::CrashLedger ledger_;
+  quarantine::SharedVerdicts known_;  // As published.
+  absl::flat_hash_map<base::NodeId, std::string> names_;
+  absl::flat_hash_map<base::NodeId, std::string> services_;
+  net::EventLoop::TimerId timer_ = 0;
+};
+
+}  // namespace chestnutport::node
+
+#endif  // NODE_REQUEST_QUARANTINE_H_
--- a/src/libs/node/server_observer.cc
+++ b/src/libs/node/server_observer.cc
@@ -56,8 +56,11 @@
                          {"found", protocol_.instance(answer.headers)}});
   }
   if (request.end == net::TransferEnd::kLost) {
-    end_watch_.OnBroken(
-        {request.fingerprint, request.instance, request.started_at, now});
+    end_watch_.OnBroken({.fingerprint = request.fingerprint,
+                         .life = request.life,
+                         .instance = request.instance,
+                         .started_at = request.started_at,
+                         .broken_at = now});
   }
   // An end that comes after the next life has announced itself says nothing of
   // that one. A refusal that was meant for the life before, held against the
--- /dev/null
+++ b/src/libs/quarantine/crash_ledger.cc
@@ -0,0 +1,251 @@
+#include "quarantine/crash_ledger.h"
+
+#include <algorithm>
+#include <functional>
+#include <numeric>
+#include <string_view>
+#include <utility>
+
+#include "base/part_hash.h"
+#include "quarantine/surprise.h"
+
+namespace chestnutport::quarantine {
+namespace {
+
+using base::Instant;
+using base::RequestFingerprint;
+
+bool Holds(const std::vector<CrashId>& ids, const CrashId& id) {
+  return std::ranges::find(ids, id) != ids.end();
+}
+
+bool HasMark(const std::vector<CrashMark>& marks, const CrashId& id) {
+  return std::ranges::find(marks, id, &CrashMark::crash) != marks.end();
+}
+
+uint64_t HashOf(RequestFingerprint fingerprint, const CrashId& id, char kind) {
+  const std::string_view kind_text(&kind, 1);
+  const uint64_t parts[] = {fingerprint.value, id.node.value, id.life};
+  return base::HashParts(
+      {kind_text, {reinterpret_cast<const char*>(parts), sizeof(parts)}});
+}
+
+}  // namespace
+
+std::vector<RequestEvidence> CrashLedger::AddCrash(
+    const ServerCrash& crash,
+    std::span<const base::NodeId> peers,
+    Instant now) {
+  OnChanged();
+  NoteEnd(crash.crash, now);
+  std::vector<RequestEvidence> told;
+  for (const RunningRequest& request : crash.running) {
+    Row& row = RowOf(request.fingerprint);
+    const size_t others = OtherEnds(row, crash.crash, peers, now);
+    const int surprise =
+        Surprise(request.ran, others, std::max<size_t>(peers.size(), 1));
+    if (!AddMark(row, {crash.crash, surprise, now}))
+      continue;
+    row.changed_at = now;
+    told.push_back(ToEvidence(request.fingerprint, row));
+  }
+  return told;
+}
+
+bool CrashLedger::Merge(const RequestEvidence& heard, Instant now) {
+  if (heard.fingerprint.value == 0 ||
+      (heard.marks.empty() && heard.refuted.empty())) {
+    return false;
+  }
+  for (const CrashMark& mark : heard.marks)
+    NoteEnd(mark.crash, mark.at);
+  Row& row = RowOf(heard.fingerprint);
+  bool is_new = false;
+  for (const CrashId& crash : heard.refuted)
+    is_new |= AddRefuted(row, crash);
+  for (const CrashMark& mark : heard.marks) {
+    const bool is_remembered = mark.at + kMemory > now;
+    is_new |= is_remembered && AddMark(row, mark);
+  }
+  if (is_new) {
+    row.changed_at = now;
+    OnChanged();
+  }
+  if (row.marks.empty() && row.refuted.empty())
+    rows_.erase(heard.fingerprint);
+  return is_new;
+}
+
+std::optional<RequestEvidence> CrashLedger::Refute(
+    RequestFingerprint fingerprint,
+    Instant now) {
+  const auto found = rows_.find(fingerprint);
+  if (found == rows_.end() || found->second.marks.empty())
+    return std::nullopt;
+  OnChanged();
+  Row& row = found->second;
+  const std::vector<CrashMark> marks = row.marks;
+  for (const CrashMark& mark : marks)
+    AddRefuted(row, mark.crash);
+  row.changed_at = now;
+  return ToEvidence(fingerprint, row);
+}
+
+void CrashLedger::Expire(Instant now) {
+  OnChanged();
+  absl::erase_if(rows_, [now](auto& item) {
+    Row& row = item.second;
+    std::erase_if(row.marks, [now](const CrashMark& mark) {
+      return mark.at + kMemory <= now;
+    });
+    if (row.changed_at + kMemory <= now)
+      row.refuted.clear();
+    return row.marks.empty() && row.refuted.empty();
+  });
+  while (!ends_.empty() && ends_.front().at + kEndsWindow <= now)
+    ends_.pop_front();
+}
+
+VerdictUntil CrashLedger::VerdictOf(RequestFingerprint fingerprint,
+                                    Instant now) const {
+  const auto found = rows_.find(fingerprint);
+  return found == rows_.end() ? VerdictUntil() : Judge(found->second, now);
+}
+
+Verdicts CrashLedger::AllVerdicts(Instant now) const {
+  Verdicts all;
+  for (const auto& [fingerprint, row] : rows_) {
+    const VerdictUntil verdict = Judge(row, now);
+    if (verdict.verdict != Verdict::kFree)
+      all.Set(fingerprint, verdict);
+  }
+  return all;
+}
+
+std::optional<RequestEvidence> CrashLedger::Find(
+    RequestFingerprint fingerprint) const {
+  const auto found = rows_.find(fingerprint);
+  if (found == rows_.end())
+    return std::nullopt;
+  return ToEvidence(fingerprint, found->second);
+}
+
+std::vector<RequestEvidence> CrashLedger::Telling() const {
+  std::vector<RequestEvidence> told;
+  for (const auto& [fingerprint, row] : rows_) {
+    if (IsTold(row))
+      told.push_back(ToEvidence(fingerprint, row));
+  }
+  std::ranges::sort(told, std::greater(), [](const RequestEvidence& evidence) {
+    return std::pair(evidence.marks.size(), evidence.fingerprint);
+  });
+  told.resize(std::min(told.size(), kMostTold));
+  return told;
+}
+
+uint64_t CrashLedger::digest() const {
+  if (digest_)
+    return *digest_;
+  uint64_t digest = 0;
+  for (const auto& [fingerprint, row] : rows_) {
+    if (!IsTold(row))
+      continue;
+    for (const CrashMark& mark : row.marks)
+      digest ^= HashOf(fingerprint, mark.crash, 'm');
+    for (const CrashId& crash : row.refuted)
+      digest ^= HashOf(fingerprint, crash, 'r');
+  }
+  digest_ = digest;
+  return digest;
+}
+
+bool CrashLedger::IsTold(const Row& row) {
+  return row.marks.size() >= kSuspectMarks || !row.refuted.empty();
+}
+
+VerdictUntil CrashLedger::Judge(const Row& row, Instant now) {
+  if (row.marks.size() < kSuspectMarks)
+    return {};
+  const Instant last = row.marks.back().at;
+  const int surprise = std::accumulate(
+      row.marks.begin(), row.marks.end(), 0,
+      [](int sum, const CrashMark& mark) { return sum + mark.surprise; });
+  const bool is_proved = row.marks.size() >= kQuarantineMarks &&
+                         surprise >= kQuarantineSurprise;
+  if (is_proved && now < last + kHold)
+    return {Verdict::kQuarantined, last + kHold};
+  return {Verdict::kSuspected, last + kMemory};
+}
+
+RequestEvidence CrashLedger::ToEvidence(RequestFingerprint fingerprint,
+                                        const Row& row) {
+  return {fingerprint, row.marks, row.refuted};
+}
+
+bool CrashLedger::AddMark(Row& row, const CrashMark& mark) {
+  if (Holds(row.refuted, mark.crash) || HasMark(row.marks, mark.crash))
+    return false;
+  const auto place =
+      std::ranges::upper_bound(row.marks, mark.at, {}, &CrashMark::at);
+  if (row.marks.size() == kMostMarks && place == row.marks.begin())
+    return false;  // Older than all that are kept.
+  row.marks.insert(place, mark);
+  if (row.marks.size() > kMostMarks)
+    row.marks.erase(row.marks.begin());
+  return true;
+}
+
+bool CrashLedger::AddRefuted(Row& row, const CrashId& crash) {
+  if (Holds(row.refuted, crash))
+    return false;
+  std::erase_if(row.marks, [&crash](const CrashMark& mark) {
+    return mark.crash == crash;
+  });
+  row.refuted.push_back(crash);
+  if (row.refuted.size() > kMostMarks)
+    row.refuted.erase(row.refuted.begin());
+  return true;
+}
+
+CrashLedger::Row& CrashLedger::RowOf(RequestFingerprint fingerprint) {
+  const auto found = rows_.find(fingerprint);
+  if (found != rows_.end())
+    return found->second;
+  if (rows_.size() >= kMostRequests)
+    MakeRoom();
+  return rows_[fingerprint];
+}
+
+void CrashLedger::MakeRoom() {
+  OnChanged();
+  const auto least = std::ranges::min_element(
+      rows_, {}, [](const auto& item) {
+        return std::pair(item.second.marks.size(), item.second.changed_at);
+      });
+  rows_.erase(least);
+}
+
+void CrashLedger::NoteEnd(const CrashId& crash, Instant at) {
+  const bool is_known = std::ranges::find(ends_, crash, &End::crash) !=
+                        ends_.end();
+  if (is_known)
+    return;
+  const auto place = std::ranges::upper_bound(ends_, at, {}, &End::at);
+  ends_.insert(place, {crash, at});
+  if (ends_.size() > kMostEnds)
+    ends_.pop_front();
+}
+
+size_t CrashLedger::OtherEnds(const Row& row,
+                              const CrashId& own,
+                              std::span<const base::NodeId> peers,
+                              Instant now) const {
+  return static_cast<size_t>(
+      std::ranges::count_if(ends_, [&](const End& end) {
+        return end.at + kEndsWindow > now && end.crash != own &&
+               !HasMark(row.marks, end.crash) &&
+               std::ranges::find(peers, end.crash.node) != peers.end();
+      }));
+}
+
+}  // namespace chestnutport::quarantine
--- /dev/null
+++ b/src/libs/quarantine/evidence_codec.cc
@@ -0,0 +1,130 @@
+#include "quarantine/evidence_codec.h"
+
+#include <algorithm>
+#include <chrono>
+#include <exception>
+#include <msgpack.hpp>
+
+#include "quarantine/surprise.h"
+
+namespace chestnutport::quarantine {
+namespace {
+
+using base::Instant;
+using std::chrono::milliseconds;
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+constexpr uint32_t kFields = 3;
+constexpr uint32_t kMarkFields = 4;
+constexpr uint32_t kRefutedFields = 2;
+// Of a message from another node: more marks than any node sends, and times far
+// from overflow.
+constexpr uint32_t kMostRead = 64;
+constexpr size_t kMostRequests = 1024;
+constexpr size_t kDepth = 8;
+constexpr milliseconds kOldest = std::chrono::hours(24);
+
+void PackCrash(Packer& packer, const CrashId& crash) {
+  packer.pack(crash.node.value);
+  packer.pack(crash.life);
+}
+
+void PackMark(Packer& packer, const CrashMark& mark, Instant now) {
+  const auto age = std::chrono::duration_cast<milliseconds>(now - mark.at);
+  packer.pack_array(kMarkFields);
+  PackCrash(packer, mark.crash);
+  packer.pack(mark.surprise);
+  packer.pack(std::max<int64_t>(age.count(), 0));
+}
+
+void Pack(Packer& packer, const RequestEvidence& evidence, Instant now) {
+  packer.pack_array(kFields);
+  packer.pack(evidence.fingerprint.value);
+  packer.pack_array(static_cast<uint32_t>(evidence.marks.size()));
+  for (const CrashMark& mark : evidence.marks)
+    PackMark(packer, mark, now);
+  packer.pack_array(static_cast<uint32_t>(evidence.refuted.size()));
+  for (const CrashId& crash : evidence.refuted) {
+    packer.pack_array(kRefutedFields);
+    PackCrash(packer, crash);
+  }
+}
+
+// The elements of an array of `least` to `most`; throws msgpack::type_error.
+std::span<const msgpack::object> ReadArray(const msgpack::object& object,
+                                           uint32_t least,
+                                           uint32_t most) {
+  if (object.type != msgpack::type::ARRAY || object.via.array.size < least ||
+      object.via.array.size > most) {
+    throw msgpack::type_error();
+  }
+  return {object.via.array.ptr, object.via.array.size};
+}
+
+CrashId ReadCrash(std::span<const msgpack::object> fields) {
+  return {{fields[0].as<uint64_t>()}, fields[1].as<uint32_t>()};
+}
+
+CrashMark ReadMark(const msgpack::object& object, Instant now) {
+  const auto fields = ReadArray(object, kMarkFields, kMostRead);
+  const milliseconds age(
+      std::clamp<int64_t>(fields[3].as<int64_t>(), 0, kOldest.count()));
+  return {ReadCrash(fields),
+          std::clamp(fields[2].as<int>(), 0, kMostSurprise), now - age};
+}
+
+RequestEvidence Read(const msgpack::object& object, Instant now) {
+  const auto fields = ReadArray(object, kFields, kMostRead);
+  RequestEvidence evidence;
+  evidence.fingerprint.value = fields[0].as<uint64_t>();
+  for (const msgpack::object& mark : ReadArray(fields[1], 0, kMostRead))
+    evidence.marks.push_back(ReadMark(mark, now));
+  for (const msgpack::object& crash : ReadArray(fields[2], 0, kMostRead)) {
+    evidence.refuted.push_back(
+        ReadCrash(ReadArray(crash, kRefutedFields, kMostRead)));
+  }
+  return evidence;
+}
+
+}  // namespace
+
+size_t EncodedSize(const RequestEvidence& evidence) {
+  constexpr size_t kHead = 1 + 9 + 3 + 3;
+  constexpr size_t kMark = 1 + 9 + 5 + 1 + 5;
+  constexpr size_t kRefuted = 1 + 9 + 5;
+  return kHead + kMark * evidence.marks.size() +
+         kRefuted * evidence.refuted.size();
+}
+
+std::string EncodeEvidence(std::span<const RequestEvidence> all, Instant now) {
+  if (all.empty())
+    return "";
+  msgpack::sbuffer buffer;
+  Packer packer(buffer);
+  packer.pack_array(static_cast<uint32_t>(all.size()));
+  for (const RequestEvidence& evidence : all)
+    Pack(packer, evidence, now);
+  return {buffer.data(), buffer.size()};
+}
+
+std::vector<RequestEvidence> DecodeEvidence(std::string_view bytes,
+                                            Instant now) {
+  std::vector<RequestEvidence> all;
+  if (bytes.empty())
+    return all;
+  try {
+    const auto handle = msgpack::unpack(
+        bytes.data(), bytes.size(), nullptr, nullptr,
+        msgpack::unpack_limit(kMostRequests, 0, 0, 0, 0, kDepth));
+    for (const msgpack::object& object :
+         ReadArray(handle.get(), 0, kMostRequests)) {
+      all.push_back(Read(object, now));
+    }
+  } catch (const std::exception&) {
+    return {};
+  }
+  return all;
+}
+
+}  // namespace chestnutport::quarantine
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -87,6 +87,15 @@
     EventDescription{Event::kServerLost, "server-lost", Level::kWarning,
                      "A server broke off with a request in flight.",
                      "Look for server-ended of that node about then."},
+    EventDescription{Event::kRequestSuspected, "request-suspected",
+                     Level::kInfo,
+                     "A suspect was refused, as its server runs another.",
+                     "None, unless it lasts: look at verdict-passed."},
+    EventDescription{Event::kRequestQuarantined, "request-quarantined",
+                     Level::kWarning,
+                     "A request that ends its servers was refused.",
+                     "Look for verdict-passed with its fingerprint; see "
+                     "chestnutport quarantine."},
     EventDescription{Event::kCallEnded, "call-ended", Level::kInfo,
                      "A request ended in another way than a success in time at "
                      "the first server; the line has what decided it.",
@@ -136,6 +145,15 @@
         "and the fingerprints of some with how long they had run.",
         "If a fingerprint stands in the lines of several ends, "
         "look at what that request does to its server."},
+    EventDescription{Event::kVerdictPassed, "verdict-passed", Level::kWarning,
+                     "This node suspects a request, or holds it in quarantine, "
+                     "by the ends of servers that the line names.",
+                     "Find out what the request does to its servers; see "
+                     "runbooks/request-ends-servers.md."},
+    EventDescription{Event::kVerdictEnded, "verdict-ended", Level::kInfo,
+                     "A request runs like any other again: a server answered "
+                     "it, an operator released it, or time has passed.",
+                     "None."},
     EventDescription{Event::kStoreUnavailable, "store-unavailable",
                      Level::kWarning, "The platform's store does not answer.",
                      "Traffic goes on; changes wait for the store."},
--- a/tests/auto/membership/gossip_input_test.cc
+++ b/tests/auto/membership/gossip_input_test.cc
@@ -127,8 +127,9 @@
     const DatagramSeal seal("fleet", kKey, "");
     fleet.Inject(0, seal.Seal(mutate(message.Encode())));
     membership::PullRequest request{fleet.member(1).id};
-    const std::string answer = fleet.gossip(0).AnswerPull(request.Encode());
-    fleet.gossip(0).AnswerPull(mutate(request.Encode()));
+    const std::string answer =
+        fleet.gossip(0).AnswerPull(fleet.now(), request.Encode());
+    fleet.gossip(0).AnswerPull(fleet.now(), mutate(request.Encode()));
     membership::GossipOutput output;
     fleet.gossip(1).OnPullAnswer(fleet.now(), mutate(answer), output);
     MemberRecord::Decode(mutate(message.news[0].record));
--- a/tests/auto/membership/record_pull_test.cc
+++ b/tests/auto/membership/record_pull_test.cc
@@ -30,8 +30,9 @@
 TEST_CASE("a member whose record the node that is asked lacks as well") {
   const Member asked = MakeMember(2);
   RecordCache records;
+  quarantine::CrashLedger ledger;
   Gossip gossip(MakeMember(1), {}, DatagramSeal("fleet", "key", ""), records,
-                base::Random(1), kStart);
+                ledger, base::Random(1), kStart);
   NewsItem unknown = ItemOf(MakeMember(9));
   unknown.record.clear();
   const PullAnswer view{.sender = asked.id,
--- /dev/null
+++ b/tests/auto/quarantine/evidence_codec_test.cc
@@ -0,0 +1,75 @@
+// Evidence as it travels between nodes and lies in the store.
+#include "quarantine/evidence_codec.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+namespace chestnutport::quarantine {
+namespace {
+
+using base::Instant;
+using std::chrono::milliseconds;
+
+constexpr Instant kStart{std::chrono::hours(1)};
+
+std::vector<RequestEvidence> SomeEvidence() {
+  std::vector<RequestEvidence> all;
+  const auto count = *rc::gen::inRange(1, 20);
+  for (int i = 0; i < count; ++i) {
+    RequestEvidence one{{*rc::gen::inRange<uint64_t>(1, UINT64_MAX)}, {}, {}};
+    const auto marks = *rc::gen::inRange(0, 9);
+    for (int mark = 0; mark < marks; ++mark) {
+      one.marks.push_back({{{*rc::gen::arbitrary<uint64_t>()},
+                            *rc::gen::arbitrary<uint32_t>()},
+                           *rc::gen::inRange(0, 31),
+                           kStart - milliseconds(*rc::gen::inRange(0, 100000))});
+    }
+    const auto refuted = *rc::gen::inRange(0, 9);
+    for (int id = 0; id < refuted; ++id) {
+      one.refuted.push_back({{*rc::gen::arbitrary<uint64_t>()},
+                             *rc::gen::arbitrary<uint32_t>()});
+    }
+    all.push_back(one);
+  }
+  return all;
+}
+
+TEST_CASE("evidence travels") {
+  rc::prop("and is read as it was written, by another clock", [] {
+    const auto sent = SomeEvidence();
+    const std::string bytes = EncodeEvidence(sent, kStart);
+    const auto shift = std::chrono::hours(5);
+    const auto read = DecodeEvidence(bytes, kStart + shift);
+    RC_ASSERT(read.size() == sent.size());
+    size_t size = 5;
+    for (size_t i = 0; i < sent.size(); ++i) {
+      size += EncodedSize(sent[i]);
+      RC_ASSERT(read[i].fingerprint == sent[i].fingerprint);
+      RC_ASSERT(read[i].refuted == sent[i].refuted);
+      RC_ASSERT(read[i].marks.size() == sent[i].marks.size());
+      for (size_t mark = 0; mark < sent[i].marks.size(); ++mark) {
+        RC_ASSERT(read[i].marks[mark].crash == sent[i].marks[mark].crash);
+        RC_ASSERT(read[i].marks[mark].at == sent[i].marks[mark].at + shift);
+      }
+    }
+    RC_ASSERT(bytes.size() <= size);
+  });
+
+  rc::prop("and what is broken on the way is not read", [] {
+    std::string bytes = EncodeEvidence(SomeEvidence(), kStart);
+    const auto places = *rc::gen::container<std::vector<size_t>>(
+        4, rc::gen::inRange<size_t>(0, bytes.size()));
+    for (const size_t place : places)
+      bytes[place] = *rc::gen::arbitrary<char>();
+    bytes.resize(*rc::gen::inRange<size_t>(0, bytes.size() + 1));
+    DecodeEvidence(bytes, kStart);
+  });
+
+  CHECK(EncodeEvidence({}, kStart).empty());
+  CHECK(DecodeEvidence("", kStart).empty());
+  CHECK(DecodeEvidence("\xc1", kStart).empty());
+}
+
+}  // namespace
+}  // namespace chestnutport::quarantine
--- a/tests/benchmarks/control/gossip_scenarios.cc
+++ b/tests/benchmarks/control/gossip_scenarios.cc
@@ -187,13 +187,15 @@
   const std::string view = fleet.WholeView();
   const size_t before = ResidentBytes();
   std::vector<std::unique_ptr<membership::RecordCache>> caches;
+  std::vector<std::unique_ptr<quarantine::CrashLedger>> ledgers;
   std::vector<std::unique_ptr<membership::Gossip>> nodes;
   for (size_t i = 0; i < kNodes; ++i) {
     caches.push_back(std::make_unique<membership::RecordCache>());
+    ledgers.push_back(std::make_unique<quarantine::CrashLedger>());
     nodes.push_back(std::make_unique<membership::Gossip>(
         fleet.member(0), membership::GossipOptions{},
         membership::DatagramSeal("fleet", "0123456789abcdef", ""),
-        *caches.back(), base::Random(i), fleet.now()));
+        *caches.back(), *ledgers.back(), base::Random(i), fleet.now()));
     membership::GossipOutput output;
     nodes.back()->OnPullAnswer(fleet.now(), view, output);
   }
--- a/tests/support/gate_scene.cc
+++ b/tests/support/gate_scene.cc
@@ -40,7 +40,16 @@
             kKeys,
             protocol,
             running,
-            [this](const node::GateReport& said) { report = said; }),
+            {.report = [this](const node::GateReport& said) { report = said; },
+             .server_crash =
+                 [this](const quarantine::ServerCrash& crash,
+                        const std::string& /*service*/) {
+                   crashes.push_back(crash);
+                 },
+             .suspect_answered =
+                 [this](base::RequestFingerprint fingerprint) {
+                   answered_suspects.push_back(fingerprint);
+                 }}),
       peer_(loop_, net::HttpClientOptions{}) {
   server_ =
       net::HttpServer::Open(loop_, AnyPort(), net::HttpServerLimits{},
--- a/tests/support/gate_scene.h
+++ b/tests/support/gate_scene.h
@@ -52,6 +52,8 @@
   bool inquiry_may_move = true;
   node::ServerState state;
   node::GateReport report;
+  std::vector<quarantine::ServerCrash> crashes;
+  std::vector<base::RequestFingerprint> answered_suspects;
   std::vector<net::HttpRequest> served;
   std::vector<net::Reply> held;
   int gone = 0;  // Requests whose connection the gate closed.
--- a/tests/support/gossip_fleet.cc
+++ b/tests/support/gossip_fleet.cc
@@ -71,10 +71,11 @@
   member.server = membership::ServerAnnouncement{
       absl::StrCat("service-", slot % kServices), 12, false};
   slot_of_[member.id] = slot;
+  place.ledger = std::make_unique<quarantine::CrashLedger>();
   place.gossip = std::make_unique<membership::Gossip>(
       member, options_.gossip,
       membership::DatagramSeal("fleet", "0123456789abcdef", ""), records_,
-      base::Random(random_()), now_);
+      *place.ledger, base::Random(random_()), now_);
   place.frozen = false;
   ++place.life;
   place.waiting.clear();
@@ -158,7 +159,7 @@
       slot.gossip->Receive(now_, from, event.bytes, output);
       break;
     case Kind::kPull: {
-      std::string answer = slot.gossip->AnswerPull(event.bytes);
+      std::string answer = slot.gossip->AnswerPull(now_, event.bytes);
       traffic_.pull_bytes += answer.size();
       Schedule(now_ + Delay(event.to, event.from), Kind::kPullAnswer,
                event.from, event.to, std::move(answer));
@@ -322,6 +323,29 @@
   Apply(slot, output);
 }
 
+void GossipFleet::EndServer(
+    size_t slot,
+    uint32_t life,
+    const std::vector<quarantine::RunningRequest>& running) {
+  std::vector<base::NodeId> peers;
+  for (const Slot& place : slots_)
+    peers.push_back(place.member.id);
+  Slot& place = slots_[slot];
+  GossipOutput output;
+  for (const auto& evidence : place.ledger->AddCrash(
+           {{place.member.id, life}, running}, peers, now_)) {
+    place.gossip->TellEvidence(now_, evidence.fingerprint);
+  }
+  Apply(slot, output);
+}
+
+void GossipFleet::Refute(size_t slot, base::RequestFingerprint fingerprint) {
+  GossipOutput output;
+  if (slots_[slot].ledger->Refute(fingerprint, now_))
+    slots_[slot].gossip->TellEvidence(now_, fingerprint);
+  Apply(slot, output);
+}
+
 void GossipFleet::Inject(size_t slot, const std::string& datagram) {
   Schedule(now_, Kind::kDatagram, slot, slot, datagram);
 }
--- a/tests/support/gossip_fleet.h
+++ b/tests/support/gossip_fleet.h
@@ -69,6 +69,14 @@
   void Greet(size_t slot, size_t seed);
   void Drain(size_t slot);
   void AnnounceRevision(size_t slot, uint64_t revision);
+  // The server beside the node ends while it runs the requests. `life` counts
+  // its starts.
+  void EndServer(size_t slot,
+                 uint32_t life,
+                 const std::vector<quarantine::RunningRequest>& running);
+  // The server beside the node answered a request that it was not to answer.
+  void Refute(size_t slot, base::RequestFingerprint fingerprint);
+  quarantine::CrashLedger& ledger(size_t slot) { return *slots_[slot].ledger; }
   void Cut(IsCut is_cut) { is_cut_ = std::move(is_cut); }
   void Inject(size_t slot, const std::string& datagram);
   void SetLoss(double loss) { options_.loss = loss; }
@@ -98,6 +106,7 @@
  private:
   struct Slot {
     membership::Member member;
+    std::unique_ptr<quarantine::CrashLedger> ledger;
     std::unique_ptr<membership::Gossip> gossip;
     bool frozen = false;
     uint64_t life = 0;
