Keep what is in quarantine in the platform's store, for when all nodes start anew

Cause: after a loss of all nodes nobody knows what was held, and each request that ends servers ends three more of them. Nodes have no disk.

Change: one entry beside the seeds, which starting nodes list anyway, so reading it costs no call. The nodes that keep the first seed of a data centre write it, two calls for each change of what is held, under a lease that ends with the longest hold.

Measured: request_ends_servers_test restarts all nodes; the request reaches no server after it.

--- a/src/libs/membership/gossip_evidence.cc
+++ b/src/libs/membership/gossip_evidence.cc
@@ -39,8 +39,7 @@
                            const MemberEntry& collector,
                            std::span<const base::RequestFingerprint> requests,
                            GossipOutput& output) {
-  for (std::string& part :
-       evidence_.PartsOf(requests, now, kLargestEvidence)) {
+  for (std::string& part : evidence_.PartsOf(requests, now, kLargestEvidence)) {
     // Beyond the budget it is left: the next end tells of those that matter.
     if (!evidence_.budget().IsOpen(now))
       return;
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -83,6 +83,7 @@
       quarantine_(loop,
                   [this](quarantine::SharedVerdicts verdicts) {
                     outputs_.publish_verdicts(std::move(verdicts));
+                    evidence_store_.OnChanged();
                   }),
       membership_(loop,
                   store_,
@@ -91,6 +92,13 @@
                   quarantine_.ledger(),
                   settings,
                   random),
+      evidence_store_(
+          loop,
+          store_,
+          quarantine_,
+          membership_.store_prefix(),
+          [this] { membership_.ListStoreNow(); },
+          random),
       configuration_(loop,
                      store_,
                      control_listener_,
@@ -169,6 +177,10 @@
       [this](uint64_t revision, const membership::Member& from) {
         configuration_.OnRevisionHeard(revision, from);
       });
+  membership_.OnStoredOthers(
+      [this](const std::vector<store::StoreEntry>& others, bool keeps_first) {
+        evidence_store_.OnListed(others, keeps_first);
+      });
   membership_.OnEvidence([this] { quarantine_.OnLearnt(); });
   quarantine_.OnTell([this](std::span<const base::RequestFingerprint> told) {
     membership_.TellEvidence(told);
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -18,6 +18,7 @@
 #include "node/configuration_keeper.h"
 #include "node/control_caller.h"
 #include "node/control_listener.h"
+#include "node/evidence_store.h"
 #include "node/fleet_membership.h"
 #include "node/gate_report.h"
 #include "node/metrics_api.h"
@@ -118,6 +119,7 @@
   ControlCaller control_caller_;
   RequestQuarantine quarantine_;
   FleetMembership membership_;
+  EvidenceStore evidence_store_;
   ConfigurationKeeper configuration_;
   OwnServer own_server_;
   ServerFinder server_finder_;
--- /dev/null
+++ b/src/libs/node/evidence_store.cc
@@ -0,0 +1,87 @@
+#include "node/evidence_store.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "quarantine/evidence_codec.h"
+
+namespace chestnutport::node {
+namespace {
+
+using quarantine::RequestEvidence;
+
+constexpr char kName[] = "quarantine";
+// The entry ends when the longest hold does; what is held for longer has been
+// written anew since, as a further server ended.
+constexpr std::chrono::milliseconds kTimeToLive =
+    quarantine::CrashLedger::kHold;
+// Within this time the writers of the data centres list, one after the other as a
+// rule, so that the first one's entry is seen by the others.
+constexpr std::chrono::milliseconds kSpread(1000);
+
+std::vector<RequestEvidence> EvidenceOf(const std::vector<HeldRequest>& held) {
+  std::vector<RequestEvidence> all;
+  for (const HeldRequest& request : held)
+    all.push_back(request.evidence);
+  return all;
+}
+
+}  // namespace
+
+EvidenceStore::EvidenceStore(net::EventLoop& loop,
+                             store::StoreClient& store,
+                             RequestQuarantine& quarantine,
+                             const std::string& prefix,
+                             ListHandler list_soon,
+                             const base::Random& random)
+    : loop_(loop),
+      store_(store),
+      quarantine_(quarantine),
+      key_(prefix + kName),
+      list_soon_(std::move(list_soon)),
+      random_(random) {}
+
+EvidenceStore::~EvidenceStore() {
+  loop_.Cancel(timer_);
+}
+
+void EvidenceStore::OnListed(const std::vector<store::StoreEntry>& entries,
+                             bool writes) {
+  writes_ = writes;
+  const auto found = std::ranges::find(entries, key_, &store::StoreEntry::key);
+  std::vector<RequestEvidence> stored;
+  if (found != entries.end())
+    stored = quarantine::DecodeEvidence(found->value, loop_.now());
+  quarantine_.Learn(stored);
+  const auto held = EvidenceOf(quarantine_.Held());
+  const bool is_kept =
+      quarantine::MarksDigest(held) == quarantine::MarksDigest(stored);
+  if (writes && !held.empty() && !is_kept)
+    Write(found == entries.end() ? 0 : found->revision);
+}
+
+void EvidenceStore::OnChanged() {
+  if (!writes_ || timer_ != 0)
+    return;
+  const auto wait = std::uniform_int_distribution<base::Duration::rep>(
+      0, base::Duration(kSpread).count())(random_);
+  timer_ = loop_.CallAfter(base::Duration(wait), [this] {
+    timer_ = 0;
+    list_soon_();
+  });
+}
+
+// A write that loses to another node's, or whose answer is lost, is made up for
+// after the next listing.
+void EvidenceStore::Write(int64_t expected) {
+  store_.GrantLease(kTimeToLive, [this, expected](auto lease) {
+    if (!lease)
+      return;
+    const std::string bytes = quarantine::EncodeEvidence(
+        EvidenceOf(quarantine_.Held()), loop_.now());
+    store_.CompareAndSwap(key_, expected, bytes, lease.value(),
+                          [](base::Result<bool>) {});
+  });
+}
+
+}  // namespace chestnutport::node
--- a/src/libs/node/fleet_membership.h
+++ b/src/libs/node/fleet_membership.h
@@ -69,6 +69,14 @@
   // The ledger has something new on these requests, to be told to the fleet.
   void TellEvidence(std::span<const base::RequestFingerprint> requests);
 
+  // The entries beside the seeds in the store; see SeedKeeper. Set before
+  // Start().
+  void OnStoredOthers(SeedKeeper::OthersHandler others) {
+    seeds_.OnOthers(std::move(others));
+  }
+  const std::string& store_prefix() const { return seeds_.prefix(); }
+  void ListStoreNow() { seeds_.ListNow(); }
+
   // All live members as of now, this node included.
   std::vector<membership::Member> Members() const;
   const membership::GossipCounters& counters() const {
--- a/src/libs/node/request_quarantine.cc
+++ b/src/libs/node/request_quarantine.cc
@@ -62,6 +62,18 @@
   Publish("told");
 }
 
+void RequestQuarantine::Learn(std::span<const RequestEvidence> stored) {
+  std::vector<RequestFingerprint> told;
+  for (const RequestEvidence& evidence : stored) {
+    if (ledger_.Merge(evidence, loop_.now()))
+      told.push_back(evidence.fingerprint);
+  }
+  if (told.empty())
+    return;
+  tell_(told);
+  Publish("stored");
+}
+
 bool RequestQuarantine::Release(RequestFingerprint fingerprint,
                                 const std::string& who) {
   return Refute(fingerprint, "released by " + who);
--- a/src/libs/node/request_quarantine.h
+++ b/src/libs/node/request_quarantine.h
@@ -25,6 +25,7 @@
 
 class RequestQuarantine {
  public:
+  // Called after each change.
   using VerdictsHandler = std::function<void(quarantine::SharedVerdicts)>;
   // The ledger has something new on these requests, to be told to other nodes.
   using TellHandler =
@@ -46,8 +47,10 @@
   void OnServerCrash(const quarantine::ServerCrash& crash);
   // This node's server answered a request that is not free.
   void OnAnswered(base::RequestFingerprint fingerprint);
-  // Other nodes, or the store, told something new.
+  // Other nodes told something new.
   void OnLearnt();
+  // What the store holds.
+  void Learn(std::span<const quarantine::RequestEvidence> stored);
   // By an operator's wish the request runs like any other again. Returns
   // whether it did not.
   bool Release(base::RequestFingerprint fingerprint, const std::string& who);
--- a/src/libs/node/seed_keeper.cc
+++ b/src/libs/node/seed_keeper.cc
@@ -100,12 +100,18 @@
       [this, listing](base::Result<std::vector<store::StoreEntry>> entries) {
         RunAfter(search_.Wait(IsAlone(), random_));
         if (entries)
-          OnEntries(listing, entries.value());
+          OnEntries(listing, std::move(entries).value());
       });
 }
 
+void SeedKeeper::ListNow() {
+  if (contact_)
+    RunAfter({});
+}
+
 void SeedKeeper::OnEntries(SeedSearch::Listing listing,
-                           const std::vector<store::StoreEntry>& entries) {
+                           std::vector<store::StoreEntry> entries) {
+  TakeOthers(entries);
   ContactUnknown(entries);
   const bool is_old = listing == SeedSearch::Listing::kMayBeOld;
   if (IsAlone() && entries.empty() && is_old) {
@@ -120,6 +126,20 @@
     KeepEntry(*place, entries);
 }
 
+void SeedKeeper::TakeOthers(std::vector<store::StoreEntry>& entries) {
+  const auto others = std::ranges::stable_partition(
+      entries, [this](const auto& entry) { return IsSeed(entry); });
+  const bool keeps_first = membership::SeedDuty(self_, members_) == size_t{0};
+  if (others_)
+    others_({others.begin(), others.end()}, keeps_first);
+  entries.erase(others.begin(), others.end());
+}
+
+// Seeds lie one level further down, by data centre.
+bool SeedKeeper::IsSeed(const store::StoreEntry& entry) const {
+  return entry.key.find('/', prefix_.size()) != std::string::npos;
+}
+
 void SeedKeeper::ContactUnknown(const std::vector<store::StoreEntry>& entries) {
   std::vector<Seed> unknown;
   for (const store::StoreEntry& entry : entries) {
--- a/src/libs/node/seed_keeper.h
+++ b/src/libs/node/seed_keeper.h
@@ -22,6 +22,11 @@
 class SeedKeeper {
  public:
   using ContactHandler = std::function<void(const base::SocketAddress&)>;
+  // Entries below the prefix that are no seeds; `keeps_first`: this node keeps
+  // the first entry of its data centre.
+  using OthersHandler =
+      std::function<void(const std::vector<store::StoreEntry>& others,
+                         bool keeps_first)>;
 
   // `loop` and `store` must outlive the keeper.
   SeedKeeper(net::EventLoop& loop,
@@ -30,6 +35,13 @@
              const base::Random& random);
   ~SeedKeeper();
 
+  // Where the entries of the fleet lie in the store.
+  const std::string& prefix() const { return prefix_; }
+  // Set before Start().
+  void OnOthers(OthersHandler others) { others_ = std::move(others); }
+  // Lists the entries now.
+  void ListNow();
+
   // `contact` is called with the gossip address of each seed to greet.
   void Start(const membership::Member& self, ContactHandler contact);
   // All live members, this node included.
@@ -42,7 +54,10 @@
   void Run();
   void RunAfter(base::Duration delay);
   void OnEntries(membership::SeedSearch::Listing listing,
-                 const std::vector<store::StoreEntry>& entries);
+                 std::vector<store::StoreEntry> entries);
+  // Tells of the entries that are no seeds, and takes them out.
+  void TakeOthers(std::vector<store::StoreEntry>& entries);
+  bool IsSeed(const store::StoreEntry& entry) const;
   void ContactUnknown(const std::vector<store::StoreEntry>& entries);
   void NoteUnreadable(const std::string& key);
   void KeepEntry(size_t place, const std::vector<store::StoreEntry>& entries);
@@ -58,6 +73,7 @@
   base::Random random_;
   membership::Member self_;
   ContactHandler contact_;
+  OthersHandler others_;
   std::vector<membership::Member> members_;
   store::LeaseId lease_ = 0;
   bool was_alone_ = false;            // Also after the seeds were greeted.
--- a/src/libs/quarantine/crash_ledger.cc
+++ b/src/libs/quarantine/crash_ledger.cc
@@ -2,10 +2,8 @@
 
 #include <algorithm>
 #include <functional>
-#include <string_view>
 #include <utility>
 
-#include "base/part_hash.h"
 #include "quarantine/surprise.h"
 
 namespace chestnutport::quarantine {
@@ -22,11 +20,9 @@
   return std::ranges::find(marks, id, &CrashMark::crash) != marks.end();
 }
 
-uint64_t HashOf(RequestFingerprint fingerprint, const CrashId& id, char kind) {
-  const std::string_view kind_text(&kind, 1);
-  const uint64_t parts[] = {fingerprint.value, id.node.value, id.life};
-  return base::HashParts(
-      {kind_text, {reinterpret_cast<const char*>(parts), sizeof(parts)}});
+// Another one than that of the mark.
+uint64_t RefutedDigest(RequestFingerprint fingerprint, const CrashId& crash) {
+  return ~MarkDigest(fingerprint, crash);
 }
 
 }  // namespace
@@ -150,9 +146,9 @@
     if (!IsTold(row))
       continue;
     for (const CrashMark& mark : row.marks)
-      digest ^= HashOf(fingerprint, mark.crash, 'm');
+      digest ^= MarkDigest(fingerprint, mark.crash);
     for (const CrashId& crash : row.refuted)
-      digest ^= HashOf(fingerprint, crash, 'r');
+      digest ^= RefutedDigest(fingerprint, crash);
   }
   digest_ = digest;
   return digest;
--- a/src/libs/quarantine/request_evidence.h
+++ b/src/libs/quarantine/request_evidence.h
@@ -2,6 +2,8 @@
 #ifndef QUARANTINE_REQUEST_EVIDENCE_H_
 #define QUARANTINE_REQUEST_EVIDENCE_H_
 
+#include <cstdint>
+#include <span>
 #include <vector>
 
 #include "base/request_fingerprint.h"
@@ -18,6 +20,10 @@
   std::vector<CrashId> refuted;
 };
 
+// Equal for evidence with the same marks, in any order and of any age.
+uint64_t MarksDigest(std::span<const RequestEvidence> all);
+uint64_t MarkDigest(base::RequestFingerprint fingerprint, const CrashId& crash);
+
 }  // namespace chestnutport::quarantine
 
 #endif  // QUARANTINE_REQUEST_EVIDENCE_H_
--- a/tests/auto/failures/request_ends_servers_test.cc
+++ b/tests/auto/failures/request_ends_servers_test.cc
@@ -26,6 +26,8 @@
 #include <thread>
 
 #include "absl/strings/str_cat.h"
+#include "base/time.h"
+#include "quarantine/evidence_codec.h"
 #include "support/hosted_node.h"
 #include "support/hosted_platform.h"
 #include "support/wait.h"
@@ -63,13 +65,8 @@
       servers_[i]->ends_by = [](const net::HttpRequest& request) {
         return request.target == kFatalPath;
       };
-      nodes_[i] = std::make_unique<HostedNode>(
-          absl::StrCat("n", i), platform_.store_address(), folder_);
     }
-    REQUIRE(WaitUntil([&] { return AreAllReady(); }));
-    for (size_t i = 0; i < kNodes; ++i)
-      nodes_[i]->Announce(*servers_[i], "ready", 1);
-    REQUIRE(WaitUntil([&] { return KnowAllServers(); }));
+    StartNodes();
   }
   ~Scene() {
     for (auto& node : nodes_)
@@ -79,6 +76,20 @@
   Scene(const Scene&) = delete;
   Scene& operator=(const Scene&) = delete;
 
+  // All nodes end at once and are started anew; the servers go on.
+  void RestartNodes() {
+    for (auto& node : nodes_)
+      node.reset();
+    StartNodes();
+  }
+
+  // Ends that the platform's store holds against the request.
+  int StoredMarks() {
+    const auto stored = quarantine::DecodeEvidence(
+        platform_.EntryOf("/quarantine"), base::Clock::now());
+    return stored.empty() ? 0 : static_cast<int>(stored[0].marks.size());
+  }
+
   // The caller sends the request once more, through the next node; servers that
   // ended by it come back. The status that it gets.
   int Return() {
@@ -118,6 +129,17 @@
   }
 
  private:
+  void StartNodes() {
+    for (size_t i = 0; i < kNodes; ++i) {
+      nodes_[i] = std::make_unique<HostedNode>(
+          absl::StrCat("n", i), platform_.store_address(), folder_);
+    }
+    REQUIRE(WaitUntil([&] { return AreAllReady(); }));
+    for (size_t i = 0; i < kNodes; ++i)
+      nodes_[i]->Announce(*servers_[i], "ready", 1);
+    REQUIRE(WaitUntil([&] { return KnowAllServers(); }));
+  }
+
   bool AreAllReady() const {
     return std::ranges::all_of(
         nodes_, [](const auto& node) { return node->IsReady(); });
@@ -170,6 +192,29 @@
     CHECK(scene.Ends() <= kServersToTell + kMoreAllowed);
   }
 
+  SECTION("is held for long with one end more") {
+    REQUIRE(WaitUntil([&] {
+      scene.Return();
+      return scene.Ends() > kServersToTell;
+    }));
+    const int held = scene.Arrivals();
+    REQUIRE(WaitUntil([&] { return scene.Return() == 503; }));
+
+    SECTION("which its callers are told at once, as it did not run") {
+      for (int i = 0; i < kReturns; ++i)
+        CHECK(scene.Return() == 503);
+      CHECK(scene.Arrivals() == held);
+    }
+    SECTION("also when all nodes were started anew") {
+      REQUIRE(WaitUntil([&] { return scene.StoredMarks() > kServersToTell; }));
+      scene.RestartNodes();
+      std::this_thread::sleep_for(kTimeToHear);
+      for (int i = 0; i < kReturns; ++i)
+        scene.Return();
+      CHECK(scene.Arrivals() == held);
+    }
+  }
+
   SECTION("and others are served through every node") {
     CHECK(scene.ServesOthers());
   }
--- a/tests/auto/membership/evidence_spread_test.cc
+++ b/tests/auto/membership/evidence_spread_test.cc
@@ -1,5 +1,5 @@
-// How soon all nodes know that a request is in quarantine, what that costs them,
-// and what holds for nodes that were not there.
+// How soon all nodes know that a request is in quarantine, what that costs
+// them, and what holds for nodes that were not there.
 #include <algorithm>
 #include <catch2/catch.hpp>
 
--- a/tests/auto/quarantine/ending_world.cc
+++ b/tests/auto/quarantine/ending_world.cc
@@ -44,7 +44,8 @@
     guilty_ends_[content.value];
     const auto send = std::make_shared<std::function<void()>>();
     *send = [this, content, send] {
-      Begin({.content = content, .run = options_.guilty_run, .is_guilty = true});
+      Begin(
+          {.content = content, .run = options_.guilty_run, .is_guilty = true});
       After(options_.guilty_interval, *send);
     };
     After(seconds(2), *send);
@@ -59,10 +60,11 @@
     result_.ends_by_guilty.push_back(ends.size());
     const bool has_three = ends.size() >= 3;
     result_.late_by_guilty.push_back(
-        has_three ? static_cast<size_t>(std::ranges::count_if(
-                        ends,
-                        [&](Instant end) { return end > ends[2] + kTimeToHear; }))
-                  : 0);
+        has_three
+            ? static_cast<size_t>(std::ranges::count_if(
+                  ends,
+                  [&](Instant end) { return end > ends[2] + kTimeToHear; }))
+            : 0);
     const auto verdict = ledger_.VerdictOf({content}, now_).verdict;
     result_.guilty_in_quarantine += verdict == Verdict::kQuarantined ? 1 : 0;
   }
@@ -93,8 +95,8 @@
 void EndingWorld::ArriveNext() {
   const bool is_popular = Chance() < options_.popular_share;
   const bool is_long = !is_popular && Chance() < options_.long_share;
-  const uint64_t content = is_popular ? kFirstPopular + random_() % kPopular
-                                      : ++last_content_;
+  const uint64_t content =
+      is_popular ? kFirstPopular + random_() % kPopular : ++last_content_;
   Begin({.content = {content},
          .run = is_long ? options_.long_run
                         : options_.usual_run / 2 +
@@ -124,7 +126,8 @@
     return;
   }
   call.tried.push_back(server->node);
-  if (const auto refusal = server->guard.Judge({call.content, IsSuspect(call)}, now_))
+  if (const auto refusal =
+          server->guard.Judge({call.content, IsSuspect(call)}, now_))
     OnRefused(id, refusal->error);
   else
     Start(id, *server);
@@ -248,11 +251,11 @@
 void EndingWorld::ScheduleChanceEnd(size_t index) {
   if (options_.mean_life == Duration::zero())
     return;
-  After(Exponential(options_.mean_life), [this, index,
-                                          life = servers_[index].life] {
-    if (servers_[index].is_up && servers_[index].life == life)
-      EndServer(servers_[index]);
-  });
+  After(Exponential(options_.mean_life),
+        [this, index, life = servers_[index].life] {
+          if (servers_[index].is_up && servers_[index].life == life)
+            EndServer(servers_[index]);
+        });
 }
 
 void EndingWorld::EndMany() {
--- a/tests/auto/quarantine/ending_world.h
+++ b/tests/auto/quarantine/ending_world.h
@@ -1,5 +1,5 @@
-// Servers that end, callers that return, and the product's own decisions on which
-// request may run: in one process and in virtual time.
+// Servers that end, callers that return, and the product's own decisions on
+// which request may run: in one process and in virtual time.
 #ifndef QUARANTINE_ENDING_WORLD_H_
 #define QUARANTINE_ENDING_WORLD_H_
 
@@ -29,8 +29,8 @@
   base::Duration usual_run = std::chrono::milliseconds(90);
   // Of the requests, those for one of ten contents that all ask for.
   double popular_share = 0.2;
-  // The mean time from a start of a server to an end that has nothing to do with
-  // what it runs; zero: there are none.
+  // The mean time from a start of a server to an end that has nothing to do
+  // with what it runs; zero: there are none.
   base::Duration mean_life{};
   // Every so often this share of the servers ends at once; zero: never.
   base::Duration mass_interval{};
--- a/tests/auto/quarantine/ending_world_test.cc
+++ b/tests/auto/quarantine/ending_world_test.cc
@@ -1,5 +1,5 @@
-// Whom verdicts fall on: nobody, where servers end of other reasons; and what ends
-// servers, soon.
+// Whom verdicts fall on: nobody, where servers end of other reasons; and what
+// ends servers, soon.
 #include "ending_world.h"
 
 #include <algorithm>
@@ -15,7 +15,8 @@
 using std::chrono::seconds;
 
 constexpr uint64_t kSeeds = 30;
-// The aim: not more than three more ends, once all had time to hear of the third.
+// The aim: not more than three more ends, once all had time to hear of the
+// third.
 constexpr size_t kLateAllowed = 3;
 
 struct Sum {
@@ -57,15 +58,15 @@
 
 // What was played, and what came of it.
 std::string Describe(const Sum& sum) {
-  return absl::StrCat(
-      sum.calls, " calls, ", sum.answered, " answered; ", sum.ends,
-      " ends of servers; of innocent requests ", sum.wrong_suspects,
-      " suspected, ", sum.wrong_quarantines, " in quarantine, ",
-      sum.wrong_long_holds, " for long, ", sum.wrong_refusals,
-      " calls refused; of ", sum.guilty, " guilty ones ",
-      sum.guilty_in_quarantine, " in quarantine, ", sum.ends_by_guilty,
-      " ends, ", sum.most_by_one, " by one of them, ", sum.most_late,
-      " after the time to hear");
+  return absl::StrCat(sum.calls, " calls, ", sum.answered, " answered; ",
+                      sum.ends, " ends of servers; of innocent requests ",
+                      sum.wrong_suspects, " suspected, ", sum.wrong_quarantines,
+                      " in quarantine, ", sum.wrong_long_holds, " for long, ",
+                      sum.wrong_refusals, " calls refused; of ", sum.guilty,
+                      " guilty ones ", sum.guilty_in_quarantine,
+                      " in quarantine, ", sum.ends_by_guilty, " ends, ",
+                      sum.most_by_one, " by one of them, ", sum.most_late,
+                      " after the time to hear");
 }
 
 TEST_CASE("servers that end by chance") {
@@ -96,7 +97,9 @@
   SECTION("one that returns every second") {
     options.guilty_interval = seconds(1);
   }
-  SECTION("two at once") { options.guilty = 2; }
+  SECTION("two at once") {
+    options.guilty = 2;
+  }
   SECTION("one that runs for two seconds before its server ends") {
     options.guilty_run = seconds(2);
   }
--- a/tests/support/hosted_platform.cc
+++ b/tests/support/hosted_platform.cc
@@ -119,6 +119,17 @@
   return count;
 }
 
+std::string HostedPlatform::EntryOf(const std::string& key_end) {
+  std::string value;
+  Run([&] {
+    for (const auto& [key, item] : items_) {
+      if (key.ends_with(key_end))
+        absl::Base64Unescape(item.value, &value);
+    }
+  });
+  return value;
+}
+
 std::vector<std::string> HostedPlatform::StoreCalls() {
   std::vector<std::string> calls;
   Run([&] { calls = store_calls_; });
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -49,6 +49,8 @@
   // usual.
   void set_failure(int status) { failure_ = status; }
 
+  // The value of the entry whose key ends so; empty: there is none.
+  std::string EntryOf(const std::string& key_end);
   // The targets of the calls to the store so far, in order.
   std::vector<std::string> StoreCalls();
 
