Let operators see what is held in quarantine, and release it

chestnutport quarantine lists the requests that are suspected or held, with the servers that ended, when, and how long the request had run there; release takes a verdict back on all nodes.

--- a/src/app/chestnutport/commands.cc
+++ b/src/app/chestnutport/commands.cc
@@ -39,6 +39,15 @@
             "Puts the log lines of one request from several nodes in order, "
             "and says why it ended as it did. Needs no node.",
             &Explain},
+    Command{
+        "quarantine", "",
+        "Shows the requests that are suspected of ending servers or held in "
+        "quarantine, and the servers that ended.",
+        &Quarantine},
+    Command{"release", "FINGERPRINT",
+            "Takes a verdict on a request back, on all nodes. Repeating it is "
+            "harmless.",
+            &Release},
     Command{"undrain", "[NODE]", "Takes a drain back.", &Undrain},
 };
 
--- a/src/app/chestnutport/commands.h
+++ b/src/app/chestnutport/commands.h
@@ -52,6 +52,8 @@
 ExitCode Servers(const CommandContext& context, const Words& words);
 ExitCode Drain(const CommandContext& context, const Words& words);
 ExitCode Explain(const CommandContext& context, const Words& words);
+ExitCode Quarantine(const CommandContext& context, const Words& words);
+ExitCode Release(const CommandContext& context, const Words& words);
 ExitCode Undrain(const CommandContext& context, const Words& words);
 
 }  // namespace chestnutport::cli
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -117,9 +117,10 @@
                      }),
       metrics_(metrics,
                [this] {
-                 return ReadControl(
-                     {members_, configuration_.configuration().revision,
-                      store_.calls(), gate_report_, membership_.counters()});
+                 return ReadControl({members_,
+                                     configuration_.configuration().revision,
+                                     store_.calls(), gate_report_,
+                                     membership_.counters(), quarantine_});
                }),
       operator_api_(std::make_unique<OperatorApi>(*this, settings)) {
   AddControlCalls();
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -90,6 +90,7 @@
   const GateReport& gate_report() const { return gate_report_; }
   MetricsApi& metrics() { return metrics_; }
   RequestQuarantine& quarantine() { return quarantine_; }
+  const RequestQuarantine& quarantine() const { return quarantine_; }
 
   // The addresses of this thread's listeners, bound.
   const base::SocketAddress& operator_address() const;
--- a/src/libs/node/control_readings.cc
+++ b/src/libs/node/control_readings.cc
@@ -84,6 +84,15 @@
       {Metric::kGossipRefuted, "", static_cast<double>(gossip.refuted)});
 }
 
+void AppendHeld(std::vector<Reading>& readings,
+                const RequestQuarantine& quarantine) {
+  using quarantine::Verdict;
+  for (const Verdict verdict : {Verdict::kSuspected, Verdict::kQuarantined}) {
+    readings.push_back({Metric::kHeldRequests, std::string(ToString(verdict)),
+                        static_cast<double>(quarantine.CountOf(verdict))});
+  }
+}
+
 void AppendLog(std::vector<Reading>& readings) {
   for (const telemetry::SuppressedEvent& row : telemetry::SuppressedEvents()) {
     readings.push_back({Metric::kLogSuppressed,
@@ -102,6 +111,7 @@
   readings.push_back(
       {Metric::kRevision, "", static_cast<double>(counts.revision)});
   AppendStoreCalls(readings, counts.store_calls);
+  AppendHeld(readings, counts.quarantine);
   if (counts.gate.load.strain)
     readings.push_back({Metric::kServerStrain, "", *counts.gate.load.strain});
   readings.push_back(
--- a/src/libs/node/control_readings.h
+++ b/src/libs/node/control_readings.h
@@ -7,6 +7,7 @@
 #include "membership/gossip_counters.h"
 #include "membership/member.h"
 #include "node/gate_report.h"
+#include "node/request_quarantine.h"
 #include "store/store_call_counts.h"
 #include "telemetry/metrics_report.h"
 
@@ -18,6 +19,7 @@
   const store::StoreCallCounts& store_calls;
   const GateReport& gate;
   const membership::GossipCounters& gossip;
+  const RequestQuarantine& quarantine;
 };
 
 // To be called on the control thread: reads its processor time.
--- a/src/libs/node/evidence_store.cc
+++ b/src/libs/node/evidence_store.cc
@@ -15,8 +15,8 @@
 // written anew since, as a further server ended.
 constexpr std::chrono::milliseconds kTimeToLive =
     quarantine::CrashLedger::kHold;
-// Within this time the writers of the data centres list, one after the other as a
-// rule, so that the first one's entry is seen by the others.
+// Within this time the writers of the data centres list, one after the other as
+// a rule, so that the first one's entry is seen by the others.
 constexpr std::chrono::milliseconds kSpread(1000);
 
 std::vector<RequestEvidence> EvidenceOf(const std::vector<HeldRequest>& held) {
@@ -77,8 +77,8 @@
   store_.GrantLease(kTimeToLive, [this, expected](auto lease) {
     if (!lease)
       return;
-    const std::string bytes = quarantine::EncodeEvidence(
-        EvidenceOf(quarantine_.Held()), loop_.now());
+    const std::string bytes =
+        quarantine::EncodeEvidence(EvidenceOf(quarantine_.Held()), loop_.now());
     store_.CompareAndSwap(key_, expected, bytes, lease.value(),
                           [](base::Result<bool>) {});
   });
--- a/src/libs/node/evidence_store.h
+++ b/src/libs/node/evidence_store.h
@@ -1,5 +1,6 @@
 // Keeps what is known of requests in quarantine in the platform's store, for a
-// fleet of which all nodes are started anew at once. Runs on the control thread.
+// fleet of which all nodes are started anew at once. Runs on the control
+// thread.
 #ifndef NODE_EVIDENCE_STORE_H_
 #define NODE_EVIDENCE_STORE_H_
 
@@ -15,8 +16,9 @@
 namespace chestnutport::node {
 
 // One entry for the whole fleet, beside those that starting nodes list anyway:
-// reading it costs no call. It is written by the nodes that keep the first entry
-// of a data centre, two calls for each change of what is held, and ends by itself.
+// reading it costs no call. It is written by the nodes that keep the first
+// entry of a data centre, two calls for each change of what is held, and ends
+// by itself.
 class EvidenceStore {
  public:
   // Lists the entries soon.
--- a/src/libs/node/operator_api.cc
+++ b/src/libs/node/operator_api.cc
@@ -44,6 +44,10 @@
     AnswerHistory(control_, std::move(reply));
   else if (request.method == "GET" && IsMetricsTarget(request.target))
     control_.metrics().Answer(request.target, std::move(reply));
+  else if (call == "GET /v1/quarantine")
+    AnswerQuarantine(control_, std::move(reply));
+  else if (call == "POST /v1/release")
+    AnswerRelease(control_, request, who, std::move(reply));
   else if (call == "POST /v1/drain")
     AnswerDrain(control_, request, true, std::move(reply));
   else if (call == "POST /v1/undrain")
--- a/src/libs/node/operator_calls.h
+++ b/src/libs/node/operator_calls.h
@@ -44,6 +44,17 @@
                  bool draining,
                  net::Reply reply);
 
+// GET /v1/quarantine: the requests that are suspected or in quarantine, and the
+// ends of servers that speak against them.
+void AnswerQuarantine(const Control& control, net::Reply reply);
+
+// POST /v1/release {"fingerprint": text}: on all nodes the request runs like
+// any other again. `who` is the operator's name.
+void AnswerRelease(Control& control,
+                   const net::HttpRequest& request,
+                   const std::string& who,
+                   net::Reply reply);
+
 // Reads "services" of a body and checks the declarations strictly. If they are
 // malformed or wrong, `reply` is answered and nothing is returned.
 std::optional<declarations::DeclarationTexts> ReadDeclarations(
--- /dev/null
+++ b/src/libs/node/operator_quarantine.cc
@@ -0,0 +1,76 @@
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/encoding.h"
+#include "node/operator_answer.h"
+#include "node/operator_calls.h"
+#include "telemetry/log.h"
+
+namespace chestnutport::node {
+namespace {
+
+using base::RequestFingerprint;
+using nlohmann::json;
+
+// In whole milliseconds.
+std::string Rounded(base::Duration duration) {
+  return base::FormatDuration(
+      std::chrono::round<std::chrono::milliseconds>(duration));
+}
+
+json Describe(const RequestQuarantine& quarantine,
+              const HeldRequest& held,
+              base::Instant now) {
+  json ends = json::array();
+  for (const quarantine::CrashMark& mark : held.evidence.marks) {
+    ends.push_back({{"node", quarantine.NameOf(mark.crash.node)},
+                    {"life", mark.crash.life},
+                    {"ago", Rounded(now - mark.at)},
+                    {"ran", Rounded(mark.ran)},
+                    {"alone", mark.is_alone}});
+  }
+  return {{"fingerprint", held.evidence.fingerprint.ToString()},
+          {"verdict", std::string(ToString(held.verdict.verdict))},
+          {"for", Rounded(held.verdict.until - now)},
+          {"ends", ends}};
+}
+
+// Nothing if the body names none.
+std::optional<RequestFingerprint> WantedRequest(const std::string& body) {
+  const json object = json::parse(body, nullptr, false);
+  if (!object.is_object() || !object.contains("fingerprint") ||
+      !object["fingerprint"].is_string()) {
+    return std::nullopt;
+  }
+  return RequestFingerprint::Parse(object["fingerprint"].get<std::string>());
+}
+
+}  // namespace
+
+void AnswerQuarantine(const Control& control, net::Reply reply) {
+  const RequestQuarantine& quarantine = control.quarantine();
+  json requests = json::array();
+  for (const HeldRequest& held : quarantine.Held())
+    requests.push_back(Describe(quarantine, held, base::Clock::now()));
+  SendJson(reply, {{"requests", requests}});
+}
+
+void AnswerRelease(Control& control,
+                   const net::HttpRequest& request,
+                   const std::string& who,
+                   net::Reply reply) {
+  const auto wanted = WantedRequest(request.body);
+  if (!wanted) {
+    SendError(reply, base::ErrorKind::kMalformedRequest,
+              {{"accepted", "{\"fingerprint\": 16 hexadecimal digits}"}});
+    return;
+  }
+  if (!control.quarantine().Release(*wanted, who)) {
+    SendError(reply, base::ErrorKind::kNotFound,
+              {{"fingerprint", wanted->ToString()}});
+    return;
+  }
+  SendJson(reply, {{"fingerprint", wanted->ToString()}, {"released", true}});
+}
+
+}  // namespace chestnutport::node
--- a/src/libs/node/request_quarantine.cc
+++ b/src/libs/node/request_quarantine.cc
@@ -154,18 +154,20 @@
        {"ends", evidence ? Describe(*evidence) : ""}});
 }
 
+std::string RequestQuarantine::NameOf(base::NodeId node) const {
+  const auto found = names_.find(node);
+  return found == names_.end() ? node.ToString() : found->second;
+}
+
 std::string RequestQuarantine::Describe(const RequestEvidence& evidence) const {
   std::string text;
   for (const CrashMark& mark : evidence.marks) {
-    const auto name = names_.find(mark.crash.node);
     const auto age =
         std::chrono::round<std::chrono::milliseconds>(loop_.now() - mark.at);
     const auto ran = std::chrono::round<std::chrono::milliseconds>(mark.ran);
-    absl::StrAppend(
-        &text, text.empty() ? "" : " ",
-        name == names_.end() ? mark.crash.node.ToString() : name->second, "/",
-        mark.crash.life, "-", base::FormatDuration(age), "+",
-        base::FormatDuration(ran), mark.is_alone ? "!" : "");
+    absl::StrAppend(&text, text.empty() ? "" : " ", NameOf(mark.crash.node),
+                    "/", mark.crash.life, "-", base::FormatDuration(age), "+",
+                    base::FormatDuration(ran), mark.is_alone ? "!" : "");
   }
   return text;
 }
--- a/src/libs/node/request_quarantine.h
+++ b/src/libs/node/request_quarantine.h
@@ -57,6 +57,8 @@
 
   // All that are not free; those in quarantine first.
   std::vector<HeldRequest> Held() const;
+  // The node's name; its id if it is not known.
+  std::string NameOf(base::NodeId node) const;
   // How many have this verdict.
   size_t CountOf(quarantine::Verdict verdict) const;
 
--- a/src/libs/quarantine/request_evidence.cc
+++ b/src/libs/quarantine/request_evidence.cc
@@ -18,8 +18,8 @@
 uint64_t MarkDigest(base::RequestFingerprint fingerprint,
                     const CrashId& crash) {
   const uint64_t parts[] = {fingerprint.value, crash.node.value, crash.life};
-  return base::HashParts({std::string_view(
-      reinterpret_cast<const char*>(parts), sizeof(parts))});
+  return base::HashParts(
+      {std::string_view(reinterpret_cast<const char*>(parts), sizeof(parts))});
 }
 
 }  // namespace chestnutport::quarantine
--- a/src/libs/telemetry/metric.cc
+++ b/src/libs/telemetry/metric.cc
@@ -72,6 +72,11 @@
     MetricDescription{Metric::kGossipRefuted,
                       "chestnutport_gossip_refuted_total", MetricType::kCounter,
                       "", "Times that others suspected this node wrongly."},
+    MetricDescription{
+        Metric::kHeldRequests, "chestnutport_held_requests", MetricType::kGauge,
+        "verdict",
+        "Requests that servers ended with, by what this node does "
+        "with them."},
     MetricDescription{
         Metric::kServerStrain, "chestnutport_server_strain", MetricType::kGauge,
         "",
--- a/src/libs/telemetry/metric.h
+++ b/src/libs/telemetry/metric.h
@@ -30,6 +30,7 @@
   kGossipRejected,
   kGossipSuspected,
   kGossipRefuted,
+  kHeldRequests,
   kServerStrain,
   kServerWordAge,
   kProbes,
--- a/tests/auto/failures/request_ends_servers_test.cc
+++ b/tests/auto/failures/request_ends_servers_test.cc
@@ -22,6 +22,7 @@
 #include <catch2/catch.hpp>
 #include <filesystem>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
 
@@ -35,6 +36,8 @@
 namespace chestnutport::test {
 namespace {
 
+using nlohmann::json;
+
 constexpr size_t kNodes = 4;
 // The aim: a request that ended three servers is given to three more at most,
 // once the nodes had this time to hear of the third end.
@@ -83,6 +86,16 @@
     StartNodes();
   }
 
+  // What the operators of a node are shown: the requests that are held.
+  json Held(size_t node) {
+    return json::parse(nodes_[node]->Operate("GET", "/v1/quarantine").body)
+        .at("requests");
+  }
+  int Release(size_t node, const std::string& fingerprint) {
+    const json body = {{"fingerprint", fingerprint}};
+    return nodes_[node]->Operate("POST", "/v1/release", body.dump()).status;
+  }
+
   // Ends that the platform's store holds against the request.
   int StoredMarks() {
     const auto stored = quarantine::DecodeEvidence(
@@ -205,6 +218,20 @@
         CHECK(scene.Return() == 503);
       CHECK(scene.Arrivals() == held);
     }
+    SECTION("which operators are shown at any node, and may end") {
+      const json shown = scene.Held(2);
+      REQUIRE(shown.size() == 1);
+      CHECK(shown[0].at("verdict") == "quarantined");
+      CHECK(shown[0].at("ends").size() > kServersToTell);
+      CHECK(shown[0].at("ends")[0].at("node").get<std::string>().size() == 2);
+      const std::string fingerprint = shown[0].at("fingerprint");
+      CHECK(scene.Release(1, "nonsense") == 400);
+      CHECK(scene.Release(1, "0123456789abcdef") == 404);
+      CHECK(scene.Release(1, fingerprint) == 200);
+      CHECK(WaitUntil([&] { return scene.Held(3).empty(); }));
+      scene.Return();
+      CHECK(scene.Arrivals() > held);
+    }
     SECTION("also when all nodes were started anew") {
       REQUIRE(WaitUntil([&] { return scene.StoredMarks() > kServersToTell; }));
       scene.RestartNodes();
--- a/tests/auto/operators/command_test.cc
+++ b/tests/auto/operators/command_test.cc
@@ -67,6 +67,8 @@
       {"confirm", "1-ab", "x", folder.path()},
       {"status", "x"},
       {"drain", "a", "b"},
+      {"quarantine", "x"},
+      {"release"},
       {"status", "--node=localhost"},
       {"status", "--node"},
       {"status", "--output=xml"},
@@ -84,8 +86,9 @@
 }
 
 TEST_CASE("each command has its help") {
-  for (const char* command : {"check", "plan", "confirm", "history", "status",
-                              "servers", "drain", "undrain"}) {
+  for (const char* command :
+       {"check", "plan", "confirm", "history", "status", "servers", "drain",
+        "undrain", "quarantine", "release"}) {
     const Ran ran = Run({"help", command});
     CHECK(ran.exit_code == 0);
     CHECK(Contains(ran.output, std::string("chestnutport ") + command));
--- a/tests/support/hosted_node.cc
+++ b/tests/support/hosted_node.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr char kToken[] = "operator-token-0123456789";
 
 std::string Settings(const std::string& name,
                      const base::SocketAddress& store,
@@ -28,7 +29,8 @@
       "[store]\naddresses = ",
       store.ToString(),
       "\nlongest_wait = 300ms\n[retries]\nshare = 0.2\nburst = 64\n"
-      "[keys]\npeer = 0123456789abcdef0123\n");
+      "[keys]\npeer = 0123456789abcdef0123\n[operators]\nalice = ",
+      kToken, "\n");
 }
 
 net::HttpAnswer ReadAnswer(RawSocket& socket) {
@@ -49,6 +51,7 @@
                     const std::string& body = "") {
   RawSocket socket(to);
   socket.Send(absl::StrCat(method, " ", path, " HTTP/1.1\r\nHost: x\r\n",
+                           "Authorization: Bearer ", kToken, "\r\n",
                            "Content-Length: ", body.size(), "\r\n\r\n", body));
   return ReadAnswer(socket);
 }
@@ -96,8 +99,10 @@
   return ReadAnswer(socket);
 }
 
-net::HttpAnswer HostedNode::Read(const std::string& path) const {
-  return Ask(operators_, "GET", path);
+net::HttpAnswer HostedNode::Operate(const std::string& method,
+                                    const std::string& path,
+                                    const std::string& body) const {
+  return Ask(operators_, method, path, body);
 }
 
 base::SocketAddress HostedNode::Listening(const std::string& name) {
--- a/tests/support/hosted_node.h
+++ b/tests/support/hosted_node.h
@@ -29,8 +29,10 @@
   void Announce(HostedServer& server, const std::string& state, int sequence);
   // Sends a caller's GET of `path` under the name `id`.
   net::HttpAnswer Call(const std::string& path, const std::string& id) const;
-  // What an operator or a gatherer of metrics reads.
-  net::HttpAnswer Read(const std::string& path) const;
+  // An operator's call.
+  net::HttpAnswer Operate(const std::string& method,
+                          const std::string& path,
+                          const std::string& body = "") const;
 
  private:
   base::SocketAddress Listening(const std::string& name);
