Test what holds for attempts under way when a request is put in quarantine

At the ingress: a request in quarantine is refused at once with the time that is left, a suspect goes to one peer, and what two servers ended with is sent to a third as a suspect before any news has come. With real nodes: all are started anew between the second and the third end.

--- a/src/app/chestnutport/command_quarantine.cc
+++ b/src/app/chestnutport/command_quarantine.cc
@@ -48,9 +48,8 @@
     std::cerr << HelpText("release");
     return kExitUsage;
   }
-  const ApiAnswer answer =
-      CallApi(context, "POST", "/v1/release",
-              json{{"fingerprint", words[0]}}.dump());
+  const ApiAnswer answer = CallApi(context, "POST", "/v1/release",
+                                   json{{"fingerprint", words[0]}}.dump());
   if (!PrintJsonOrError(context, answer))
     std::cout << words[0] << " runs like any other request\n";
   return answer.exit_code;
--- a/tests/auto/failures/request_ends_servers_test.cc
+++ b/tests/auto/failures/request_ends_servers_test.cc
@@ -247,5 +247,21 @@
   }
 }
 
+TEST_CASE("all nodes are started anew between the second and the third end") {
+  Scene scene;
+  REQUIRE(WaitUntil([&] {
+    scene.Return();
+    return scene.Ends() == 2;
+  }));
+  REQUIRE(WaitUntil([&] { return scene.StoredMarks() == 2; }));
+  scene.RestartNodes();
+  std::this_thread::sleep_for(kTimeToHear);
+
+  SECTION("the request is in quarantine with the third") {
+    REQUIRE(WaitUntil([&] { return scene.Return() == 503; }));
+    CHECK(scene.Ends() == kServersToTell);
+  }
+}
+
 }  // namespace
 }  // namespace chestnutport::test
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/node/ingress_test.cc
@@ -20,7 +20,9 @@
 using net::FindHeader;
 using std::chrono::milliseconds;
 
-enum class Behaviour { kAnswers, kSilent, kRefuses, kFails };
+constexpr std::chrono::seconds kHold(300);
+
+enum class Behaviour { kAnswers, kSilent, kRefuses, kFails, kLoses };
 
 // A peer listener that takes attempts and questions.
 class Peer {
@@ -85,6 +87,9 @@
       case Behaviour::kRefuses:
         reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kDraining));
         return;
+      case Behaviour::kLoses:
+        reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kServerLost));
+        return;
       case Behaviour::kSilent:
         reply.OnGone([this] { ++gone; });
         held_.push_back(std::move(reply));
@@ -159,6 +164,16 @@
     return holds();
   }
 
+  std::string host() const { return address_.ToString(); }
+
+  void SetVerdict(base::RequestFingerprint fingerprint,
+                  quarantine::Verdict verdict) {
+    quarantine::Verdicts verdicts;
+    verdicts.Set(fingerprint, {verdict, base::Clock::now() + kHold});
+    ingress_.SetVerdicts(
+        std::make_shared<const quarantine::Verdicts>(verdicts));
+  }
+
   // Sends a request whose caller leaves once `holds`.
   template <typename Condition>
   void AskAndLeave(Condition holds) {
@@ -186,6 +201,15 @@
   return std::string(FindHeader(answer.headers, wire::kOutcomeHeader));
 }
 
+// Of a GET that the scene's caller sends.
+base::RequestFingerprint FingerprintOfAsk(const std::string& host) {
+  return base::RequestFingerprint::Of({.tenant = "",
+                                       .method = "GET",
+                                       .host = host,
+                                       .target = "/1",
+                                       .body = ""});
+}
+
 TEST_CASE("an ingress node") {
   Scene scene;
 
@@ -267,6 +291,53 @@
     CHECK(asked == 1);
   }
 
+  SECTION("asks no peer for a request that is in quarantine") {
+    Peer& peer = scene.Add(Behaviour::kAnswers);
+    scene.SetVerdict(FingerprintOfAsk(scene.host()),
+                     quarantine::Verdict::kQuarantined);
+    const auto answer = scene.Ask("GET", {});
+    CHECK(answer.status == 503);
+    CHECK(Outcome(answer) == "not-run");
+    CHECK(FindHeader(answer.headers, wire::kErrorHeader) ==
+          "request-quarantined");
+    CHECK(FindHeader(answer.headers, "Retry-After") == "300");
+    CHECK(peer.attempts.empty());
+    SECTION("and any for another") {
+      CHECK(scene.Ask("GET", {}, "another body").status == 200);
+    }
+  }
+
+  SECTION("sends a suspect to one peer each time, and says what it is") {
+    std::vector<Peer*> peers;
+    for (int i = 0; i < 3; ++i)
+      peers.push_back(&scene.Add(Behaviour::kAnswers));
+    scene.SetVerdict(FingerprintOfAsk(scene.host()),
+                     quarantine::Verdict::kSuspected);
+    for (int i = 0; i < 20; ++i)
+      CHECK(scene.Ask("GET", {}).status == 200);
+    const auto asked = std::ranges::find_if(
+        peers, [](const Peer* peer) { return !peer->attempts.empty(); });
+    REQUIRE(asked != peers.end());
+    CHECK((*asked)->attempts.size() == 20);
+    CHECK(FindHeader((*asked)->attempts[0].headers, wire::kSuspectHeader) ==
+          "1");
+  }
+
+  SECTION("takes what two servers ended with for a suspect at once") {
+    std::vector<Peer*> peers;
+    for (int i = 0; i < 3; ++i)
+      peers.push_back(&scene.Add(Behaviour::kLoses));
+    const auto answer = scene.Ask("GET", {});
+    CHECK(Outcome(answer) == "unknown");
+    int suspected = 0;
+    for (const Peer* peer : peers) {
+      REQUIRE(peer->attempts.size() == 1);
+      const auto& headers = peer->attempts[0].headers;
+      suspected += FindHeader(headers, wire::kSuspectHeader) == "1" ? 1 : 0;
+    }
+    CHECK(suspected == 1);
+  }
+
   SECTION("repeats what failed only if it may be repeated") {
     Peer& failing = scene.Add(Behaviour::kFails);
     scene.Add(Behaviour::kAnswers);
--- a/tests/support/gate_scene.cc
+++ b/tests/support/gate_scene.cc
@@ -71,16 +71,35 @@
                                  base::Duration remaining) {
   wire::PeerRequestHead head = MakeHead(++last_);
   head.remaining = remaining;
+  return Send(head, method);
+}
+
+base::AttemptId GateScene::BeginGuarded(
+    const quarantine::GuardedRequest& request) {
+  wire::PeerRequestHead head = MakeHead(++last_);
+  head.fingerprint = request.fingerprint;
+  head.is_suspect = request.is_suspect;
+  head.may_stop = true;
+  return Send(head, "GET");
+}
+
+base::AttemptId GateScene::Send(const wire::PeerRequestHead& head,
+                                const std::string& method) {
   net::HttpRequest request{.method = method, .target = "/1"};
   head.AppendTo(request.headers, kKeys.current);
   transfers.push_back(
       peer_.Send(address_, std::move(request), seconds(10),
-                 [this, id = last_](const auto& done) { results[id] = done; }));
+                 [this, id = head.attempt.sequence](const auto& done) {
+                   results[id] = done;
+                 }));
   return head.attempt;
 }
 
-net::TransferResult GateScene::Inquire() {
+net::TransferResult GateScene::Inquire(
+    const quarantine::GuardedRequest& asked) {
   wire::PeerRequestHead head = MakeHead(++last_);
+  head.fingerprint = asked.fingerprint;
+  head.is_suspect = asked.is_suspect;
   head.target_in = milliseconds(1);
   head.may_move = true;
   head.may_move_if_full = inquiry_may_move;
--- a/tests/support/gate_scene.h
+++ b/tests/support/gate_scene.h
@@ -32,8 +32,16 @@
   // Begins an attempt; the result is in `results` once it ends.
   base::AttemptId Begin(const std::string& method,
                         base::Duration remaining = std::chrono::seconds(10));
+  // The same of a certain request, by the word of the other node a suspect or
+  // not.
+  base::AttemptId BeginGuarded(const quarantine::GuardedRequest& request);
+  void SetVerdicts(const quarantine::Verdicts& verdicts) {
+    gate_.SetVerdicts(std::make_shared<const quarantine::Verdicts>(verdicts));
+  }
+  // The server ends; nobody listens at its address any more.
+  void EndServer() { server_.reset(); }
   // Whether the gate would let a request in.
-  net::TransferResult Inquire();
+  net::TransferResult Inquire(const quarantine::GuardedRequest& request = {});
   // Waits for the end of an attempt.
   net::TransferResult Run(const std::string& method);
   // The state of the attempt, as the gate says.
@@ -62,6 +70,8 @@
 
  private:
   void OnServed(net::HttpRequest request, net::Reply reply);
+  base::AttemptId Send(const wire::PeerRequestHead& head,
+                       const std::string& method);
 
   net::EventLoop loop_;
 
