--- a/tests/auto/failures/request_ends_servers_test.cc
+++ b/tests/auto/failures/request_ends_servers_test.cc
@@ -25,6 +25,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "base/time.h"
@@ -46,14 +47,21 @@
 constexpr std::chrono::seconds kTimeToHear(3);
 constexpr int kReturns = 20;
 constexpr char kFatalPath[] = "/p/fatal";
+// The same of a request that is sent to one server only.
+constexpr char kFatalWrite[] = "/w/fatal";
 
 constexpr char kDocument[] =
     R"({"version":7,"routes":{"columns":["name","host","prefix","routeKind",)"
     R"("timeout","targetLatency","priority","service","attempts"],"rows":)"
-    R"([["r","a.example","/p/","idempotent","2s","400ms",1,"dossie",3]]},)"
+    R"([["r","a.example","/p/","idempotent","2s","400ms",1,"dossie",3],)"
+    R"(["w","a.example","/w/","non_idempotent","2s","400ms",1,"dossie",3]]},)"
     R"("services":{"columns":["name","healthPath","maxConnections"],)"
     R"("rows":[["dossie","/healthz",200]]},"limits":{}})";
 
+bool IsFatal(const net::HttpRequest& request) {
+  return request.target == kFatalPath || request.target == kFatalWrite;
+}
+
 // Nodes with a server each, and callers that send a request again and again
 // that ends the server which runs it.
 class Scene {
@@ -66,7 +74,7 @@
     for (size_t i = 0; i < kNodes; ++i) {
       servers_[i] = &platform_.AddServer("dossie", absl::StrCat("i-", i, "-0"));
       servers_[i]->ends_by = [](const net::HttpRequest& request) {
-        return request.target == kFatalPath;
+        return IsFatal(request);
       };
     }
     StartNodes();
@@ -83,6 +91,7 @@
   void RestartNodes() {
     for (auto& node : nodes_)
       node.reset();
+    RestartEnded();
     StartNodes();
   }
 
@@ -91,6 +100,24 @@
     return json::parse(nodes_[node]->Operate("GET", "/v1/quarantine").body)
         .at("requests");
   }
+  // Whether every node knows of one end more than the first hold takes.
+  bool IsHeldForLongEverywhere() {
+    for (size_t node = 0; node < kNodes; ++node) {
+      const json held = Held(node);
+      if (held.size() != 1 || held[0].at("verdict") != "quarantined" ||
+          held[0].at("ends").size() <= kServersToTell) {
+        return false;
+      }
+    }
+    return true;
+  }
+  bool HoldsNowhere() {
+    for (size_t node = 0; node < kNodes; ++node) {
+      if (!Held(node).empty())
+        return false;
+    }
+    return true;
+  }
   int Release(size_t node, const std::string& fingerprint) {
     const json body = {{"fingerprint", fingerprint}};
     return nodes_[node]->Operate("POST", "/v1/release", body.dump()).status;
@@ -105,10 +132,10 @@
 
   // The caller sends the request once more, through the next node; servers that
   // ended by it come back. The status that it gets.
-  int Return() {
+  int Return(const std::string& path = kFatalPath) {
     const size_t node = returns_++ % kNodes;
     const int status =
-        nodes_[node]->Call(kFatalPath, absl::StrCat("f", returns_)).status;
+        nodes_[node]->Call(path, absl::StrCat("f", returns_)).status;
     ReviveEnded();
     return status;
   }
@@ -167,20 +194,26 @@
   }
 
   static int CountFatal(const HostedServer& server) {
-    return static_cast<int>(
-        std::ranges::count(server.requests, std::string(kFatalPath),
-                           [](const auto& request) { return request.target; }));
+    return static_cast<int>(std::ranges::count_if(server.requests, IsFatal));
   }
 
-  void ReviveEnded() {
+  // Starts the servers anew that have ended; which these are.
+  std::vector<size_t> RestartEnded() {
+    std::vector<size_t> ended;
     for (size_t i = 0; i < kNodes; ++i) {
       bool has_ended = false;
       platform_.Run([&] { has_ended = !servers_[i]->listener; });
       if (!has_ended)
         continue;
-      platform_.Restart(*servers_[i], absl::StrCat("i-", i, "-", returns_));
-      nodes_[i]->Announce(*servers_[i], "ready", 1);
+      platform_.Restart(*servers_[i], absl::StrCat("i-", i, "-", ++starts_));
+      ended.push_back(i);
     }
+    return ended;
+  }
+
+  void ReviveEnded() {
+    for (const size_t i : RestartEnded())
+      nodes_[i]->Announce(*servers_[i], "ready", 1);
   }
 
   std::filesystem::path folder_;
@@ -188,6 +221,7 @@
   std::array<HostedServer*, kNodes> servers_{};
   std::array<std::unique_ptr<HostedNode>, kNodes> nodes_;
   size_t returns_ = 0;
+  size_t starts_ = 0;  // Of servers, anew.
   int others_ = 0;
 };
 
@@ -210,8 +244,8 @@
       scene.Return();
       return scene.Ends() > kServersToTell;
     }));
+    REQUIRE(WaitUntil([&] { return scene.IsHeldForLongEverywhere(); }));
     const int held = scene.Arrivals();
-    REQUIRE(WaitUntil([&] { return scene.Return() == 503; }));
 
     SECTION("which its callers are told at once, as it did not run") {
       for (int i = 0; i < kReturns; ++i)
@@ -220,15 +254,12 @@
     }
     SECTION("which operators are shown at any node, and may end") {
       const json shown = scene.Held(2);
-      REQUIRE(shown.size() == 1);
-      CHECK(shown[0].at("verdict") == "quarantined");
-      CHECK(shown[0].at("ends").size() > kServersToTell);
       CHECK(shown[0].at("ends")[0].at("node").get<std::string>().size() == 2);
       const std::string fingerprint = shown[0].at("fingerprint");
       CHECK(scene.Release(1, "nonsense") == 400);
       CHECK(scene.Release(1, "0123456789abcdef") == 404);
       CHECK(scene.Release(1, fingerprint) == 200);
-      CHECK(WaitUntil([&] { return scene.Held(3).empty(); }));
+      CHECK(WaitUntil([&] { return scene.HoldsNowhere(); }));
       scene.Return();
       CHECK(scene.Arrivals() > held);
     }
@@ -249,17 +280,19 @@
 
 TEST_CASE("all nodes are started anew between the second and the third end") {
   Scene scene;
-  REQUIRE(WaitUntil([&] {
-    scene.Return();
-    return scene.Ends() == 2;
-  }));
+  scene.Return(kFatalWrite);
+  scene.Return(kFatalWrite);
+  REQUIRE(scene.Ends() == 2);
   REQUIRE(WaitUntil([&] { return scene.StoredMarks() == 2; }));
   scene.RestartNodes();
   std::this_thread::sleep_for(kTimeToHear);
 
   SECTION("the request is in quarantine with the third") {
-    REQUIRE(WaitUntil([&] { return scene.Return() == 503; }));
-    CHECK(scene.Ends() == kServersToTell);
+    REQUIRE(WaitUntil([&] { return scene.Return(kFatalWrite) == 503; }));
+    // Two that were known before, and one. A return that comes while the news
+    // of it are on their way may end one more; if nothing had been known, it
+    // would have taken three.
+    CHECK(scene.Ends() < 2 + kServersToTell);
   }
 }
 
--- a/tests/support/hosted_node.cc
+++ b/tests/support/hosted_node.cc
@@ -81,7 +81,7 @@
                           int sequence) {
   const std::string body =
       absl::StrCat(R"({"service":")", server.service, R"(","address":")",
-                   server.listener->address().ToString(),
+                   server.address.ToString(),
                    R"(","zone":"z","version":"v1","slots":12,"state":")", state,
                    R"(","cold_for":"0ms","sequence":)", sequence, "}");
   const auto answer =
