Split serving off the gate and mend what the lint found

Ruled out: keeping Admit as one function; a copy of an attempt that is here was told "not run" when its fingerprint got a verdict meanwhile, which the split made plain. Change: gate_serving.cc holds handing over, ends and stopping; Admit asks TurnsAway first, Start asks RefusalAtStart; a copy of a known attempt is answered as a copy. No other behaviour is meant to change.

--- a/src/libs/membership/member_table.cc
+++ b/src/libs/membership/member_table.cc
@@ -156,6 +156,7 @@
       best.pop_back();
   }
   std::vector<const MemberEntry*> chosen;
+  chosen.reserve(best.size());
   for (const auto& [rank, entry] : best)
     chosen.push_back(entry);
   return chosen;
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -81,8 +81,8 @@
       control_listener_(loop, keys),
       control_caller_(http_, keys),
       quarantine_(loop,
-                  [this](quarantine::SharedVerdicts verdicts) {
-                    outputs_.publish_verdicts(std::move(verdicts));
+                  [this](const quarantine::SharedVerdicts& verdicts) {
+                    outputs_.publish_verdicts(verdicts);
                     evidence_store_.OnChanged();
                   }),
       membership_(loop,
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -41,7 +41,7 @@
   struct Outputs {
     std::function<void(TrafficSnapshot)> publish_snapshot;
     std::function<void(ServerState)> publish_server;
-    std::function<void(quarantine::SharedVerdicts)> publish_verdicts;
+    std::function<void(const quarantine::SharedVerdicts&)> publish_verdicts;
     // The nodes of this node's service, repeated also without a change.
     std::function<void(std::vector<keys::OwnerNode>, base::Instant as_of)>
         publish_key_view;
--- a/src/libs/node/evidence_store.cc
+++ b/src/libs/node/evidence_store.cc
@@ -21,6 +21,7 @@
 
 std::vector<RequestEvidence> EvidenceOf(const std::vector<HeldRequest>& held) {
   std::vector<RequestEvidence> all;
+  all.reserve(held.size());
   for (const HeldRequest& request : held)
     all.push_back(request.evidence);
   return all;
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -4,11 +4,9 @@
 #include <utility>
 
 #include "base/encoding.h"
-#include "node/answer_relay.h"
 #include "node/attempt_sender.h"
 #include "node/attempt_settler.h"
 #include "node/request_log.h"
-#include "node/server_answer.h"
 #include "telemetry/log.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
@@ -21,7 +19,6 @@
 
 using admission::AdmissionActions;
 using admission::AttemptState;
-using admission::ServerResult;
 
 constexpr std::chrono::milliseconds kTickInterval(10);
 constexpr std::chrono::milliseconds kReportInterval(200);
@@ -108,21 +105,6 @@
   DropQuarantined();
 }
 
-void Gate::DropQuarantined() {
-  const base::Instant now = base::Clock::now();
-  std::vector<AttemptId> dropped;
-  for (const auto& [id, attempt] : attempts_) {
-    const auto refusal = guard_.Judge(attempt->guarded, now);
-    if (refusal && refusal->error == ErrorKind::kRequestQuarantined)
-      dropped.push_back(id);
-  }
-  for (const AttemptId& id : dropped) {
-    const auto found = attempts_.find(id);
-    if (found != attempts_.end())
-      CancelAttempt(id, found->second->may_stop);
-  }
-}
-
 void Gate::SetKeyView(std::vector<keys::OwnerNode> nodes, base::Instant as_of) {
   keyed_requests_.SetView(std::move(nodes), as_of);
 }
@@ -189,32 +171,10 @@
 }
 
 void Gate::Admit(GateArrival arrival) {
-  const wire::PeerRequestHead& head = arrival.head;
-  if (!server_.announced || server_.service != head.service ||
-      observer_.is_replaced()) {
-    SendAnswer(arrival.reply, wire::MakeErrorAnswer(ErrorKind::kNoServer));
-    return;
-  }
   const base::Instant now = base::Clock::now();
-  if (const auto refusal =
-          guard_.Judge({head.fingerprint, head.is_suspect}, now)) {
-    LogDecision({.request = head.request_name,
-                 .fingerprint = head.fingerprint,
-                 .error = refusal->error});
-    SendAnswer(arrival.reply,
-               wire::MakePeerErrorAnswer(refusal->error, refusal->retry_after));
-    return;
-  }
-  if (head.may_move && server_.TakesWork() && HandsBack(head, now)) {
-    LogDecision({.request = head.request_name,
-                 .fingerprint = head.fingerprint,
-                 .error = ErrorKind::kServerSlow,
-                 .admitted_slowness = observer_.pace().Slowness(now),
-                 .slowness_age = observer_.pace().Age(now),
-                 .usual_strain = head.usual_strain});
-    SendAnswer(arrival.reply, wire::MakeErrorAnswer(ErrorKind::kServerSlow));
+  if (TurnsAway(arrival, now))
     return;
-  }
+  const wire::PeerRequestHead& head = arrival.head;
   const admission::Arrival asked{head.attempt, head.tenant, head.traffic_class,
                                  arrival.deadline, arrival.target};
   if (arrival.is_inquiry) {
@@ -237,6 +197,36 @@
   Perform(actions);
 }
 
+bool Gate::TurnsAway(GateArrival& arrival, base::Instant now) {
+  const wire::PeerRequestHead& head = arrival.head;
+  if (!server_.announced || server_.service != head.service ||
+      observer_.is_replaced()) {
+    SendAnswer(arrival.reply, wire::MakeErrorAnswer(ErrorKind::kNoServer));
+    return true;
+  }
+  // A copy of an attempt that is here must not hear that it does not run.
+  const bool is_new = admission_.State(head.attempt) == AttemptState::kUnknown;
+  const auto refusal = guard_.Judge({head.fingerprint, head.is_suspect}, now);
+  if (refusal && is_new) {
+    LogDecision({.request = head.request_name,
+                 .fingerprint = head.fingerprint,
+                 .error = refusal->error});
+    SendAnswer(arrival.reply,
+               wire::MakePeerErrorAnswer(refusal->error, refusal->retry_after));
+    return true;
+  }
+  if (!head.may_move || !server_.TakesWork() || !HandsBack(head, now))
+    return false;
+  LogDecision({.request = head.request_name,
+               .fingerprint = head.fingerprint,
+               .error = ErrorKind::kServerSlow,
+               .admitted_slowness = observer_.pace().Slowness(now),
+               .slowness_age = observer_.pace().Age(now),
+               .usual_strain = head.usual_strain});
+  SendAnswer(arrival.reply, wire::MakeErrorAnswer(ErrorKind::kServerSlow));
+  return true;
+}
+
 void Gate::AnswerInquiry(const admission::Arrival& asked, net::Reply& reply) {
   if (const auto refused = admission_.Judge(asked, base::Clock::now())) {
     SendAnswer(reply,
@@ -282,54 +272,6 @@
                         : admission_.State(request.attempt);
 }
 
-// Returns the state after it; kRunning: it runs on or, if stopped, ran until
-// now and may have taken effect.
-AttemptState Gate::CancelAttempt(const AttemptId& id, bool stop_running) {
-  const base::Instant now = base::Clock::now();
-  const AttemptState before = admission_.Cancel(id, now);
-  if (before == AttemptState::kQueued) {
-    Refuse(id, ErrorKind::kCancelled, {});
-    return AttemptState::kNeverRuns;
-  }
-  if (before != AttemptState::kRunning)
-    return before;
-  if (CancelUnsent(id, now))
-    return AttemptState::kNeverRuns;
-  if (!stop_running)
-    return before;
-  auto node = attempts_.extract(id);
-  if (!node.empty()) {
-    client_.Cancel(node.mapped()->transfer);
-    running_.OnEnded(node.mapped()->name);
-    guard_.OnEnded(id, node.mapped()->guarded.fingerprint, std::nullopt, now);
-    Record(*node.mapped(), ErrorKind::kConnectionLost, now);
-    Answer(*node.mapped(), wire::MakeErrorAnswer(ErrorKind::kConnectionLost));
-  }
-  Perform(admission_.Finish(id, now, ServerResult::kUncertain));
-  CheckEmpty();
-  return before;
-}
-
-bool Gate::CancelUnsent(const AttemptId& id, base::Instant now) {
-  const auto found = attempts_.find(id);
-  if (found == attempts_.end() || client_.IsSent(found->second->transfer))
-    return false;
-  client_.Cancel(found->second->transfer);
-  running_.OnEnded(found->second->name);
-  guard_.OnEnded(id, found->second->guarded.fingerprint, std::nullopt, now);
-  Refuse(id, ErrorKind::kCancelled, {});
-  Perform(admission_.Finish(id, now, ServerResult::kNotSent));
-  CheckEmpty();
-  return true;
-}
-
-void Gate::OnPeerGone(const AttemptId& id) {
-  const auto found = attempts_.find(id);
-  if (found == attempts_.end())
-    return;
-  CancelAttempt(id, found->second->may_stop);
-}
-
 void Gate::Perform(AdmissionActions actions) {
   for (size_t i = 0; i < actions.size(); ++i) {
     const admission::AdmissionAction action = actions[i];
@@ -342,121 +284,6 @@
   }
 }
 
-AdmissionActions Gate::Start(const AttemptId& id) {
-  const auto found = attempts_.find(id);
-  if (found == attempts_.end())
-    return {};
-  // Read anew: the process may have been stopped since the decision.
-  const base::Instant now = base::Clock::now();
-  if (!admission_.MaySend(id, now)) {
-    Refuse(id, ErrorKind::kDeadlineTooClose, {});
-    return admission_.Finish(id, now, ServerResult::kNotSent);
-  }
-  if (!keyed_requests_.MayStart(id, now)) {
-    Refuse(id, ErrorKind::kKeyRecordUnavailable, {});
-    return admission_.Finish(id, now, ServerResult::kNotSent);
-  }
-  GateAttempt& attempt = *found->second;
-  // It may have waited while the verdict was passed.
-  if (const auto refusal = guard_.Judge(attempt.guarded, now)) {
-    Refuse(id, refusal->error, refusal->retry_after);
-    return admission_.Finish(id, now, ServerResult::kNotSent);
-  }
-  net::HttpRequest request = std::move(attempt.request);
-  net::RemoveHopByHop(request.headers);
-  net::RemoveHeader(request.headers, "Content-Length");
-  attempt.started_at = now;
-  attempt.life = server_.life;
-  attempt.instance = server_.instance;
-  running_.OnStarted(attempt.name);
-  guard_.OnStarted(id, attempt.guarded);
-  const base::Duration remaining = attempt.deadline - now;
-  protocol_.prepare(request, {remaining, server_.instance});
-  attempt.transfer = client_.Stream(
-      server_.address, std::move(request), remaining,
-      [this, id](const auto& head) { return StartRelay(id, head); },
-      [this, id](std::string_view part) { return RelayPart(id, part); },
-      [this, id](auto result) { OnServerDone(id, std::move(result)); });
-  return {};
-}
-
-bool Gate::StartRelay(const AttemptId& id, const net::HttpAnswer& head) {
-  const auto found = attempts_.find(id);
-  if (found == attempts_.end() ||
-      protocol_.judge(head) != ServerVerdict::kAnswered) {
-    return false;
-  }
-  GateAttempt& attempt = *found->second;
-  if (!IsRelayed(attempt.method, head))
-    return false;
-  const base::Instant now = base::Clock::now();
-  keyed_requests_.OnStreamed(id, now);
-  const base::Duration server_time = now - *attempt.started_at;
-  net::HttpAnswer answer = ForPeer(head, server_time);
-  AddLoad(answer);
-  attempt.relay = std::make_unique<AnswerRelay>(
-      client_, attempt.transfer, std::move(answer), std::move(attempt.reply),
-      [this, id] { loop_.Defer(this, [this, id] { OnPeerGone(id); }); });
-  return true;
-}
-
-bool Gate::RelayPart(const AttemptId& id, std::string_view part) {
-  const auto found = attempts_.find(id);
-  return found == attempts_.end() || found->second->relay->Write(part);
-}
-
-void Gate::OnServerDone(const AttemptId& id, net::TransferResult result) {
-  const base::Instant now = base::Clock::now();
-  const ServerVerdict verdict = result.end == net::TransferEnd::kComplete
-                                    ? protocol_.judge(result.answer)
-                                    : ServerVerdict::kUnusable;
-  const auto ended = attempts_.find(id);
-  const bool has_failed_call =
-      ended != attempts_.end() && running_.OnEnded(ended->second->name);
-  RequestEnd end{.end = result.end,
-                 .verdict = verdict,
-                 .has_failed_call = has_failed_call,
-                 .is_refused = result.is_refused};
-  if (ended != attempts_.end()) {
-    end.life = ended->second->life;
-    end.fingerprint = ended->second->guarded.fingerprint;
-    end.is_suspect = ended->second->guarded.is_suspect;
-    end.started_at = *ended->second->started_at;
-    end.instance = ended->second->instance;
-  }
-  observer_.OnRequestEnd(end, result.answer, now);
-  // Also an answer that cannot be handed on comes from a server that goes on.
-  const bool is_answered = result.end == net::TransferEnd::kComplete &&
-                           (verdict == ServerVerdict::kAnswered ||
-                            verdict == ServerVerdict::kUnusable);
-  if (guard_.OnEnded(id, end.fingerprint,
-                     is_answered ? std::optional(end.life) : std::nullopt,
-                     now)) {
-    outputs_.suspect_answered(end.fingerprint);
-  }
-  AdmissionActions actions =
-      admission_.Finish(id, now, ToServerResult(result.end, verdict));
-  auto node = attempts_.extract(id);
-  if (!node.empty()) {
-    GateAttempt& attempt = *node.mapped();
-    const auto error = ErrorOf(result.end, verdict);
-    Record(attempt, error, now);
-    if (attempt.relay) {
-      attempt.relay->End(result.end);
-    } else if (error) {
-      Answer(attempt, wire::MakeErrorAnswer(*error));
-    } else {
-      net::HttpAnswer answer =
-          ForPeer(std::move(result.answer), now - *attempt.started_at);
-      if (has_failed_call)
-        answer.headers.push_back({wire::kCallFailedHeader, "1"});
-      Answer(attempt, std::move(answer));
-    }
-  }
-  Perform(std::move(actions));
-  CheckEmpty();
-}
-
 void Gate::Refuse(const AttemptId& id,
                   ErrorKind error,
                   base::Duration retry_after) {
@@ -526,19 +353,6 @@
   ticker_ = loop_.CallAfter(kTickInterval, [this] { Tick(); });
 }
 
-void Gate::OnServerEnded(const std::vector<admission::BrokenRequest>& broken) {
-  LogServerEnd(server_.service, broken);
-  std::vector<quarantine::RunningRequest> running;
-  for (const admission::BrokenRequest& request : broken) {
-    running.push_back({request.fingerprint,
-                       request.broken_at - request.started_at,
-                       request.is_suspect});
-  }
-  const quarantine::CrashId crash{identity_.id,
-                                  static_cast<uint32_t>(broken.front().life)};
-  outputs_.server_crash(guard_.Blame(crash, running, base::Clock::now()));
-}
-
 void Gate::CheckEmpty() {
   if (!admission_.IsEmpty())
     return;
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -74,6 +74,7 @@
   size_t in_flight() const { return attempts_.size(); }
 
  private:
+  // gate.cc: taking attempts, and answering the nodes that sent them.
   void OnRequest(net::HttpRequest request, net::Reply reply);
   bool IsAuthorized(const wire::PeerRequestHead& head,
                     const net::HttpHeaders& headers) const;
@@ -83,39 +84,23 @@
   // Admits those that waited for the server's word on its pace.
   void AdmitWaiting();
   void Admit(GateArrival arrival);
+  // Whether the attempt was answered because the server is not to have it.
+  bool TurnsAway(GateArrival& arrival, base::Instant now);
   // Says whether the attempt would be let in now. Nothing is kept of it.
   void AnswerInquiry(const admission::Arrival& asked, net::Reply& reply);
   void Keep(GateArrival arrival);
   // Whether another server would do better with a request that may move.
   bool HandsBack(const wire::PeerRequestHead& head, base::Instant now) const;
   admission::AttemptState Settle(const SettleRequest& request);
-  admission::AttemptState CancelAttempt(const base::AttemptId& id,
-                                        bool stop_running);
-  // Whether the attempt was admitted, but waited for a connection to the
-  // server: then it never runs.
-  bool CancelUnsent(const base::AttemptId& id, base::Instant now);
-  void OnPeerGone(const base::AttemptId& id);
   void Perform(admission::AdmissionActions actions);
-  // Hands the attempt to the server. Returns what to do next if it is too
-  // late for it.
-  admission::AdmissionActions Start(const base::AttemptId& id);
-  // Hands the answer on as it comes, if it is large.
-  bool StartRelay(const base::AttemptId& id, const net::HttpAnswer& head);
-  bool RelayPart(const base::AttemptId& id, std::string_view part);
-  void OnServerDone(const base::AttemptId& id, net::TransferResult result);
   void Refuse(const base::AttemptId& id,
               base::ErrorKind error,
               base::Duration retry_after);
   void Record(const GateAttempt& attempt,
               std::optional<base::ErrorKind> error,
               base::Instant now);
-  // Refuses what waits, and stops what may be stopped, of requests that were
-  // put in quarantine meanwhile.
-  void DropQuarantined();
-  // The server ended while it ran these.
-  void OnServerEnded(const std::vector<admission::BrokenRequest>& broken);
-  // Tells why an attempt has no answer of the server, or a late one.
-  // Adds the state of the server to `decision`.
+  // Tells why an attempt has no answer of the server, or a late one. Adds the
+  // state of the server to `decision`.
   void LogDecision(GateDecision decision) const;
   // Ends an attempt with the answer to it.
   void Answer(GateAttempt& attempt, net::HttpAnswer answer);
@@ -125,6 +110,35 @@
   void CheckEmpty();
   void Report(base::Instant now);
 
+  // gate_serving.cc: what becomes of attempts at the server.
+  // Hands the attempt to the server. Returns what to do next if it is not to
+  // have it any more.
+  admission::AdmissionActions Start(const base::AttemptId& id);
+  std::optional<quarantine::GuardRefusal> RefusalAtStart(
+      const GateAttempt& attempt,
+      base::Instant now);
+  void Serve(GateAttempt& attempt, base::Instant now);
+  // Hands the answer on as it comes, if it is large.
+  bool StartRelay(const base::AttemptId& id, const net::HttpAnswer& head);
+  bool RelayPart(const base::AttemptId& id, std::string_view part);
+  void OnServerDone(const base::AttemptId& id, net::TransferResult result);
+  // Takes note of what the end says of the server and of the request.
+  void NoteEnd(const GateAttempt& attempt,
+               RequestEnd end,
+               const net::TransferResult& result,
+               base::Instant now);
+  // The server ended while it ran these.
+  void OnServerEnded(const std::vector<admission::BrokenRequest>& broken);
+  // Refuses what waits, and stops what may be stopped, of requests that were
+  // put in quarantine meanwhile.
+  void DropQuarantined();
+  admission::AttemptState CancelAttempt(const base::AttemptId& id,
+                                        bool stop_running);
+  // Whether the attempt was admitted, but waited for a connection to the
+  // server: then it never runs.
+  bool CancelUnsent(const base::AttemptId& id, base::Instant now);
+  void OnPeerGone(const base::AttemptId& id);
+
   net::EventLoop& loop_;
   NodeIdentity identity_;
   PeerKeys keys_;
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -120,7 +120,7 @@
              [this](const ServerState& server) {
                gate_loop.Post([this, server] { gate.SetServer(server); });
              },
-             [this](quarantine::SharedVerdicts verdicts) {
+             [this](const quarantine::SharedVerdicts& verdicts) {
                gate_loop.Post([this, verdicts] { gate.SetVerdicts(verdicts); });
                ingress_loop.Post(
                    [this, verdicts] { ingress.SetVerdicts(verdicts); });
--- a/src/libs/node/request_quarantine.h
+++ b/src/libs/node/request_quarantine.h
@@ -26,7 +26,8 @@
 class RequestQuarantine {
  public:
   // Called after each change.
-  using VerdictsHandler = std::function<void(quarantine::SharedVerdicts)>;
+  using VerdictsHandler =
+      std::function<void(const quarantine::SharedVerdicts&)>;
   // The ledger has something new on these requests, to be told to other nodes.
   using TellHandler =
       std::function<void(std::span<const base::RequestFingerprint>)>;
--- a/src/libs/node/seed_keeper.cc
+++ b/src/libs/node/seed_keeper.cc
@@ -127,12 +127,13 @@
 }
 
 void SeedKeeper::TakeOthers(std::vector<store::StoreEntry>& entries) {
-  const auto others = std::ranges::stable_partition(
-      entries, [this](const auto& entry) { return IsSeed(entry); });
+  const auto others = std::stable_partition(
+      entries.begin(), entries.end(),
+      [this](const auto& entry) { return IsSeed(entry); });
   const bool keeps_first = membership::SeedDuty(self_, members_) == size_t{0};
   if (others_)
-    others_({others.begin(), others.end()}, keeps_first);
-  entries.erase(others.begin(), others.end());
+    others_({others, entries.end()}, keeps_first);
+  entries.erase(others, entries.end());
 }
 
 // Seeds lie one level further down, by data centre.
--- a/src/libs/node/server_observer.h
+++ b/src/libs/node/server_observer.h
@@ -24,10 +24,10 @@
 struct RequestEnd {
   net::TransferEnd end = net::TransferEnd::kLost;
   ServerVerdict verdict = ServerVerdict::kUnusable;
-  uint64_t life = 0;  // Of the server, when the request was sent to it.
   // A call failed that the server made for it.
   bool has_failed_call = false;
   bool is_refused = false;  // Nobody listens at the server's address.
+  uint64_t life = 0;        // Of the server, when the request was sent to it.
   base::RequestFingerprint fingerprint;
   bool is_suspect = false;  // By the word of the node that sent it.
   base::Instant started_at;
