Split ingress, control and gossip by what they do

Ruled out: a class of its own for attempts; it would share all of the ingress's members. PeerRequestHead::kLeastRemaining is the one copy. No behaviour changes.

--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -102,7 +102,7 @@
   // Where news come from decides whether they are passed on.
   enum class Source { kDatagram, kPull };
 
-  // gossip.cc: what is known, and telling it.
+  // gossip.cc: what is known.
   void Learn(base::Instant now,
              const NewsItem& item,
              Source source,
@@ -118,6 +118,8 @@
   // Keeps the timers that belong to the entry's state.
   void Track(base::Instant now, const MemberEntry& entry);
   void Replace(MemberEntry entry, GossipOutput& output);
+
+  // gossip_telling.cc: messages, and telling news.
   void TellSoon(base::Instant now, base::NodeId id, bool with_record);
   NewsItem ItemOf(const MemberEntry& entry, bool with_record) const;
   GossipMessage MakeMessage(MessageType type, base::NodeId subject) const;
--- a/src/libs/node/attempt_sender.cc
+++ b/src/libs/node/attempt_sender.cc
@@ -13,7 +13,6 @@
 using calls::AttemptVerdict;
 
 constexpr int kServerError = 500;
-constexpr std::chrono::milliseconds kLeastRemaining(1);
 // The call itself watches its deadline; a transfer must not end before it.
 constexpr std::chrono::milliseconds kTransferSlack(500);
 
@@ -153,8 +152,8 @@
   }
   Held held = *std::exchange(sent.held, nullptr);
   const base::Duration waited = loop_.now() - sent.sent_at;
-  held.head.remaining =
-      std::max<base::Duration>(held.head.remaining - waited, kLeastRemaining);
+  held.head.remaining = std::max<base::Duration>(
+      held.head.remaining - waited, wire::PeerRequestHead::kLeastRemaining);
   if (held.head.target_in) {
     held.head.target_in =
         std::max<base::Duration>(*held.head.target_in - waited, {});
--- /dev/null
+++ b/src/libs/node/control_publishing.cc
@@ -0,0 +1,93 @@
+// What the control thread tells the traffic threads.
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "node/control.h"
+#include "node/key_owner_view.h"
+
+namespace chestnutport::node {
+namespace {
+
+// Several times within the validity of a view.
+constexpr std::chrono::milliseconds kKeyViewInterval(500);
+
+routing::ServerCandidate ToCandidate(const membership::Member& member) {
+  routing::ServerCandidate candidate;
+  candidate.node = member.id;
+  candidate.peer_address = member.peer_address;
+  candidate.data_centre = member.data_centre;
+  candidate.region = member.region;
+  candidate.slots = member.server->slots;
+  if (member.server->draining)
+    candidate.state = routing::ServerState::kDraining;
+  else if (member.state == membership::MemberState::kSuspected)
+    candidate.state = routing::ServerState::kSuspected;
+  return candidate;
+}
+
+void ApplyDeclaration(const declarations::ServiceDeclaration& service,
+                      ServerState& server) {
+  admission::AdmissionOptions& options = server.admission;
+  const double usable = std::floor(options.slots * service.usable_slots);
+  options.slots =
+      std::clamp(static_cast<int>(usable), 1, std::max(1, service.slots));
+  options.queue = service.queue;
+  options.cold_start = service.cold_start;
+  for (const auto& declared : service.classes)
+    options.shares.classes.push_back({declared.name, declared.urgency});
+  for (const auto& declared : service.tenants)
+    options.shares.tenants.push_back({declared.name, declared.share});
+  options.adaptive = service.adapts_limit;
+  server.probes.budget = service.probe_budget;
+  server.probes.quiet = service.probe_quiet;
+  server.probes.stale = service.probe_stale;
+  if (server.health_path.empty())
+    server.health_path = service.health_path;
+}
+
+}  // namespace
+
+void Control::PublishServer() {
+  ServerState server = own_server_.state();
+  for (const auto& service : configuration_.configuration().services) {
+    if (service.name == server.service)
+      ApplyDeclaration(service, server);
+  }
+  outputs_.publish_server(std::move(server));
+}
+
+void Control::PublishSnapshot() {
+  TrafficSnapshot snapshot;
+  snapshot.configuration = configuration_.shared_configuration();
+  for (const membership::Member& member : members_) {
+    if (member.server && member.state != membership::MemberState::kGone)
+      snapshot.servers[member.server->service].push_back(ToCandidate(member));
+  }
+  if (settings_.adapter != settings::AdapterKind::kOwn) {
+    // The most that were seen: a node that is cut off from the others must not
+    // take their part of what all may spend.
+    most_members_ = std::max(most_members_, members_.size());
+    snapshot.retries =
+        calls::PartOfFleet({settings_.fleet_retry_share,
+                            static_cast<double>(settings_.fleet_retry_burst)},
+                           most_members_);
+  }
+  outputs_.publish_snapshot(std::move(snapshot));
+}
+
+void Control::PublishKeyView() {
+  std::vector<routing::ServerCandidate> servers;
+  for (const membership::Member& member : members_) {
+    if (member.server && member.state != membership::MemberState::kGone &&
+        member.server->service == own_server_.state().service) {
+      servers.push_back(ToCandidate(member));
+    }
+  }
+  // Read anew: a loop that was held up must not date its view too early.
+  outputs_.publish_key_view(ToOwnerNodes(servers), base::Clock::now());
+  key_view_timer_ =
+      loop_.CallAfter(kKeyViewInterval, [this] { PublishKeyView(); });
+}
+
+}  // namespace chestnutport::node
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -102,7 +102,11 @@
   void SetTimer(ActiveCall& call);
   // Tells the decision of an event, if the call is still there.
   template <typename Event>
-  void Tell(CallId id, Event event);
+  void Tell(CallId id, Event event) {
+    const auto found = calls_.find(id);
+    if (found != calls_.end())
+      Follow(id, event(*found->second));
+  }
   ServiceTraffic& Traffic(const std::string& service);
 
   net::EventLoop& loop_;
--- a/src/libs/wire/peer_request_head.h
+++ b/src/libs/wire/peer_request_head.h
@@ -15,6 +15,9 @@
 namespace chestnutport::wire {
 
 struct PeerRequestHead {
+  // No less is sent: what is to be done at a deadline is the sender's matter.
+  static constexpr std::chrono::milliseconds kLeastRemaining{1};
+
   base::AttemptId attempt;
   base::NodeId target;  // The life of the node that is meant.
   std::string service;
