Leave a keyed request to the owner of its key, also when it is held

Cause, found by reading: a suspect was sent to the server of its fingerprint, also if it bore an idempotency key, which has one owner; and a held request was refused as not run by any node, though something may have run under its key, of which only the owner's record tells.

Ruled out: to let keyed requests through unjudged. Their owner judges them when they would start.

Change: Ingress::KeyOwner chooses for keyed suspects; ingress nodes refuse no keyed request; Gate::Held leaves copies and keyed requests to the ledger, and a new one is refused when it would start.

Measured: the new sections of gate_quarantine_test and ingress_test failed before (another node asked; "not-run" for an answered key) and pass after.

--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -204,10 +204,7 @@
     SendAnswer(arrival.reply, wire::MakeErrorAnswer(ErrorKind::kNoServer));
     return true;
   }
-  // A copy of an attempt that is here must not hear that it does not run.
-  const bool is_new = admission_.State(head.attempt) == AttemptState::kUnknown;
-  const auto refusal = guard_.Judge({head.fingerprint, head.is_suspect}, now);
-  if (refusal && is_new) {
+  if (const auto refusal = Held(arrival, now)) {
     LogDecision({.request = head.request_name,
                  .fingerprint = head.fingerprint,
                  .error = refusal->error});
@@ -227,6 +224,19 @@
   return true;
 }
 
+std::optional<quarantine::GuardRefusal> Gate::Held(const GateArrival& arrival,
+                                                   base::Instant now) const {
+  const wire::PeerRequestHead& head = arrival.head;
+  // A copy of an attempt that is here must not hear that it does not run.
+  const bool is_new = admission_.State(head.attempt) == AttemptState::kUnknown;
+  // What ran under a key is answered from its record; what is new to it is
+  // refused when it would start.
+  const bool has_key = KeyedRequests::HasKey(arrival.request);
+  if (!is_new || has_key)
+    return std::nullopt;
+  return guard_.Judge({head.fingerprint, head.is_suspect}, now);
+}
+
 void Gate::AnswerInquiry(const admission::Arrival& asked, net::Reply& reply) {
   if (const auto refused = admission_.Judge(asked, base::Clock::now())) {
     SendAnswer(reply,
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -86,6 +86,9 @@
   void Admit(GateArrival arrival);
   // Whether the attempt was answered because the server is not to have it.
   bool TurnsAway(GateArrival& arrival, base::Instant now);
+  // Why the request is held back, if it is so before it is queued.
+  std::optional<quarantine::GuardRefusal> Held(const GateArrival& arrival,
+                                               base::Instant now) const;
   // Says whether the attempt would be let in now. Nothing is kept of it.
   void AnswerInquiry(const admission::Arrival& asked, net::Reply& reply);
   void Keep(GateArrival arrival);
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -172,7 +172,9 @@
 bool Ingress::RefuseQuarantined(const CallerRequest& request,
                                 net::Reply& reply) {
   const quarantine::VerdictUntil verdict = verdicts_->Of(request.fingerprint);
-  if (verdict.verdict != quarantine::Verdict::kQuarantined)
+  // What became of a key is for its owner to say.
+  const bool has_key = !request.idempotency_key.empty();
+  if (has_key || verdict.verdict != quarantine::Verdict::kQuarantined)
     return false;
   constexpr auto kError = base::ErrorKind::kRequestQuarantined;
   recorder_.Record(
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -82,11 +82,13 @@
   // Null if there is none.
   const routing::ServerCandidate* ChooseServer(const ActiveCall& call,
                                                base::Instant now);
+  // The one server that may run a request with an idempotency key.
+  const routing::ServerCandidate* KeyOwner(const CallerRequest& request);
   // Whether servers ended with the request twice, by what this node knows of it
   // or by the call's own attempts.
   bool IsSuspect(const ActiveCall& call) const;
-  // The one server, of those that were not tried, that runs the suspect; null
-  // if there is none, or an attempt is under way.
+  // The one server, of those that were not tried, that runs the suspect, or the
+  // owner of its key; null if there is none, or an attempt is under way.
   const routing::ServerCandidate* ChooseForSuspect(const ActiveCall& call);
   // For a request that is no suspect. Null if there is none.
   const routing::ServerCandidate* ChooseForAttempt(ActiveCall& call,
--- a/src/libs/node/ingress_attempts.cc
+++ b/src/libs/node/ingress_attempts.cc
@@ -66,9 +66,13 @@
 
 const routing::ServerCandidate* Ingress::ChooseServer(const ActiveCall& call,
                                                       base::Instant now) {
-  const CallerRequest& request = call.request;
-  if (request.idempotency_key.empty())
-    return call.service->chooser().Choose(call.tried, now, random_);
+  if (!call.request.idempotency_key.empty())
+    return KeyOwner(call.request);
+  return call.service->chooser().Choose(call.tried, now, random_);
+}
+
+const routing::ServerCandidate* Ingress::KeyOwner(
+    const CallerRequest& request) {
   const keys::KeyScope scope{request.service, request.tenant,
                              request.idempotency_key};
   return OwnerAmong(scope.Hash(), snapshot_.servers[request.service]);
@@ -92,6 +96,8 @@
       });
   if (is_under_way)
     return nullptr;
+  if (!call.request.idempotency_key.empty())
+    return KeyOwner(call.request);
   return OwnerAmong(call.request.fingerprint.value,
                     snapshot_.servers[call.request.service], call.tried);
 }
@@ -162,7 +168,8 @@
   head.usual_strain = call.service->chooser().UsualStrain();
   head.may_move = has_others && attempt < request.moves.if_poor;
   head.may_move_if_full = has_others && attempt < request.moves.if_full;
-  head.remaining = std::max<base::Duration>(remaining, wire::PeerRequestHead::kLeastRemaining);
+  head.remaining = std::max<base::Duration>(
+      remaining, wire::PeerRequestHead::kLeastRemaining);
   return head;
 }
 
--- a/src/libs/node/keyed_requests.cc
+++ b/src/libs/node/keyed_requests.cc
@@ -14,6 +14,11 @@
 using keys::ClaimVerdict;
 using keys::Standing;
 
+// Set by the ingress node on each request that is bound to its key's owner.
+std::string_view KeyAge(const net::HttpRequest& request) {
+  return net::FindHeader(request.headers, wire::kKeyAgeHeader);
+}
+
 // Nothing if the key may be used.
 std::optional<net::HttpAnswer> AnswerTo(const keys::StandingAnswer& standing) {
   switch (standing.standing) {
@@ -65,13 +70,15 @@
   ledger_.Expire(as_of);
 }
 
+bool KeyedRequests::HasKey(const net::HttpRequest& request) {
+  return !KeyAge(request).empty();
+}
+
 std::optional<net::HttpAnswer> KeyedRequests::Begin(
     const wire::PeerRequestHead& head,
     const net::HttpRequest& request,
     base::Instant now) {
-  // Set by the ingress node on each request that is bound to its key's owner.
-  const std::string_view age =
-      net::FindHeader(request.headers, wire::kKeyAgeHeader);
+  const std::string_view age = KeyAge(request);
   if (age.empty())
     return std::nullopt;
   keys::KeyScope scope{head.service, head.tenant,
--- a/src/libs/node/keyed_requests.h
+++ b/src/libs/node/keyed_requests.h
@@ -25,6 +25,9 @@
   // The nodes of this node's service, as known at `as_of`.
   void SetView(std::vector<keys::OwnerNode> nodes, base::Instant as_of);
 
+  // Whether the request, as another node sends it, bears a key.
+  static bool HasKey(const net::HttpRequest& request);
+
   // Call when an attempt arrives. The answer to give at once; nothing if the
   // attempt is to go on, which it is also if it bears no key.
   std::optional<net::HttpAnswer> Begin(const wire::PeerRequestHead& head,
--- a/src/libs/node/operator_calls.h
+++ b/src/libs/node/operator_calls.h
@@ -24,11 +24,11 @@
                    const std::string& who,
                    net::Reply reply);
 
-// GET /v1/status: this node, and the members that it knows.
-// 200 while callers should be directed to this node: it has a configuration
-// and is not being stopped; else 503.
+// GET /v1/ready: 200 while callers should be directed to this node: it has a
+// configuration and is not being stopped; else 503.
 void AnswerReady(const Control& control, net::Reply reply);
 
+// GET /v1/status: this node, and the members that it knows.
 void AnswerStatus(const Control& control, net::Reply reply);
 
 // GET /v1/revisions: which node holds which revision; each is asked.
--- a/tests/auto/admission/gate_quarantine_test.cc
+++ b/tests/auto/admission/gate_quarantine_test.cc
@@ -3,6 +3,7 @@
 
 #include "node/attempt_sender.h"
 #include "support/gate_scene.h"
+#include "wire/header_names.h"
 
 namespace chestnutport::test {
 namespace {
@@ -81,6 +82,24 @@
     CHECK(scene.Inquire({kOther}).answer.status == node::kPlaceFree);
   }
 
+  SECTION("still gives the answer on record of a key, and runs no new one") {
+    scene.OwnKeys();
+    const auto first = scene.BeginKeyed({kHeld}, "k");
+    REQUIRE(scene.Until([&] { return scene.results.size() == 1; }));
+    REQUIRE(Outcome(scene.results[first.sequence]) == "answered");
+    scene.SetVerdicts(SomeVerdicts());
+    const auto again = scene.BeginKeyed({kHeld}, "k");
+    const auto other = scene.BeginKeyed({kHeld}, "another");
+    REQUIRE(scene.Until([&] { return scene.results.size() == 3; }));
+    CHECK(Outcome(scene.results[again.sequence]) == "answered");
+    const net::TransferResult& refused = scene.results[other.sequence];
+    CHECK(Error(refused) == "request-quarantined");
+    CHECK(Outcome(refused) == "not-run");
+    CHECK(net::FindHeader(refused.answer.headers, wire::kKeyNewHeader) ==
+          "true");
+    CHECK(scene.served.size() == 1);
+  }
+
   SECTION("tells that its server answered a suspect") {
     scene.SetVerdicts(SomeVerdicts());
     scene.BeginGuarded({kSuspect});
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/node/ingress_test.cc
@@ -202,9 +202,10 @@
 }
 
 // Of a GET that the scene's caller sends.
-base::RequestFingerprint FingerprintOfAsk(const std::string& host) {
+base::RequestFingerprint FingerprintOfAsk(const std::string& host,
+                                          std::string_view method = "GET") {
   return base::RequestFingerprint::Of({.tenant = "",
-                                       .method = "GET",
+                                       .method = method,
                                        .host = host,
                                        .target = "/1",
                                        .body = ""});
@@ -289,6 +290,17 @@
     const auto asked = std::ranges::count_if(
         peers, [](const Peer* peer) { return !peer->attempts.empty(); });
     CHECK(asked == 1);
+    SECTION("also of a suspect, and leaves it to the owner what is held") {
+      for (const auto verdict : {quarantine::Verdict::kSuspected,
+                                 quarantine::Verdict::kQuarantined}) {
+        scene.SetVerdict(FingerprintOfAsk(scene.host(), "POST"), verdict);
+        CHECK(scene.Ask("POST", {{wire::kIdempotencyKeyHeader, "k"}}).status ==
+              200);
+      }
+      const auto still_asked = std::ranges::count_if(
+          peers, [](const Peer* peer) { return !peer->attempts.empty(); });
+      CHECK(still_asked == 1);
+    }
   }
 
   SECTION("asks no peer for a request that is in quarantine") {
--- a/tests/support/gate_scene.cc
+++ b/tests/support/gate_scene.cc
@@ -32,6 +32,15 @@
   return head;
 }
 
+wire::PeerRequestHead HeadOf(uint64_t sequence,
+                             const quarantine::GuardedRequest& request) {
+  wire::PeerRequestHead head = MakeHead(sequence);
+  head.fingerprint = request.fingerprint;
+  head.is_suspect = request.is_suspect;
+  head.may_stop = true;
+  return head;
+}
+
 }  // namespace
 
 GateScene::GateScene(const node::AnyServerProtocol& protocol)
@@ -76,16 +85,27 @@
 
 base::AttemptId GateScene::BeginGuarded(
     const quarantine::GuardedRequest& request) {
-  wire::PeerRequestHead head = MakeHead(++last_);
-  head.fingerprint = request.fingerprint;
-  head.is_suspect = request.is_suspect;
-  head.may_stop = true;
-  return Send(head, "GET");
+  return Send(HeadOf(++last_, request), "GET");
+}
+
+base::AttemptId GateScene::BeginKeyed(const quarantine::GuardedRequest& asked,
+                                      const std::string& key) {
+  return Send(
+      HeadOf(++last_, asked), "POST",
+      {{wire::kIdempotencyKeyHeader, key}, {wire::kKeyAgeHeader, "0ms"}});
+}
+
+void GateScene::OwnKeys() {
+  const base::Instant now = base::Clock::now();
+  for (base::Instant at = now - seconds(30); at <= now; at += seconds(1))
+    gate_.SetKeyView({{kGateId}}, at);
 }
 
 base::AttemptId GateScene::Send(const wire::PeerRequestHead& head,
-                                const std::string& method) {
-  net::HttpRequest request{.method = method, .target = "/1"};
+                                const std::string& method,
+                                net::HttpHeaders headers) {
+  net::HttpRequest request{
+      .method = method, .target = "/1", .headers = std::move(headers)};
   head.AppendTo(request.headers, kKeys.current);
   transfers.push_back(
       peer_.Send(address_, std::move(request), seconds(10),
--- a/tests/support/gate_scene.h
+++ b/tests/support/gate_scene.h
@@ -35,6 +35,11 @@
   // The same of a certain request, by the word of the other node a suspect or
   // not.
   base::AttemptId BeginGuarded(const quarantine::GuardedRequest& request);
+  // The same with an idempotency key; see OwnKeys().
+  base::AttemptId BeginKeyed(const quarantine::GuardedRequest& request,
+                             const std::string& key);
+  // Makes the gate's node the owner of all keys.
+  void OwnKeys();
   void SetVerdicts(const quarantine::Verdicts& verdicts) {
     gate_.SetVerdicts(std::make_shared<const quarantine::Verdicts>(verdicts));
   }
@@ -71,7 +76,8 @@
  private:
   void OnServed(net::HttpRequest request, net::Reply reply);
   base::AttemptId Send(const wire::PeerRequestHead& head,
-                       const std::string& method);
+                       const std::string& method,
+                       net::HttpHeaders headers = {});
 
   net::EventLoop loop_;
 
