Say so when evidence on requests cannot be read

Cause: what could not be decoded was taken for nothing known, without a line or a count.

Change: DecodeEvidence and EvidenceSpread::Learn return nothing for it; gossip counts the datagram as malformed and hears the rest of it, the store's entry is logged once as 3010.

Measured: evidence_codec_test, gossip_input_test (a new section: the news of such a datagram are heard, and it is counted once), both pass.

--- a/src/libs/membership/evidence_spread.cc
+++ b/src/libs/membership/evidence_spread.cc
@@ -92,11 +92,14 @@
   return parts;
 }
 
-bool EvidenceSpread::Learn(std::string_view bytes,
-                           bool passes_on,
-                           Instant now) {
+std::optional<bool> EvidenceSpread::Learn(std::string_view bytes,
+                                          bool passes_on,
+                                          Instant now) {
+  const auto all = quarantine::DecodeEvidence(bytes, now);
+  if (!all)
+    return std::nullopt;
   bool is_new = false;
-  for (const RequestEvidence& heard : quarantine::DecodeEvidence(bytes, now)) {
+  for (const RequestEvidence& heard : *all) {
     const bool is_news = ledger_.Merge(heard, now);
     is_new |= is_news;
     const bool is_to_tell = (is_news && passes_on) || KnowsMore(heard);
--- a/src/libs/membership/evidence_spread.h
+++ b/src/libs/membership/evidence_spread.h
@@ -11,6 +11,7 @@
 #define MEMBERSHIP_EVIDENCE_SPREAD_H_
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -61,8 +62,10 @@
   void Postpone(base::Instant next_flush) { next_flush_ = next_flush; }
 
   // What another node told; `passes_on`: others may not know it yet. Returns
-  // whether anything was new.
-  bool Learn(std::string_view bytes, bool passes_on, base::Instant now);
+  // whether anything was new; nothing if it cannot be read.
+  std::optional<bool> Learn(std::string_view bytes,
+                            bool passes_on,
+                            base::Instant now);
   // All that a node that knows nothing has to be told.
   std::string All(base::Instant now) const;
   uint64_t digest() const { return ledger_.digest(); }
--- a/src/libs/membership/gossip.cc
+++ b/src/libs/membership/gossip.cc
@@ -114,7 +114,7 @@
   if (is_trusted) {
     table_.SetRevision(message->sender, message->revision);
     HearRevision(now, *message, output);
-    output.has_evidence |= evidence_.Learn(message->evidence, true, now);
+    LearnEvidence(now, message->evidence, true, output);
     CompareDigest(now, *message);
   }
   switch (message->type) {
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -136,7 +136,11 @@
               ByteBudget& budget,
               GossipOutput& output);
 
-  // gossip_evidence.cc: telling what servers ran when they ended.
+  // gossip_evidence.cc: what servers ran when they ended.
+  void LearnEvidence(base::Instant now,
+                     std::string_view bytes,
+                     bool passes_on,
+                     GossipOutput& output);
   void TellCollector(base::Instant now,
                      const MemberEntry& collector,
                      std::span<const base::RequestFingerprint> requests,
--- a/src/libs/membership/gossip_counters.h
+++ b/src/libs/membership/gossip_counters.h
@@ -10,7 +10,7 @@
   uint64_t sent = 0;             // Datagrams.
   uint64_t sent_bytes = 0;       // Of those, without IP and UDP heads.
   uint64_t unauthenticated = 0;  // Datagrams of another key or fleet.
-  uint64_t malformed = 0;        // Datagrams with a right tag, not readable.
+  uint64_t malformed = 0;  // With a right tag, not or not wholly readable.
   uint64_t pulls = 0;
   uint64_t suspected = 0;  // Members that this node itself suspected.
   uint64_t refuted = 0;    // Times that others were wrong about this node.
--- a/src/libs/membership/gossip_evidence.cc
+++ b/src/libs/membership/gossip_evidence.cc
@@ -35,6 +35,16 @@
     TellCollector(now, *table_.Find(collector), part, output);
 }
 
+void Gossip::LearnEvidence(base::Instant now,
+                           std::string_view bytes,
+                           bool passes_on,
+                           GossipOutput& output) {
+  const auto is_new = evidence_.Learn(bytes, passes_on, now);
+  if (!is_new)
+    ++counters_.malformed;
+  output.has_evidence |= is_new.value_or(false);
+}
+
 void Gossip::TellCollector(base::Instant now,
                            const MemberEntry& collector,
                            std::span<const base::RequestFingerprint> requests,
--- a/src/libs/membership/gossip_pulling.cc
+++ b/src/libs/membership/gossip_pulling.cc
@@ -132,7 +132,7 @@
   const size_t known_before = table_.entries().size();
   for (const NewsItem& item : answer->members)
     Learn(now, item, Source::kPull, output);
-  output.has_evidence |= evidence_.Learn(answer->evidence, false, now);
+  LearnEvidence(now, answer->evidence, false, output);
   evidence_differs_since_ = now;
   DoubtAbsent(*answer);
   const size_t learnt = output.changes.size() - changes_before +
--- a/src/libs/node/evidence_store.cc
+++ b/src/libs/node/evidence_store.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "quarantine/evidence_codec.h"
+#include "telemetry/log.h"
 
 namespace chestnutport::node {
 namespace {
@@ -50,9 +51,7 @@
                              bool writes) {
   writes_ = writes;
   const auto found = std::ranges::find(entries, key_, &store::StoreEntry::key);
-  std::vector<RequestEvidence> stored;
-  if (found != entries.end())
-    stored = quarantine::DecodeEvidence(found->value, loop_.now());
+  const auto stored = Read(found == entries.end() ? "" : found->value);
   quarantine_.Learn(stored);
   const auto held = EvidenceOf(quarantine_.Held());
   const bool is_kept =
@@ -61,6 +60,16 @@
     Write(found == entries.end() ? 0 : found->revision);
 }
 
+std::vector<RequestEvidence> EvidenceStore::Read(const std::string& value) {
+  auto read = quarantine::DecodeEvidence(value, loop_.now());
+  const bool was_unreadable = std::exchange(is_unreadable_, !read);
+  if (!read && !was_unreadable) {
+    telemetry::LogEvent(telemetry::Event::kStoreEntryUnreadable,
+                        {{"key", key_}});
+  }
+  return std::move(read).value_or(std::vector<RequestEvidence>());
+}
+
 void EvidenceStore::OnChanged() {
   if (!writes_ || timer_ != 0)
     return;
--- a/src/libs/node/evidence_store.h
+++ b/src/libs/node/evidence_store.h
@@ -40,6 +40,8 @@
   void OnChanged();
 
  private:
+  // Nothing of an entry that cannot be read; it is logged once.
+  std::vector<quarantine::RequestEvidence> Read(const std::string& value);
   void Write(int64_t expected);
 
   net::EventLoop& loop_;
@@ -48,7 +50,9 @@
   std::string key_;
   ListHandler list_soon_;
   base::Random random_;
-  bool writes_ = false;  // At the last listing.
+  // At the last listing.
+  bool writes_ = false;
+  bool is_unreadable_ = false;
   net::EventLoop::TimerId timer_ = 0;
 };
 
--- a/src/libs/quarantine/evidence_codec.cc
+++ b/src/libs/quarantine/evidence_codec.cc
@@ -119,8 +119,9 @@
   return {buffer.data(), buffer.size()};
 }
 
-std::vector<RequestEvidence> DecodeEvidence(std::string_view bytes,
-                                            Instant now) {
+std::optional<std::vector<RequestEvidence>> DecodeEvidence(
+    std::string_view bytes,
+    Instant now) {
   std::vector<RequestEvidence> all;
   if (bytes.empty())
     return all;
@@ -133,7 +134,7 @@
       all.push_back(Read(object, now));
     }
   } catch (const std::exception&) {
-    return {};
+    return std::nullopt;  // Whoever got it says so.
   }
   return all;
 }
--- a/src/libs/quarantine/evidence_codec.h
+++ b/src/libs/quarantine/evidence_codec.h
@@ -3,6 +3,7 @@
 #ifndef QUARANTINE_EVIDENCE_CODEC_H_
 #define QUARANTINE_EVIDENCE_CODEC_H_
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -20,9 +21,10 @@
 // no evidence.
 std::string EncodeEvidence(std::span<const RequestEvidence> all,
                            base::Instant now);
-// Nothing of what cannot be read.
-std::vector<RequestEvidence> DecodeEvidence(std::string_view bytes,
-                                            base::Instant now);
+// Nothing if any of it cannot be read.
+std::optional<std::vector<RequestEvidence>> DecodeEvidence(
+    std::string_view bytes,
+    base::Instant now);
 
 }  // namespace chestnutport::quarantine
 
--- a/src/libs/quarantine/verdict.h
+++ b/src/libs/quarantine/verdict.h
@@ -22,7 +22,9 @@
 
 struct VerdictUntil {
   Verdict verdict = Verdict::kFree;
-  base::Instant until;  // Of kQuarantined: when it is tried again.
+  // Of kQuarantined: when it is tried again; of kSuspected: when it is
+  // forgotten, if no server ends with it.
+  base::Instant until;
 
   bool operator==(const VerdictUntil&) const = default;
 };
--- a/tests/auto/membership/gossip_input_test.cc
+++ b/tests/auto/membership/gossip_input_test.cc
@@ -49,6 +49,15 @@
     CHECK(fleet.gossip(0).table().digest() == digest);
     CHECK(fleet.gossip(0).counters().unauthenticated == 4);
   }
+  SECTION("one whose evidence cannot be read is heard for the rest of it") {
+    GossipMessage damaged = Slander(fleet);
+    damaged.evidence_digest = 1;
+    damaged.evidence = "\xc1";
+    fleet.Inject(0, DatagramSeal("fleet", kKey, "").Seal(damaged.Encode()));
+    fleet.RunFor(base::Duration(1));
+    CHECK(state_at_0() == MemberState::kLeft);
+    CHECK(fleet.gossip(0).counters().malformed == 1);
+  }
   SECTION("one with the previous key is heard while keys change") {
     const DatagramSeal receiver("fleet", "fedcba9876543210", kKey);
     CHECK(receiver.Open(DatagramSeal("fleet", kKey, "").Seal(message)) ==
--- a/tests/auto/quarantine/evidence_codec_test.cc
+++ b/tests/auto/quarantine/evidence_codec_test.cc
@@ -43,7 +43,9 @@
     const auto sent = SomeEvidence();
     const std::string bytes = EncodeEvidence(sent, kStart);
     const auto shift = std::chrono::hours(5);
-    const auto read = DecodeEvidence(bytes, kStart + shift);
+    const auto decoded = DecodeEvidence(bytes, kStart + shift);
+    RC_ASSERT(decoded.has_value());
+    const auto& read = *decoded;
     RC_ASSERT(read.size() == sent.size());
     size_t size = 5;
     for (size_t i = 0; i < sent.size(); ++i) {
@@ -72,8 +74,8 @@
   });
 
   CHECK(EncodeEvidence({}, kStart).empty());
-  CHECK(DecodeEvidence("", kStart).empty());
-  CHECK(DecodeEvidence("\xc1", kStart).empty());
+  CHECK(DecodeEvidence("", kStart).value().empty());
+  CHECK_FALSE(DecodeEvidence("\xc1", kStart).has_value());
 }
 
 }  // namespace
