Test a request that calls one which ends its servers

A server that makes calls may run beside the request that ends it, so it was to be seen that the outer request does not answer for the one below.

No change of the product was needed.

Stand-in servers may answer later, from their own thread.

--- a/tests/auto/failures/request_ends_servers_test.cc
+++ b/tests/auto/failures/request_ends_servers_test.cc
@@ -50,6 +50,8 @@
 constexpr char kFatalPath[] = "/p/fatal";
 // The same of a request that is sent to one server only.
 constexpr char kFatalWrite[] = "/w/fatal";
+// A request that is innocent itself, but calls the one that ends servers.
+constexpr char kOuterPath[] = "/p/outer";
 
 constexpr char kDocument[] =
     R"({"version":7,"routes":{"columns":["name","host","prefix","routeKind",)"
@@ -77,10 +79,24 @@
       servers_[i]->ends_by = [](const net::HttpRequest& request) {
         return IsFatal(request);
       };
+      servers_[i]->answers_later = [this, i](const net::HttpRequest& request,
+                                             net::Reply& reply) {
+        if (request.target != kOuterPath)
+          return false;
+        CallFrom(i, request, std::move(reply));
+        return true;
+      };
     }
     StartNodes();
   }
   ~Scene() {
+    std::vector<std::jthread> under_way;
+    platform_.Run([&] {
+      for (HostedServer* server : servers_)
+        server->answers_later = nullptr;
+      under_way.swap(nested_);
+    });
+    under_way.clear();
     for (auto& node : nodes_)
       node.reset();
     std::filesystem::remove_all(folder_);
@@ -172,6 +188,20 @@
   }
 
  private:
+  // The server of node `i` answers the request when its own call through its
+  // node has ended, whatever came of it. Runs on the platform's thread.
+  void CallFrom(size_t i, const net::HttpRequest& request, net::Reply reply) {
+    auto held = std::make_shared<net::Reply>(std::move(reply));
+    nested_.emplace_back([this, i, request, held = std::move(held)]() mutable {
+      const std::string name(net::FindHeader(request.headers, "Request-Id"));
+      nodes_[i]->Call(kFatalPath, name + ".1");
+      platform_.Run([&] {
+        held->Send(HostedPlatform::UsualAnswer(*servers_[i], request));
+        held.reset();
+      });
+    });
+  }
+
   void StartNodes() {
     for (size_t i = 0; i < kNodes; ++i) {
       nodes_[i] = std::make_unique<HostedNode>(
@@ -229,6 +259,7 @@
   HostedPlatform platform_;
   std::array<HostedServer*, kNodes> servers_{};
   std::array<std::unique_ptr<HostedNode>, kNodes> nodes_;
+  std::vector<std::jthread> nested_;  // Calls that servers make.
   size_t returns_ = 0;
   size_t starts_ = 0;  // Of servers, anew.
   int others_ = 0;
@@ -287,6 +318,25 @@
   }
 }
 
+TEST_CASE("a request that calls one that ends each server that runs it") {
+  Scene scene;
+  for (int i = 0; i < kReturns && scene.Ends() < kServersToTell; ++i)
+    scene.Return(kOuterPath);
+  std::this_thread::sleep_for(kTimeToHear);
+  const int told = scene.Arrivals();
+
+  SECTION("is served, and only the one below is held") {
+    REQUIRE(WaitUntil([&] {
+      scene.Return(kOuterPath);
+      return scene.IsHeldForLongEverywhere();
+    }));
+    for (int i = 0; i < kReturns; ++i)
+      CHECK(scene.Return(kOuterPath) == 200);
+    CHECK(scene.Arrivals() - told <= kMoreAllowed);
+    CHECK(scene.IsHeldForLongEverywhere());
+  }
+}
+
 TEST_CASE("all nodes are started anew between the second and the third end") {
   Scene scene;
   scene.Return(kFatalWrite);
--- a/tests/support/hosted_platform.cc
+++ b/tests/support/hosted_platform.cc
@@ -35,6 +35,10 @@
           .body = body.dump()};
 }
 
+net::HttpHeaders OwnHeaders(const HostedServer& server) {
+  return {{"Instance-Id", server.instance}, {"Instance-Load", server.load}};
+}
+
 }  // namespace
 
 HostedPlatform::HostedPlatform()
@@ -139,10 +143,8 @@
 void HostedPlatform::OnServed(HostedServer& server,
                               net::HttpRequest request,
                               net::Reply reply) {
-  const net::HttpHeaders own = {{"Instance-Id", server.instance},
-                                {"Instance-Load", server.load}};
   if (request.target == "/healthz") {
-    reply.Send({.status = 200, .headers = own, .body = ""});
+    reply.Send({.status = 200, .headers = OwnHeaders(server), .body = ""});
     return;
   }
   server.requests.push_back(request);
@@ -150,15 +152,20 @@
     EndSoon(server, std::move(reply));
     return;
   }
-  if (server.answer) {
-    reply.Send(server.answer(request));
+  if (server.answers_later && server.answers_later(request, reply))
     return;
-  }
-  net::HttpAnswer answer{.status = 200, .headers = own, .body = "whole"};
+  reply.Send(server.answer ? server.answer(request)
+                           : UsualAnswer(server, request));
+}
+
+net::HttpAnswer HostedPlatform::UsualAnswer(const HostedServer& server,
+                                            const net::HttpRequest& request) {
+  net::HttpAnswer answer{
+      .status = 200, .headers = OwnHeaders(server), .body = "whole"};
   answer.headers.push_back({"Request-Id", std::string(net::FindHeader(
                                               request.headers, "Request-Id"))});
   answer.headers.push_back({"Response-Signature", "proof"});
-  reply.Send(std::move(answer));
+  return answer;
 }
 
 void HostedPlatform::OnStoreCall(const net::HttpRequest& request,
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -33,6 +33,9 @@
   base::SocketAddress address;
   std::vector<net::HttpRequest> requests;  // Without probes.
   std::unique_ptr<net::HttpServer> listener;
+  // Takes a request that is answered later, on the platform's thread; returns
+  // whether it did. Unset: it takes none.
+  std::function<bool(const net::HttpRequest&, net::Reply&)> answers_later;
 };
 
 class HostedPlatform {
@@ -60,6 +63,9 @@
   void Restart(HostedServer& server, const std::string& instance);
   // Runs `task` on the thread of the store and the servers, and waits for it.
   void Run(const std::function<void()>& task);
+  // What a server answers as a rule.
+  static net::HttpAnswer UsualAnswer(const HostedServer& server,
+                                     const net::HttpRequest& request);
   // The requests that a server got so far.
   size_t RequestsOf(HostedServer& server);
 
