Let a call cost one server of a suspect at most

A suspect whose server ended was sent by the same call to another server, before the news of that end had come, which put it in quarantine; so one try cost up to three servers, and another call's was the fourth. The plain case had the same three, none to spare.

Ruled out: late news (the node beside the server that ends tells at once; the call tries again within milliseconds).

Change: once a server ended with an attempt that was sent as a suspect, the call sends no other; its caller is told 502, unknown.

--- a/src/libs/node/active_call.h
+++ b/src/libs/node/active_call.h
@@ -25,6 +25,7 @@
   base::AttemptId id;
   routing::ServerCandidate server;
   base::Instant sent_at;
+  bool is_suspect = false;               // What was sent then was one.
   net::HttpAnswer answer;                // The server's, once it came.
   std::optional<calls::AttemptEnd> end;  // Once it ended.
   base::Instant ended_at;                // Of no meaning before that.
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -88,7 +88,8 @@
   // or by the call's own attempts.
   bool IsSuspect(const ActiveCall& call) const;
   // The one server, of those that were not tried, that runs the suspect, or the
-  // owner of its key; null if there is none, or an attempt is under way.
+  // owner of its key; null if there is none, an attempt is under way, or a
+  // server ended with one: a call takes one server of a suspect at most.
   const routing::ServerCandidate* ChooseForSuspect(const ActiveCall& call);
   // For a request that is no suspect. Null if there is none.
   const routing::ServerCandidate* ChooseForAttempt(ActiveCall& call,
--- a/src/libs/node/ingress_attempts.cc
+++ b/src/libs/node/ingress_attempts.cc
@@ -94,7 +94,13 @@
       std::ranges::any_of(call.attempts, [](const SentAttempt& sent) {
         return sent.sent_at != base::Instant() && !sent.end;
       });
-  if (is_under_way)
+  // The news of the end are on their way, and may put it in quarantine.
+  const bool has_ended_one =
+      std::ranges::any_of(call.attempts, [](const SentAttempt& sent) {
+        return sent.is_suspect && sent.end &&
+               sent.end->error == base::ErrorKind::kServerLost;
+      });
+  if (is_under_way || has_ended_one)
     return nullptr;
   if (!call.request.idempotency_key.empty())
     return KeyOwner(call.request);
@@ -126,6 +132,7 @@
   sent.server = *server;
   sent.sent_at = now;
   wire::PeerRequestHead head = HeadOf(call, attempt, now);
+  sent.is_suspect = is_suspect;
   if (is_suspect) {
     head.is_suspect = true;
     head.may_move = false;
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/node/ingress_test.cc
@@ -335,6 +335,21 @@
           "1");
   }
 
+  SECTION("gives a suspect to no other when its server has ended with it") {
+    std::vector<Peer*> peers;
+    for (int i = 0; i < 3; ++i)
+      peers.push_back(&scene.Add(Behaviour::kLoses));
+    scene.SetVerdict(FingerprintOfAsk(scene.host()),
+                     quarantine::Verdict::kSuspected);
+    const auto answer = scene.Ask("GET", {});
+    CHECK(answer.status == 502);
+    CHECK(Outcome(answer) == "unknown");
+    size_t asked = 0;
+    for (const Peer* peer : peers)
+      asked += peer->attempts.size();
+    CHECK(asked == 1);
+  }
+
   SECTION("takes what two servers ended with for a suspect at once") {
     std::vector<Peer*> peers;
     for (int i = 0; i < 3; ++i)
