Wait for what nodes know in place of a fixed time

Cause: the test of requests that end servers slept for the three seconds that nodes have to hear of an end, four times; it could not see that one had not heard.

Change: it waits until every node lists the request with its ends, for three seconds at most. That is asked of all nodes now, and arrivals count from that moment, so it is stricter.

--- a/tests/auto/failures/request_ends_servers_test.cc
+++ b/tests/auto/failures/request_ends_servers_test.cc
@@ -42,7 +42,7 @@
 constexpr size_t kNodes = 4;
 constexpr int kSlots = 12;  // As servers announce.
 // The aim: a request that ended three servers is given to three more at most,
-// once the nodes had this time to hear of the third end.
+// once all nodes have heard of the third end, for which they have this time.
 constexpr int kServersToTell = 3;
 constexpr int kMoreAllowed = 3;
 constexpr std::chrono::seconds kTimeToHear(3);
@@ -117,6 +117,18 @@
     return json::parse(nodes_[node]->Operate("GET", "/v1/quarantine").body)
         .at("requests");
   }
+  // Whether every node lists a request with which so many servers ended.
+  bool KnowEverywhere(size_t ends) {
+    for (size_t node = 0; node < kNodes; ++node) {
+      const json held = Held(node);
+      const bool knows = std::ranges::any_of(held, [ends](const json& request) {
+        return request.at("ends").size() >= ends;
+      });
+      if (!knows)
+        return false;
+    }
+    return true;
+  }
   // Whether every node knows of one end more than the first hold takes.
   bool IsHeldForLongEverywhere() {
     for (size_t node = 0; node < kNodes; ++node) {
@@ -269,7 +281,8 @@
   Scene scene;
   for (int i = 0; i < kReturns && scene.Ends() < kServersToTell; ++i)
     scene.Return();
-  std::this_thread::sleep_for(kTimeToHear);
+  REQUIRE(WaitUntil([&] { return scene.KnowEverywhere(kServersToTell); },
+                    kTimeToHear));
   const int told = scene.Arrivals();
 
   SECTION("reaches few servers once it has ended three") {
@@ -306,7 +319,8 @@
     SECTION("also when all nodes were started anew") {
       REQUIRE(WaitUntil([&] { return scene.StoredMarks() > kServersToTell; }));
       scene.RestartNodes();
-      std::this_thread::sleep_for(kTimeToHear);
+      REQUIRE(WaitUntil([&] { return scene.IsHeldForLongEverywhere(); },
+                        kTimeToHear));
       for (int i = 0; i < kReturns; ++i)
         scene.Return();
       CHECK(scene.Arrivals() == held);
@@ -322,7 +336,8 @@
   Scene scene;
   for (int i = 0; i < kReturns && scene.Ends() < kServersToTell; ++i)
     scene.Return(kOuterPath);
-  std::this_thread::sleep_for(kTimeToHear);
+  REQUIRE(WaitUntil([&] { return scene.KnowEverywhere(kServersToTell); },
+                    kTimeToHear));
   const int told = scene.Arrivals();
 
   SECTION("is served, and only the one below is held") {
@@ -344,7 +359,7 @@
   REQUIRE(scene.Ends() == 2);
   REQUIRE(WaitUntil([&] { return scene.StoredMarks() == 2; }));
   scene.RestartNodes();
-  std::this_thread::sleep_for(kTimeToHear);
+  REQUIRE(WaitUntil([&] { return scene.KnowEverywhere(2); }, kTimeToHear));
 
   SECTION("the request is in quarantine with the third") {
     REQUIRE(WaitUntil([&] { return scene.Return(kFatalWrite) == 503; }));
