--- a/tests/auto/membership/evidence_spread_test.cc
+++ b/tests/auto/membership/evidence_spread_test.cc
@@ -122,6 +122,19 @@
   }
 }
 
+TEST_CASE("nodes that saw the ends may be gone at once") {
+  const size_t members = GENERATE(size_t{30}, size_t{295});
+  test::GossipFleet fleet({.members = members, .seed = 17});
+  fleet.RunFor(seconds(1));
+  for (const size_t slot : {size_t{1}, members / 2, members - 1}) {
+    fleet.EndServer(slot, 1, {{kGuilty, kRun, true}});
+    fleet.RunFor(milliseconds(30));
+    fleet.Kill(slot);
+    fleet.RunFor(milliseconds(100));
+  }
+  CHECK(fleet.RunUntil([&] { return AllHold(fleet); }, kTimeToHear));
+}
+
 TEST_CASE("a node that was not there hears of it too") {
   constexpr size_t kMembers = 30;
   constexpr size_t kAbsent = 4;
