--- a/src/app/chestnutport/commands.cc
+++ b/src/app/chestnutport/commands.cc
@@ -35,6 +35,15 @@
             "Makes a node's server take no new work; NODE is its name or "
             "identity, by default the node that is asked.",
             &Drain},
+    Command{"evacuate", "DATA-CENTRE [PLAN]",
+            "Shows what is left of each service without a data centre's "
+            "servers; with the plan that it shows, makes them take no new "
+            "work.",
+            &Evacuate},
+    Command{"evacuations", "", "Shows the data centres that are evacuated.",
+            &Evacuations},
+    Command{"readmit", "DATA-CENTRE [PLAN]",
+            "The same, to take an evacuation back.", &Readmit},
     Command{"explain", "REQUEST LOGFILE...",
             "Puts the log lines of one request from several nodes in order, "
             "and says why it ended as it did. Needs no node.",
--- a/src/app/chestnutport/commands.h
+++ b/src/app/chestnutport/commands.h
@@ -54,6 +54,9 @@
 ExitCode Explain(const CommandContext& context, const Words& words);
 ExitCode Quarantine(const CommandContext& context, const Words& words);
 ExitCode Release(const CommandContext& context, const Words& words);
+ExitCode Evacuations(const CommandContext& context, const Words& words);
+ExitCode Evacuate(const CommandContext& context, const Words& words);
+ExitCode Readmit(const CommandContext& context, const Words& words);
 ExitCode Undrain(const CommandContext& context, const Words& words);
 
 }  // namespace chestnutport::cli
--- a/src/libs/admission/admission_controller.cc
+++ b/src/libs/admission/admission_controller.cc
@@ -25,13 +25,15 @@
     : options_(options),
       ledger_(options.ledger),
       queue_(options.shares),
-      limit_(options.slots) {
+      limit_(options.slots),
+      cold_(options.cold) {
   limit_.set_cold_ramp(options.cold_start);
 }
 
 void AdmissionController::set_options(const AdmissionOptions& options) {
   limit_.SetSlots(options.slots);
   limit_.set_cold_ramp(options.cold_start);
+  cold_.set_options(options.cold);
   if (options.shares != options_.shares)
     queue_.SetShares(options.shares);
   options_ = options;
@@ -159,13 +161,14 @@
 
 void AdmissionController::OnServerStarted(Instant now) {
   limit_.StartCold(now);
+  cold_.OnServerStarted(now);
 }
 
 wire::LoadReport AdmissionController::Load(Instant now) const {
   const auto queued = static_cast<int>(queue_.size());
   wire::LoadReport report{
       static_cast<int>(running_.size()), Limit(now), queued, {}};
-  if (queued > 0 || !HasFreeSlot(now))
+  if (queued > 0 || !MayStart(now))
     report.expected_wait = DrainTime(queued + 1, now);
   return report;
 }
@@ -180,7 +183,7 @@
 Duration AdmissionController::RetryAfter(ErrorKind error, Instant now) const {
   const bool is_full =
       error == ErrorKind::kOverloaded || error == ErrorKind::kDeadlineTooClose;
-  if (is_full && KnowsServiceTime())
+  if (is_full && (KnowsServiceTime() || !cold_.MayStart(now)))
     return std::max(DrainTime(Queued() + 1, now), kLeastWait);
   return base::AnswerTo(error).retry_after;
 }
@@ -192,6 +195,7 @@
   Running& running = running_[attempt.attempt];
   running = {attempt.flow, now, attempt.deadline, false};
   running.at_limit = !HasFreeSlot(now);
+  cold_.OnStarted(now);
   return {ActionKind::kStart, attempt.attempt, ErrorKind::kInternal, {}};
 }
 
@@ -206,7 +210,7 @@
 }
 
 void AdmissionController::StartWaiting(AdmissionActions& actions, Instant now) {
-  while (queue_.size() > 0 && HasFreeSlot(now)) {
+  while (queue_.size() > 0 && MayStart(now)) {
     const auto next = queue_.Pop();
     // Others that wait can still be served in time.
     const bool is_late = next->target && queue_.size() > 0 &&
@@ -220,6 +224,10 @@
   }
 }
 
+bool AdmissionController::MayStart(Instant now) const {
+  return HasFreeSlot(now) && cold_.MayStart(now);
+}
+
 bool AdmissionController::HasFreeSlot(Instant now) const {
   return static_cast<int>(running_.size()) < Limit(now);
 }
@@ -241,7 +249,9 @@
   const auto expected =
       std::chrono::duration_cast<Duration>(each * requests / Limit(now));
   // A server on which nothing moved for a while may need as long again.
-  return HasFreeSlot(now) ? expected : std::max(expected, now - progress_at_);
+  const Duration stuck =
+      HasFreeSlot(now) ? Duration() : Duration(now - progress_at_);
+  return std::max({expected, stuck, cold_.Wait(requests, now)});
 }
 
 }  // namespace chestnutport::admission
--- a/src/libs/admission/admission_controller.h
+++ b/src/libs/admission/admission_controller.h
@@ -11,6 +11,7 @@
 #include "admission/arrival.h"
 #include "admission/attempt_ledger.h"
 #include "admission/attempt_state.h"
+#include "admission/cold_limit.h"
 #include "admission/concurrency_limit.h"
 #include "admission/fair_queue.h"
 #include "admission/server_result.h"
@@ -24,6 +25,7 @@
   int slots = 12;               // Requests that the server runs at a time.
   int queue = 24;               // Requests that may wait.
   base::Duration cold_start{};  // Until a server that started is warm.
+  ColdOptions cold;             // What it is given until then.
   TrafficShares shares;
   LedgerLimits ledger;  // Taken at construction only.
   // False: as many as the slots are given to the server, whatever is measured.
@@ -65,10 +67,15 @@
   void StopDrain() { draining_ = false; }
   // Another server, or another life of it, is there from now on.
   void OnServerStarted(base::Instant now);
+  // A probe was handed to the server, which costs it as much as a request.
+  void OnProbed(base::Instant now) { cold_.OnStarted(now); }
+  // What the server says of how long it stays cold.
+  ColdLimit& cold() { return cold_; }
+  const ColdLimit& cold() const { return cold_; }
 
   // Whether an attempt that arrives now would start at once.
   bool HasRoom(base::Instant now) const {
-    return queue_.size() == 0 && HasFreeSlot(now);
+    return queue_.size() == 0 && MayStart(now);
   }
   wire::LoadReport Load(base::Instant now) const;
   bool IsDraining() const { return draining_; }
@@ -92,6 +99,8 @@
   AdmissionAction Start(const QueuedAttempt& attempt, base::Instant now);
   AdmissionActions Enqueue(const QueuedAttempt& attempt, base::Instant now);
   void StartWaiting(AdmissionActions& actions, base::Instant now);
+  // Whether one more may run beside those that run, and may start now.
+  bool MayStart(base::Instant now) const;
   bool HasFreeSlot(base::Instant now) const;
   int Limit(base::Instant now) const;
   int Queued() const { return static_cast<int>(queue_.size()); }
@@ -111,6 +120,7 @@
   AttemptLedger ledger_;
   FairQueue queue_;
   ConcurrencyLimit limit_;
+  ColdLimit cold_;
   absl::flat_hash_map<base::AttemptId, Running> running_;
   base::Instant progress_at_;  // When an attempt last started or ended.
 };
--- /dev/null
+++ b/src/libs/admission/cold_limit.h
@@ -0,0 +1,68 @@
+// How many requests a cold server is given in a time: one that has just
+// started, or says that it is cold, ends when it gets many more than it
+// tolerates. Its gate is the only way to it, so that the count is exact.
+#ifndef ADMISSION_COLD_LIMIT_H_
+#define ADMISSION_COLD_LIMIT_H_
+
+#include "base/time.h"
+
+namespace chestnutport::admission {
+
+struct ColdOptions {
+  // Requests a second that a cold server may be given; zero: as many as a warm
+  // one.
+  double rate = 0;
+  // So many beside, in any time: those that come together.
+  double burst = 0;
+  // How long a server that started is taken for cold until it says so itself.
+  base::Duration after_start{};
+
+  bool operator==(const ColdOptions&) const = default;
+};
+
+class ColdLimit {
+ public:
+  explicit ColdLimit(const ColdOptions& options) { set_options(options); }
+
+  void set_options(const ColdOptions& options);
+
+  // The server started just now.
+  void OnServerStarted(base::Instant now);
+  // The server said at `said_at` how much longer it stays cold. What it said
+  // before that counts no more.
+  void OnTold(base::Duration remaining, base::Instant said_at);
+  // The server may have become cold: it counts as cold until it says at
+  // `now` or later that it is not.
+  void Doubt(base::Instant now);
+
+  bool IsCold(base::Instant now) const;
+  // Whether it is given fewer requests for it.
+  bool IsLimited(base::Instant now) const;
+  // Until when the server is cold, as far as it is known.
+  base::Instant cold_until() const { return cold_until_; }
+  // What a cold server is given a second; zero: there is no limit.
+  double rate() const { return options_.rate; }
+
+  // Whether a request may be handed to the server now.
+  bool MayStart(base::Instant now) const { return Wait(1, now) == base::Duration(); }
+  // Until the last of `requests` may be handed to the server, one after the
+  // other.
+  base::Duration Wait(double requests, base::Instant now) const;
+  // A request or a probe was handed to the server.
+  void OnStarted(base::Instant now);
+
+ private:
+  double TokensAt(base::Instant now) const;
+
+  ColdOptions options_;
+  base::Instant cold_until_;
+  base::Instant told_at_;
+  // Requests that may be started at `counted_at_`; less than zero after more
+  // than a cold server tolerates.
+  double tokens_ = 0;
+  base::Instant counted_at_;
+};
+
+}  // namespace chestnutport::admission
+
+#endif  // ADMISSION_COLD_LIMIT_H_
--- a/src/libs/declarations/service_declaration.cc
+++ b/src/libs/declarations/service_declaration.cc
@@ -25,6 +25,8 @@
 };
 
 constexpr size_t kLongestName = 64;
+// More than any server answers.
+constexpr double kMostColdRate = 1000000;
 constexpr std::string_view kNameAccepted = "1 to 64 of a-z, 0-9 and -";
 constexpr std::string_view kMemberAccepted =
     "name = a number from 1 to 1000; the name 1 to 64 of letters, digits, "
@@ -132,6 +134,11 @@
   return text == "store" || text == "owner";
 }
 
+bool ReadColdRate(ServiceDeclaration& service, std::string_view text) {
+  return base::ParseNumber(text, &service.cold_rate) &&
+         service.cold_rate >= 0 && service.cold_rate <= kMostColdRate;
+}
+
 const std::vector<Key>& AllKeys() {
   static const std::vector<Key> keys = {
       {"service", "name", kNameAccepted, ReadName, "", "Name of the service."},
@@ -171,6 +178,8 @@
       {"servers", "cold_start", "a duration up to 1h, such as 10s",
        Time(&ServiceDeclaration::cold_start), "10s",
        "Time over which a new server is given its full share."},
+      {"servers", "cold_rate", "0 to 1000000, requests a second", ReadColdRate,
+       "0", "What a cold server tolerates; 0: as much as a warm one."},
   };
   return keys;
 }
--- a/src/libs/declarations/service_declaration.h
+++ b/src/libs/declarations/service_declaration.h
@@ -51,6 +51,9 @@
   double probe_budget = 0.005;  // Server's time for probes, as a share.
   base::Duration drain_grace = std::chrono::seconds(30);
   base::Duration cold_start = std::chrono::seconds(10);
+  // Requests a second that a cold server tolerates; zero: as many as a warm
+  // one.
+  double cold_rate = 0;
   KeyRecordPlace key_record = KeyRecordPlace::kOwner;
   // Where a server tells how it is; empty: it says so when it announces itself.
   std::string health_path;
--- /dev/null
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -0,0 +1,139 @@
+#include "evacuation_store/evacuation_reader.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "configuration/reader_choice.h"
+#include "telemetry/log.h"
+
+namespace chestnutport::evacuation_store {
+namespace {
+
+using evacuation::Evacuations;
+using telemetry::Event;
+using telemetry::LogEvent;
+
+// How long one watch waits: short enough that a connection that went silent is
+// left soon, long enough that a fleet's watches are few calls.
+constexpr std::chrono::seconds kWatchWait(10);
+// A node that starts hears of the fleet, and so of evacuations, within this time
+// as a rule; only those that are readers then ask the store.
+constexpr base::Duration kFirstWait = std::chrono::seconds(1);
+// Readers whose watches were cut together read again spread over this time.
+constexpr base::Duration kReadAgainSpread = std::chrono::milliseconds(200);
+
+DataCentres Sorted(DataCentres names) {
+  std::ranges::sort(names);
+  names.erase(std::unique(names.begin(), names.end()), names.end());
+  return names;
+}
+
+}  // namespace
+
+EvacuationReader::EvacuationReader(net::EventLoop& loop,
+                                   store::StoreClient& store,
+                                   AnyEvacuationForm form,
+                                   base::Duration longest_wait,
+                                   const base::Random& random,
+                                   Handler read)
+    : loop_(loop),
+      store_(store),
+      form_(std::move(form)),
+      random_(random),
+      read_(std::move(read)),
+      pace_(longest_wait) {}
+
+EvacuationReader::~EvacuationReader() {
+  loop_.Cancel(timer_);
+}
+
+void EvacuationReader::Start() {
+  Schedule(kFirstWait + pace_.First(random_));
+}
+
+void EvacuationReader::SetMembers(
+    const membership::Member& self,
+    const std::vector<membership::Member>& members) {
+  is_reader_ = configuration::IsReader(self, members);
+  is_alone_ = std::ranges::none_of(members, [&](const auto& member) {
+    return member.id != self.id &&
+           member.state == membership::MemberState::kAlive;
+  });
+}
+
+void EvacuationReader::ReadNow() {
+  store_.ListPage(form_.prefix, [this](const auto& page) {
+    if (page)
+      OnPage(page);
+  });
+}
+
+void EvacuationReader::Schedule(base::Duration wait) {
+  loop_.Cancel(timer_);
+  timer_ = loop_.CallAfter(wait, [this] { Read(); });
+}
+
+void EvacuationReader::ScheduleSoon() {
+  Schedule(std::uniform_int_distribution<base::Duration::rep>(
+               0, kReadAgainSpread.count())(random_) *
+           base::Duration(1));
+}
+
+void EvacuationReader::Read() {
+  if (!is_reader_) {
+    EndRound(false);
+    return;
+  }
+  store_.ListPage(form_.prefix, [this](const auto& page) {
+    if (!page) {
+      EndRound(true);
+      return;
+    }
+    OnPage(page);
+    // After a start each node takes itself for a reader until it knows the
+    // fleet.
+    const bool is_settled = std::exchange(has_read_, true);
+    if (is_settled && is_reader_ && page.value().as_of > 0 && store_.CanWatch())
+      Watch(page.value().as_of);
+    else
+      EndRound(false);
+  });
+}
+
+void EvacuationReader::OnPage(const base::Result<store::StorePage>& page) {
+  auto names = form_.read(page.value().entries);
+  Evacuations read{static_cast<uint64_t>(page.value().as_of), {}};
+  if (names)
+    read.data_centres = Sorted(*std::move(names));
+  const bool is_unreadable =
+      !names || read.NameBytes() > Evacuations::kLargestNames;
+  // What is held stays: an evacuation must not end by a fault of its writer.
+  if (is_unreadable && !std::exchange(is_unreadable_, true))
+    LogEvent(Event::kStoreEntryUnreadable, {{"key", form_.prefix}});
+  if (is_unreadable)
+    return;
+  is_unreadable_ = false;
+  read_(read);
+}
+
+void EvacuationReader::Watch(int64_t after) {
+  store_.Watch(form_.prefix, after, kWatchWait,
+               [this, after](const auto& news) {
+                 const bool is_quiet =
+                     news && !news.value().history_lost &&
+                     news.value().changed.empty() && news.value().removed == 0;
+                 if (is_quiet && is_reader_)
+                   Watch(std::max(after, news.value().as_of));
+                 else if (news && !news.value().history_lost)
+                   Read();
+                 else
+                   ScheduleSoon();
+               });
+}
+
+void EvacuationReader::EndRound(bool failed) {
+  Schedule(pace_.Next(failed, is_alone_, random_));
+}
+
+}  // namespace chestnutport::evacuation_store
--- /dev/null
+++ b/src/libs/evacuation_store/evacuation_reader.h
@@ -0,0 +1,64 @@
+// Reads from the store which data centres are evacuated, while this node is
+// one of its data centre's readers. Runs on the control thread.
+#ifndef EVACUATION_STORE_EVACUATION_READER_H_
+#define EVACUATION_STORE_EVACUATION_READER_H_
+
+#include <functional>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+#include "configuration/read_pace.h"
+#include "evacuation/evacuations.h"
+#include "evacuation_store/evacuation_form.h"
+#include "membership/member.h"
+#include "net/event_loop.h"
+#include "store/store_client.h"
+
+namespace chestnutport::evacuation_store {
+
+class EvacuationReader {
+ public:
+  using Handler = std::function<void(const evacuation::Evacuations&)>;
+
+  // `loop` and `store` must outlive the reader. `longest_wait`: between two
+  // tries while the store fails. `read` is called with each reading.
+  EvacuationReader(net::EventLoop& loop,
+                   store::StoreClient& store,
+                   AnyEvacuationForm form,
+                   base::Duration longest_wait,
+                   const base::Random& random,
+                   Handler read);
+  ~EvacuationReader();
+
+  void Start();
+  void SetMembers(const membership::Member& self,
+                  const std::vector<membership::Member>& members);
+  // Reads at once, as this node changed something.
+  void ReadNow();
+
+ private:
+  void Schedule(base::Duration wait);
+  // Soon, spread over the readers whose watches ended together.
+  void ScheduleSoon();
+  void Read();
+  void OnPage(const base::Result<store::StorePage>& page);
+  void Watch(int64_t after);
+  void EndRound(bool failed);
+
+  net::EventLoop& loop_;
+  store::StoreClient& store_;
+  AnyEvacuationForm form_;
+  base::Random random_;
+  Handler read_;
+  configuration::ReadPace pace_;
+  net::EventLoop::TimerId timer_ = 0;
+  bool is_reader_ = true;  // Until other members are known.
+  bool is_alone_ = true;
+  bool has_read_ = false;       // Since the start.
+  bool is_unreadable_ = false;  // By the last reading; logged once in a row.
+};
+
+}  // namespace chestnutport::evacuation_store
+
+#endif  // EVACUATION_STORE_EVACUATION_READER_H_
--- /dev/null
+++ b/src/libs/evacuation_store/own_evacuation_form.h
@@ -0,0 +1,30 @@
+// Evacuations in the product's own form: one key, whose value lists the data
+// centres as a JSON array.
+#ifndef EVACUATION_STORE_OWN_EVACUATION_FORM_H_
+#define EVACUATION_STORE_OWN_EVACUATION_FORM_H_
+
+#include "evacuation_store/evacuation_form.h"
+
+namespace chestnutport::evacuation_store {
+
+class OwnEvacuationForm {
+ public:
+  explicit OwnEvacuationForm(const std::string& fleet);
+
+  std::string Prefix() const { return key_; }
+  std::optional<DataCentres> Read(
+      std::span<const store::StoreEntry> entries) const;
+  bool IsWritten() const { return true; }
+
+  // The value of the key.
+  static std::string Write(const DataCentres& data_centres);
+  // Nothing if the text is none.
+  static std::optional<DataCentres> Parse(const std::string& text);
+
+ private:
+  std::string key_;
+};
+
+}  // namespace chestnutport::evacuation_store
+
+#endif  // EVACUATION_STORE_OWN_EVACUATION_FORM_H_
--- a/src/libs/membership/gossip.cc
+++ b/src/libs/membership/gossip.cc
@@ -114,6 +114,7 @@
   if (is_trusted) {
     table_.SetRevision(message->sender, message->revision);
     HearRevision(now, *message, output);
+    HearEvacuations(now, message->evacuations, output);
     LearnEvidence(now, message->evidence, true, output);
     CompareDigest(now, *message);
   }
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -14,6 +14,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "evacuation/held_evacuations.h"
 #include "membership/byte_budget.h"
 #include "membership/datagram_seal.h"
 #include "membership/evidence_spread.h"
@@ -67,6 +68,10 @@
   void TellEvidence(base::Instant now,
                     std::span<const base::RequestFingerprint> requests,
                     GossipOutput& output);
+  // This node read from the store which data centres are evacuated.
+  void OnEvacuationsRead(base::Instant now,
+                         const evacuation::Evacuations& read,
+                         GossipOutput& output);
   // Tells a few members that this node leaves; the last call.
   void Leave(GossipOutput& output);
 
@@ -81,6 +86,9 @@
   std::vector<Member> Members() const;
   const MemberTable& table() const { return table_; }
   const GossipCounters& counters() const { return counters_; }
+  const evacuation::Evacuations& evacuations() const {
+    return evacuations_.held();
+  }
   uint64_t incarnation() const { return incarnation_; }
 
  private:
@@ -147,6 +155,12 @@
                      GossipOutput& output);
   void FlushEvidence(base::Instant now, GossipOutput& output);
 
+  // gossip_evacuation.cc: data centres whose servers take no new work.
+  void HearEvacuations(base::Instant now,
+                       const evacuation::Evacuations& heard,
+                       GossipOutput& output);
+  void TellEvacuations(base::Instant now, GossipOutput& output);
+
   // gossip_probing.cc: pings, acks, suspicion.
   void Answer(base::Instant now,
               const base::SocketAddress& from,
@@ -199,6 +213,7 @@
   MemberTable table_;
   NewsQueue<base::NodeId> news_;
   EvidenceSpread evidence_;
+  evacuation::HeldEvacuations evacuations_;
   ByteBudget budget_;
   ByteBudget acks_;
   GossipCounters counters_;
--- a/src/libs/membership/gossip_message.cc
+++ b/src/libs/membership/gossip_message.cc
@@ -1,5 +1,6 @@
 #include "membership/gossip_message.h"
 
+#include <algorithm>
 #include <exception>
 #include <msgpack.hpp>
 
@@ -8,11 +9,23 @@
 namespace chestnutport::membership {
 namespace {
 
-constexpr uint32_t kFields = 12;
+constexpr uint32_t kFields = 14;
 // Older versions send so many.
 constexpr uint32_t kLeastFields = 10;
+constexpr uint32_t kFieldsWithEvidence = 12;
 constexpr size_t kLargestArray = 512;
 
+// From the revision and the names behind it.
+evacuation::Evacuations ReadEvacuations(const msgpack::object* fields) {
+  evacuation::Evacuations read{fields[0].as<uint64_t>(),
+                               fields[1].as<std::vector<std::string>>()};
+  if (!std::ranges::is_sorted(read.data_centres) ||
+      read.NameBytes() > evacuation::Evacuations::kLargestNames) {
+    throw msgpack::type_error();
+  }
+  return read;
+}
+
 }  // namespace
 
 size_t GossipMessage::SizeOf(const NewsItem& item) {
@@ -41,6 +54,8 @@
   packer.pack(evidence_digest.value_or(0));
   packer.pack_bin(static_cast<uint32_t>(evidence.size()));
   packer.pack_bin_body(evidence.data(), static_cast<uint32_t>(evidence.size()));
+  packer.pack(evacuations.as_of);
+  packer.pack(evacuations.data_centres);
   return std::string(buffer.data(), buffer.size());
 }
 
@@ -69,10 +84,12 @@
       message.news.push_back(ReadNews(items[i]));
     if (message.sender.value == 0)
       return std::nullopt;
-    if (handle.get().via.array.size >= kFields) {
+    if (handle.get().via.array.size >= kFieldsWithEvidence) {
       message.evidence_digest = fields[kLeastFields].as<uint64_t>();
       message.evidence = ReadBytes(fields[kLeastFields + 1]);
     }
+    if (handle.get().via.array.size >= kFields)
+      message.evacuations = ReadEvacuations(&fields[kFieldsWithEvidence]);
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/libs/membership/gossip_message.h
+++ b/src/libs/membership/gossip_message.h
@@ -11,6 +11,7 @@
 
 #include "base/node_id.h"
 #include "base/socket_address.h"
+#include "evacuation/evacuations.h"
 #include "membership/news_item.h"
 
 namespace chestnutport::membership {
@@ -39,11 +40,15 @@
   std::string evidence;
   // Of all that the sender knows of those; nothing: it is of an older version.
   std::optional<uint64_t> evidence_digest;
+  // What the sender holds; nothing is known to older versions.
+  evacuation::Evacuations evacuations;
 
   // The bytes that `item` adds to a message, at most.
   static size_t SizeOf(const NewsItem& item);
-  // The bytes of a message without news, at most.
-  static constexpr size_t kLargestHead = 92;
+  // The bytes of a message without news and evacuations, at most.
+  static constexpr size_t kLargestHead = 104;
+  // The bytes of this message without news, at most.
+  size_t HeadSize() const { return kLargestHead + evacuations.NameBytes(); }
 
   std::string Encode() const;
   // None if the bytes are no message.
--- a/src/libs/membership/gossip_output.h
+++ b/src/libs/membership/gossip_output.h
@@ -40,6 +40,8 @@
   std::optional<RevisionHeard> revision;
   // Something was learnt of requests that servers ran when they ended.
   bool has_evidence = false;
+  // Other data centres are evacuated than before, or one is no more.
+  bool has_evacuations = false;
 };
 
 }  // namespace chestnutport::membership
--- a/src/libs/membership/gossip_telling.cc
+++ b/src/libs/membership/gossip_telling.cc
@@ -38,7 +38,8 @@
           .revision = revision_,
           .digest = table_.digest(),
           .subject = subject,
-          .evidence_digest = evidence_.digest()};
+          .evidence_digest = evidence_.digest(),
+          .evacuations = evacuations_.held()};
 }
 
 void Gossip::Send(const base::SocketAddress& to,
@@ -54,7 +55,7 @@
                           const base::SocketAddress& to,
                           GossipMessage message,
                           GossipOutput& output) {
-  size_t size = GossipMessage::kLargestHead;
+  size_t size = message.HeadSize();
   for (const NewsItem& item : message.news)
     size += GossipMessage::SizeOf(item);
   news_.TakeRepeats([&](const QueuedNews<base::NodeId>& news) {
@@ -82,7 +83,7 @@
   }
   while (news_.HasFresh() && budget_.IsOpen(now)) {
     GossipMessage message = MakeMessage(MessageType::kNews, {});
-    size_t size = GossipMessage::kLargestHead;
+    size_t size = message.HeadSize();
     news_.TakeFresh([&](const QueuedNews<base::NodeId>& news) {
       const MemberEntry* entry = table_.Find(news.id);
       if (!entry || entry->state == MemberState::kGone)
--- a/src/libs/membership/member.cc
+++ b/src/libs/membership/member.cc
@@ -34,6 +34,7 @@
     object["service"] = server->service;
     object["slots"] = server->slots;
     object["draining"] = server->draining;
+    object["cold_rate"] = server->cold_rate;
   }
   return object.dump();
 }
@@ -59,9 +60,9 @@
     member.revision = object.value("revision", uint64_t{0});
     member.state = static_cast<MemberState>(object.value("state", 0));
     if (object.contains("service")) {
-      member.server = ServerAnnouncement{object.value("service", ""),
-                                         object.value("slots", 1),
-                                         object.value("draining", false)};
+      member.server = ServerAnnouncement{
+          object.value("service", ""), object.value("slots", 1),
+          object.value("draining", false), object.value("cold_rate", 0.0)};
     }
     return member;
   } catch (const json::exception&) {
--- a/src/libs/membership/member.h
+++ b/src/libs/membership/member.h
@@ -24,6 +24,8 @@
   std::string service;
   int slots = 1;
   bool draining = false;
+  // Requests a second that it is given while it is cold; zero: it is warm.
+  double cold_rate = 0;
 
   bool operator==(const ServerAnnouncement&) const = default;
 };
--- a/src/libs/membership/member_record.cc
+++ b/src/libs/membership/member_record.cc
@@ -22,10 +22,12 @@
   kService = 8,
   kSlots = 9,
   kDraining = 10,
+  kColdRate = 11,
 };
 
 constexpr size_t kLargestText = 64;
 constexpr uint32_t kLargestSlots = 100000;
+constexpr double kLargestColdRate = 1e9;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -70,6 +72,13 @@
   return static_cast<int>(slots);
 }
 
+double ReadColdRate(const msgpack::object& value) {
+  const auto rate = value.as<double>();
+  if (!(rate >= 0 && rate <= kLargestColdRate))
+    throw msgpack::type_error();
+  return rate;
+}
+
 void ReadField(Member& member, uint64_t field, const msgpack::object& value) {
   switch (field) {
     case kId:
@@ -105,6 +114,9 @@
     case kDraining:
       ServerOf(member).draining = value.as<bool>();
       break;
+    case kColdRate:
+      ServerOf(member).cold_rate = ReadColdRate(value);
+      break;
     default:
       break;  // Of a newer version; kept in the bytes.
   }
@@ -120,7 +132,7 @@
   msgpack::sbuffer buffer;
   Packer packer(buffer);
   constexpr uint32_t kFields = 8;
-  constexpr uint32_t kServerFields = 3;
+  constexpr uint32_t kServerFields = 4;
   packer.pack_map(member.server ? kFields + kServerFields : kFields);
   packer.pack(static_cast<uint32_t>(kId));
   packer.pack(member.id.value);
@@ -137,6 +149,8 @@
     packer.pack(member.server->slots);
     packer.pack(static_cast<uint32_t>(kDraining));
     packer.pack(member.server->draining);
+    packer.pack(static_cast<uint32_t>(kColdRate));
+    packer.pack(member.server->cold_rate);
   }
   MemberRecord record{member, std::string(buffer.data(), buffer.size())};
   record.hash = Hash(record.bytes);
--- a/src/libs/node/adapters.cc
+++ b/src/libs/node/adapters.cc
@@ -1,5 +1,6 @@
 #include "node/adapters.h"
 
+#include "evacuation_store/own_evacuation_form.h"
 #include "node/own_caller_protocol.h"
 #include "node/own_configuration_form.h"
 #include "node/own_server_protocol.h"
@@ -12,7 +13,9 @@
       .callers = AnyCallerProtocol::Of(OwnCallerProtocol()),
       .servers = AnyServerProtocol::Of(OwnServerProtocol()),
       .store = store::AnyStoreForm::Of(store::EtcdForm()),
-      .configuration = AnyConfigurationForm::Of(OwnConfigurationForm(fleet))};
+      .configuration = AnyConfigurationForm::Of(OwnConfigurationForm(fleet)),
+      .evacuation = evacuation_store::AnyEvacuationForm::Of(
+          evacuation_store::OwnEvacuationForm(fleet))};
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/node/adapters.h
+++ b/src/libs/node/adapters.h
@@ -3,6 +3,7 @@
 #ifndef NODE_ADAPTERS_H_
 #define NODE_ADAPTERS_H_
 
+#include "evacuation_store/evacuation_form.h"
 #include "node/caller_protocol.h"
 #include "node/configuration_form.h"
 #include "node/server_protocol.h"
@@ -15,6 +16,7 @@
   AnyServerProtocol servers;
   store::AnyStoreForm store;
   AnyConfigurationForm configuration;
+  evacuation_store::AnyEvacuationForm evacuation;
 };
 
 // The product's own forms, for the fleet of that name.
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -7,6 +7,7 @@
 #include "node/control_readings.h"
 #include "node/drain_order.h"
 #include "node/operator_api.h"
+#include "telemetry/log.h"
 
 namespace chestnutport::node {
 namespace {
@@ -68,6 +69,15 @@
                      adapters.configuration,
                      settings,
                      random),
+      evacuation_reader_(loop,
+                         store_,
+                         adapters.evacuation,
+                         settings.longest_store_wait,
+                         random,
+                         [this](const evacuation::Evacuations& read) {
+                           membership_.TellEvacuations(read);
+                         }),
+      evacuation_writer_(store_, adapters.evacuation),
       own_server_(
           loop,
           [this](const std::string& service) { return IsDeclared(service); },
@@ -145,6 +155,8 @@
         evidence_store_.OnListed(others, keeps_first);
       });
   membership_.OnEvidence([this] { quarantine_.OnLearnt(); });
+  membership_.OnEvacuations(
+      [this](const evacuation::Evacuations& held) { OnEvacuations(held); });
   quarantine_.OnTell([this](std::span<const base::RequestFingerprint> told) {
     membership_.TellEvidence(told);
   });
@@ -157,6 +169,7 @@
     PublishServer();
     PublishSnapshot();
   });
+  evacuation_reader_.Start();
   PublishKeyView();
 }
 
@@ -207,9 +220,38 @@
   members_ = std::move(members);
   quarantine_.SetMembers(members_);
   configuration_.SetMembers(self_, members_);
+  evacuation_reader_.SetMembers(self_, members_);
   PublishSnapshot();
 }
 
+void Control::OnEvacuations(const evacuation::Evacuations& evacuations) {
+  for (const std::string& name : evacuations.data_centres) {
+    if (!evacuations_.Contains(name))
+      telemetry::LogEvent(telemetry::Event::kEvacuated,
+                          {{"data_centre", name}});
+  }
+  for (const std::string& name : evacuations_.data_centres) {
+    if (!evacuations.Contains(name))
+      telemetry::LogEvent(telemetry::Event::kEvacuationEnded,
+                          {{"data_centre", name}});
+  }
+  evacuations_ = evacuations;
+  if (evacuations_.Contains(self_.data_centre))
+    own_server_.Drain(DrainSource::kEvacuation);
+  else
+    own_server_.Undrain(DrainSource::kEvacuation);
+  PublishSnapshot();
+}
+
+void Control::Evacuate(const evacuation_store::EvacuationOrder& order,
+                       evacuation_store::EvacuationWriter::Handler handler) {
+  evacuation_writer_.Carry(
+      order, [this, handler = std::move(handler)](const auto& done) {
+        evacuation_reader_.ReadNow();
+        handler(done);
+      });
+}
+
 void Control::OnOwnServerChanged() {
   const ServerState& server = own_server_.state();
   server_finder_.Stop();
@@ -217,7 +259,7 @@
   self_.server.reset();
   if (server.announced) {
     self_.server = membership::ServerAnnouncement{
-        server.service, server.admission.slots, server.draining};
+        server.service, server.admission.slots, server.draining, OwnColdRate()};
   }
   membership_.Update(self_);
   PublishServer();
@@ -239,6 +281,7 @@
 void Control::OnGateReport(const GateReport& report) {
   gate_report_ = report;
   own_server_.OnAnswer(report.last_answer);
+  own_server_.OnColdReported(report.life, report.cold_until);
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -9,6 +9,8 @@
 
 #include "base/random.h"
 #include "base/result.h"
+#include "evacuation_store/evacuation_reader.h"
+#include "evacuation_store/evacuation_writer.h"
 #include "keys/key_ownership.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
@@ -91,6 +93,11 @@
   MetricsApi& metrics() { return metrics_; }
   RequestQuarantine& quarantine() { return quarantine_; }
   const RequestQuarantine& quarantine() const { return quarantine_; }
+  // What is evacuated, as far as this node knows.
+  const evacuation::Evacuations& evacuations() const { return evacuations_; }
+  // Carries out an operator's order, and reads the store anew after it.
+  void Evacuate(const evacuation_store::EvacuationOrder& order,
+                evacuation_store::EvacuationWriter::Handler handler);
 
   // The addresses of this thread's listeners, bound.
   const base::SocketAddress& operator_address() const;
@@ -101,8 +108,12 @@
  private:
   base::Result<bool> ListenForMetrics();
   void OnMembers(std::vector<membership::Member> members);
+  void OnEvacuations(const evacuation::Evacuations& evacuations);
   void OnOwnServerChanged();
   bool IsDeclared(const std::string& service) const;
+  // Requests a second that the own server is given while it is cold; zero: it
+  // is warm, or the rate is not limited.
+  double OwnColdRate() const;
   void PublishServer();
   void PublishSnapshot();
   void FindServer();
@@ -122,6 +133,9 @@
   FleetMembership membership_;
   EvidenceStore evidence_store_;
   ConfigurationKeeper configuration_;
+  evacuation_store::EvacuationReader evacuation_reader_;
+  evacuation_store::EvacuationWriter evacuation_writer_;
+  evacuation::Evacuations evacuations_;
   OwnServer own_server_;
   ServerFinder server_finder_;
   MetricsApi metrics_;
--- a/src/libs/node/control_publishing.cc
+++ b/src/libs/node/control_publishing.cc
@@ -12,21 +12,33 @@
 // Several times within the validity of a view.
 constexpr std::chrono::milliseconds kKeyViewInterval(500);
 
-routing::ServerCandidate ToCandidate(const membership::Member& member) {
+routing::ServerCandidate ToCandidate(
+    const membership::Member& member,
+    const evacuation::Evacuations& evacuations) {
   routing::ServerCandidate candidate;
   candidate.node = member.id;
   candidate.peer_address = member.peer_address;
   candidate.data_centre = member.data_centre;
   candidate.region = member.region;
   candidate.slots = member.server->slots;
-  if (member.server->draining)
+  candidate.cold_rate = member.server->cold_rate;
+  if (member.server->draining || evacuations.Contains(member.data_centre))
     candidate.state = routing::ServerState::kDraining;
   else if (member.state == membership::MemberState::kSuspected)
     candidate.state = routing::ServerState::kSuspected;
   return candidate;
 }
 
+admission::ColdOptions ColdOptionsOf(
+    const declarations::ServiceDeclaration& service,
+    const settings::NodeSettings& settings) {
+  return {.rate = service.cold_rate * settings.cold_overage,
+          .burst = settings.cold_slack,
+          .after_start = service.cold_start};
+}
+
 void ApplyDeclaration(const declarations::ServiceDeclaration& service,
+                      const settings::NodeSettings& settings,
                       ServerState& server) {
   admission::AdmissionOptions& options = server.admission;
   const double usable = std::floor(options.slots * service.usable_slots);
@@ -34,6 +46,7 @@
       std::clamp(static_cast<int>(usable), 1, std::max(1, service.slots));
   options.queue = service.queue;
   options.cold_start = service.cold_start;
+  options.cold = ColdOptionsOf(service, settings);
   for (const auto& declared : service.classes)
     options.shares.classes.push_back({declared.name, declared.urgency});
   for (const auto& declared : service.tenants)
@@ -48,11 +61,20 @@
 
 }  // namespace
 
+double Control::OwnColdRate() const {
+  const ServerState& server = own_server_.state();
+  const auto* declared =
+      configuration_.configuration().FindService(server.service);
+  if (!declared || base::Clock::now() >= server.cold_until)
+    return 0;
+  return ColdOptionsOf(*declared, settings_).rate;
+}
+
 void Control::PublishServer() {
   ServerState server = own_server_.state();
   for (const auto& service : configuration_.configuration().services) {
     if (service.name == server.service)
-      ApplyDeclaration(service, server);
+      ApplyDeclaration(service, settings_, server);
   }
   outputs_.publish_server(std::move(server));
 }
@@ -62,7 +84,8 @@
   snapshot.configuration = configuration_.shared_configuration();
   for (const membership::Member& member : members_) {
     if (member.server && member.state != membership::MemberState::kGone)
-      snapshot.servers[member.server->service].push_back(ToCandidate(member));
+      snapshot.servers[member.server->service].push_back(
+          ToCandidate(member, evacuations_));
   }
   if (settings_.adapter != settings::AdapterKind::kOwn) {
     // The most that were seen: a node that is cut off from the others must not
@@ -81,7 +104,7 @@
   for (const membership::Member& member : members_) {
     if (member.server && member.state != membership::MemberState::kGone &&
         member.server->service == own_server_.state().service) {
-      servers.push_back(ToCandidate(member));
+      servers.push_back(ToCandidate(member, evacuations_));
     }
   }
   // Read anew: a loop that was held up must not date its view too early.
--- a/src/libs/node/fleet_membership.cc
+++ b/src/libs/node/fleet_membership.cc
@@ -129,6 +129,14 @@
   Apply(output);
 }
 
+void FleetMembership::TellEvacuations(const evacuation::Evacuations& read) {
+  if (!gossip_)
+    return;
+  GossipOutput output;
+  gossip_->OnEvacuationsRead(loop_.now(), read, output);
+  Apply(output);
+}
+
 std::vector<membership::Member> FleetMembership::Members() const {
   if (!gossip_)
     return {};
@@ -163,6 +171,8 @@
   run_timer_ = loop_.CallAt(gossip_->NextRun(), [this] { Run(); });
   if (output.has_evidence && evidence_handler_)
     evidence_handler_();
+  if (output.has_evacuations && evacuations_handler_)
+    evacuations_handler_(gossip_->evacuations());
   if (output.revision && revision_handler_)
     revision_handler_(output.revision->revision, output.revision->from);
 }
--- a/src/libs/node/fleet_membership.h
+++ b/src/libs/node/fleet_membership.h
@@ -69,6 +69,14 @@
   // The ledger has something new on these requests, to be told to the fleet.
   void TellEvidence(std::span<const base::RequestFingerprint> requests);
 
+  // Other data centres are evacuated than before. Set before Start().
+  void OnEvacuations(
+      std::function<void(const evacuation::Evacuations&)> handler) {
+    evacuations_handler_ = std::move(handler);
+  }
+  // This node read from the store which data centres are evacuated.
+  void TellEvacuations(const evacuation::Evacuations& read);
+
   // The entries beside the seeds in the store; see SeedKeeper. Set before
   // Start().
   void OnStoredOthers(SeedKeeper::OthersHandler others) {
@@ -106,6 +114,7 @@
   Handler handler_;
   RevisionHandler revision_handler_;
   EvidenceHandler evidence_handler_;
+  std::function<void(const evacuation::Evacuations&)> evacuations_handler_;
   MembershipLog log_;
   uint64_t announced_revision_ = 0;
   net::EventLoop::TimerId run_timer_ = 0;
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -55,7 +55,14 @@
       running_(running),
       keyed_requests_(identity_.id),
       client_(loop, ServerConnections(protocol_)),
-      observer_(loop, protocol_, [this] { AdmitWaiting(); }),
+      observer_(loop,
+                protocol_,
+                {.looked = [this] { AdmitWaiting(); },
+                 .probed = [this] { admission_.OnProbed(base::Clock::now()); },
+                 .told_cold =
+                     [this](base::Duration remaining) {
+                       admission_.cold().OnTold(remaining, base::Clock::now());
+                     }}),
       outputs_(std::move(outputs)),
       settle_calls_(
           [this](const SettleRequest& request) { return Settle(request); }) {}
@@ -81,12 +88,19 @@
 
 void Gate::SetServer(const ServerState& server) {
   const bool has_started = server.life != server_.life;
+  const bool was_evacuated = server.evacuations != server_.evacuations;
   server_ = server;
   const base::Instant now = base::Clock::now();
   admission_.set_options(server.admission);
   observer_.SetServer(server, has_started);
   if (has_started)
     admission_.OnServerStarted(now);
+  if (server.cold_told_at != base::Instant()) {
+    admission_.cold().OnTold(server.cold_until - server.cold_told_at,
+                             server.cold_told_at);
+  }
+  if (was_evacuated)
+    admission_.cold().Doubt(now);
   if (server.TakesWork()) {
     empty_told_ = false;
     if (!on_empty_)
@@ -156,9 +170,10 @@
   arrival.is_inquiry = arrival.request.target == kInquiryPath;
   // How slow the server is when a request starts decides how long it takes, so
   // one that could go elsewhere waits for the server's word if there is none of
-  // now.
-  const bool may_wait =
-      head.may_move && server_.TakesWork() && admission_.HasRoom(now);
+  // now. To a cold server a probe is as much as a request.
+  const bool may_wait = head.may_move && server_.TakesWork() &&
+                        admission_.HasRoom(now) &&
+                        !admission_.cold().IsLimited(now);
   if (may_wait && observer_.Look(now))
     waiting_for_look_.push_back(std::move(arrival));
   else
@@ -380,7 +395,9 @@
   wire::LoadReport load = admission_.Load(now);
   load.strain = observer_.pace().KnownStrain(now);
   outputs_.report(
-      {.last_answer = observer_.last_answer(),
+      {.life = server_.life,
+       .cold_until = admission_.cold().cold_until(),
+       .last_answer = observer_.last_answer(),
        .load = load,
        .word_age = observer_.pace().Age(now).value_or(base::Duration()),
        .probes = probes.probes(),
--- a/src/libs/node/gate_report.h
+++ b/src/libs/node/gate_report.h
@@ -10,6 +10,8 @@
 namespace chestnutport::node {
 
 struct GateReport {
+  uint64_t life = 0;          // Of the server that this tells of.
+  base::Instant cold_until;   // As far as the gate knows.
   base::Instant last_answer;  // Of the server, to a request or a probe.
   wire::LoadReport load;
   base::Duration word_age{};  // Of what the server last said of its pace.
--- a/src/libs/node/operator_api.cc
+++ b/src/libs/node/operator_api.cc
@@ -48,6 +48,10 @@
     AnswerQuarantine(control_, std::move(reply));
   else if (call == "POST /v1/release")
     AnswerRelease(control_, request, who, std::move(reply));
+  else if (call == "GET /v1/evacuations")
+    AnswerEvacuations(control_, std::move(reply));
+  else if (call == "POST /v1/evacuate")
+    AnswerEvacuate(control_, request, who, std::move(reply));
   else if (call == "POST /v1/drain")
     AnswerDrain(control_, request, true, std::move(reply));
   else if (call == "POST /v1/undrain")
--- a/src/libs/node/operator_calls.h
+++ b/src/libs/node/operator_calls.h
@@ -44,6 +44,16 @@
                  bool draining,
                  net::Reply reply);
 
+// GET /v1/evacuations: the data centres that are evacuated.
+void AnswerEvacuations(const Control& control, net::Reply reply);
+
+// POST /v1/evacuate {"data_centre": name, "evacuated": bool, "plan": id}.
+// Without a plan: shows one, and changes nothing. `who` is the operator's name.
+void AnswerEvacuate(Control& control,
+                    const net::HttpRequest& request,
+                    const std::string& who,
+                    net::Reply reply);
+
 // GET /v1/quarantine: the requests that are suspected or in quarantine, and the
 // ends of servers that speak against them.
 void AnswerQuarantine(const Control& control, net::Reply reply);
--- /dev/null
+++ b/src/libs/node/operator_evacuation.cc
@@ -0,0 +1,122 @@
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "node/operator_answer.h"
+#include "node/operator_calls.h"
+#include "telemetry/log.h"
+
+namespace chestnutport::node {
+namespace {
+
+using base::ErrorKind;
+using evacuation_store::EvacuationChange;
+using evacuation_store::EvacuationOrder;
+using nlohmann::json;
+
+// Nothing if the body is malformed. The plan is empty if none is named.
+std::optional<EvacuationOrder> ReadOrder(const std::string& body) {
+  const json object = json::parse(body, nullptr, false);
+  if (!object.is_object())
+    return std::nullopt;
+  try {
+    EvacuationOrder order;
+    order.change.data_centre = object.at("data_centre").get<std::string>();
+    order.change.is_evacuated = object.at("evacuated").get<bool>();
+    order.plan_id = object.value("plan", "");
+    return order;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+bool IsKnown(const Control& control, const std::string& data_centre) {
+  return std::ranges::any_of(control.members(),
+                             [&](const membership::Member& member) {
+                               return member.data_centre == data_centre;
+                             });
+}
+
+// Servers that would take work with `evacuated`, by service.
+std::map<std::string, int> CountServers(
+    const Control& control,
+    const evacuation_store::DataCentres& evacuated) {
+  std::map<std::string, int> servers;
+  for (const membership::Member& member : control.members()) {
+    if (!member.server)
+      continue;
+    int& count = servers[member.server->service];
+    const bool is_out = std::ranges::find(evacuated, member.data_centre) !=
+                            evacuated.end() ||
+                        member.state == membership::MemberState::kGone;
+    count += is_out ? 0 : 1;
+  }
+  return servers;
+}
+
+void SendPlan(const Control& control,
+              const EvacuationChange& change,
+              net::Reply& reply) {
+  const auto& now = control.evacuations().data_centres;
+  const auto before = CountServers(control, now);
+  const auto after = CountServers(control, change.Apply(now));
+  json services = json::array();
+  for (const auto& [service, servers] : before) {
+    services.push_back({{"service", service},
+                        {"servers", servers},
+                        {"servers_after", after.at(service)}});
+  }
+  SendJson(reply, {{"plan", change.PlanId(now)},
+                   {"data_centre", change.data_centre},
+                   {"evacuated", change.is_evacuated},
+                   {"services", services}});
+}
+
+}  // namespace
+
+void AnswerEvacuations(const Control& control, net::Reply reply) {
+  SendJson(reply, {{"data_centres", control.evacuations().data_centres}});
+}
+
+void AnswerEvacuate(Control& control,
+                    const net::HttpRequest& request,
+                    const std::string& who,
+                    net::Reply reply) {
+  const auto order = ReadOrder(request.body);
+  if (!order) {
+    SendError(reply, ErrorKind::kMalformedRequest,
+              {{"accepted",
+                "{\"data_centre\": name, \"evacuated\": true or false, "
+                "\"plan\": of the answer without it}"}});
+    return;
+  }
+  const EvacuationChange& change = order->change;
+  if (change.is_evacuated && !IsKnown(control, change.data_centre)) {
+    SendError(reply, ErrorKind::kNotFound,
+              {{"data_centre", change.data_centre}});
+    return;
+  }
+  if (order->plan_id.empty()) {
+    SendPlan(control, change, reply);
+    return;
+  }
+  // A std::function must be copyable; the reply is not.
+  auto held = std::make_shared<net::Reply>(std::move(reply));
+  control.Evacuate(*order, [held, change, who](const auto& done) {
+    if (!done) {
+      SendError(*held, base::KindOf(done.error()),
+                {{"data_centre", change.data_centre}});
+      return;
+    }
+    telemetry::LogEvent(telemetry::Event::kEvacuationConfirmed,
+                        {{"data_centre", change.data_centre},
+                         {"evacuated", change.is_evacuated ? "yes" : "no"},
+                         {"by", who}});
+    SendJson(*held, {{"data_centres", done.value()}});
+  });
+}
+
+}  // namespace chestnutport::node
--- a/src/libs/node/own_server.cc
+++ b/src/libs/node/own_server.cc
@@ -1,5 +1,7 @@
 #include "node/own_server.h"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -15,6 +17,9 @@
 constexpr int kNotFound = 404;
 constexpr char kPath[] = "/v1/server";
 constexpr std::chrono::milliseconds kCheckInterval(250);
+// An announcement is on its way for about as long: what it says of being cold
+// may differ by so much from what was said before without being news.
+constexpr std::chrono::milliseconds kColdTolerance(100);
 
 // The part of the path behind the call's own; empty: there is none.
 std::string_view InstanceIn(std::string_view target) {
@@ -54,7 +59,9 @@
 }
 
 void OwnServer::Undrain(DrainSource source) {
-  drains_.erase(source);
+  const bool has_ended = drains_.erase(source) > 0;
+  if (has_ended && source == DrainSource::kEvacuation)
+    ++state_.evacuations;
   NoteDrains();
 }
 
@@ -153,9 +160,10 @@
   state_.instance = said.instance;
   if (has_started)
     NoteStart(said);
+  const bool is_cold_new = NoteCold(said, now);
   if (said.draining)
     drains_.insert(DrainSource::kServer);
-  if (is_changed)
+  if (is_changed || is_cold_new)
     changed_();
   NoteDrains();
   return true;
@@ -163,6 +171,8 @@
 
 void OwnServer::NoteStart(const ServerAnnouncement& said) {
   ++state_.life;
+  state_.cold_until = {};
+  state_.cold_told_at = {};
   drains_.erase(DrainSource::kServer);
   const std::string started_at = absl::StrCat(said.started_at.count(), "ms");
   LogEvent(Event::kServerAnnounced, {{"service", state_.service},
@@ -171,6 +181,27 @@
                                      {"address", state_.address.ToString()}});
 }
 
+bool OwnServer::NoteCold(const ServerAnnouncement& said, base::Instant now) {
+  if (!said.cold_for)
+    return false;
+  const base::Instant before = std::max(state_.cold_until, now);
+  state_.cold_told_at = now;
+  state_.cold_until = now + *said.cold_for;
+  const base::Duration shift = std::max(state_.cold_until, now) - before;
+  return std::chrono::abs(shift) > kColdTolerance;
+}
+
+void OwnServer::OnColdReported(uint64_t life, base::Instant cold_until) {
+  if (life != state_.life)
+    return;
+  const base::Instant now = base::Clock::now();
+  state_.cold_told_at = now;
+  state_.cold_until = cold_until;
+  const bool is_cold = now < cold_until;
+  if (std::exchange(told_cold_, is_cold) != is_cold)
+    changed_();
+}
+
 bool OwnServer::OnLeft(const net::HttpRequest& request,
                        std::string_view instance) {
   const auto started_at = ReadStartedAt(request.body);
--- a/src/libs/node/own_server.h
+++ b/src/libs/node/own_server.h
@@ -25,6 +25,8 @@
   kServer,    // Ended by the server, or by its next start.
   kOperator,  // Ended by an operator.
   kStop,      // The node stops.
+  // The data centre is evacuated. Afterwards the server may be cold.
+  kEvacuation,
 };
 
 class OwnServer {
@@ -51,6 +53,8 @@
   void OnFound(const ServerAnnouncement& found);
   // The server answered a request or a probe.
   void OnAnswer(base::Instant now) { presence_.OnAnswer(now); }
+  // What the gate knows of how long a life of the server stays cold.
+  void OnColdReported(uint64_t life, base::Instant cold_until);
 
   const ServerState& state() const { return state_; }
   const base::SocketAddress& address() const { return listener_->address(); }
@@ -63,6 +67,8 @@
   // one that came before it.
   bool TakeUp(const ServerAnnouncement& said);
   void NoteStart(const ServerAnnouncement& said);
+  // Returns whether what the server says of being cold is new.
+  bool NoteCold(const ServerAnnouncement& said, base::Instant now);
   // Why the announcement names no server to use; empty: it does.
   std::string FaultOf(const ServerAnnouncement& said) const;
   // False if what the server said cannot be read.
@@ -76,6 +82,7 @@
   DeclaredTest is_declared_;
   ChangedHandler changed_;
   ServerState state_;
+  bool told_cold_ = false;  // By the last change that was told.
   ServerIncarnations incarnations_;
   std::string last_fault_;  // Of an announcement; each is logged once in a row.
   std::set<DrainSource> drains_;
--- a/src/libs/node/own_server_protocol.cc
+++ b/src/libs/node/own_server_protocol.cc
@@ -36,6 +36,11 @@
   return std::nullopt;
 }
 
+std::optional<base::Duration> OwnServerProtocol::ColdFor(
+    const net::HttpHeaders& headers) const {
+  return base::ParseDuration(net::FindHeader(headers, wire::kColdForHeader));
+}
+
 std::string OwnServerProtocol::Instance(
     const net::HttpHeaders& /*headers*/) const {
   return "";
--- a/src/libs/node/own_server_protocol.h
+++ b/src/libs/node/own_server_protocol.h
@@ -13,6 +13,7 @@
   void Prepare(net::HttpRequest& request, const ServerSend& send) const;
   ServerVerdict Judge(const net::HttpAnswer& head) const;
   std::optional<wire::ServerLoad> Load(const net::HttpHeaders& headers) const;
+  std::optional<base::Duration> ColdFor(const net::HttpHeaders& headers) const;
   std::string Instance(const net::HttpHeaders& headers) const;
   std::string AnswerTag() const { return ""; }
 };
--- a/src/libs/node/server_announcement.cc
+++ b/src/libs/node/server_announcement.cc
@@ -85,11 +85,12 @@
 }
 
 void ReadColdFor(Members& members, ServerAnnouncement& said) {
-  std::string text = "0ms";
+  std::string text;
   members.Read("cold_for", &text);
-  const auto duration = base::ParseDuration(text);
-  members.Require("cold_for", duration.has_value());
-  said.cold_for = duration.value_or(base::Duration());
+  if (text.empty())
+    return;
+  said.cold_for = base::ParseDuration(text);
+  members.Require("cold_for", said.cold_for.has_value());
 }
 
 }  // namespace
--- a/src/libs/node/server_announcement.h
+++ b/src/libs/node/server_announcement.h
@@ -24,7 +24,8 @@
   bool draining = false;
   // Counts up with each announcement of a start; zero: it is not counted.
   int64_t sequence = 0;
-  base::Duration cold_for{};  // For so long its work takes longer than usual.
+  // For so long its work takes longer than usual; nothing: not told.
+  std::optional<base::Duration> cold_for;
 
   // Nothing if a part is missing or of the wrong kind; `fault` says which.
   static std::optional<ServerAnnouncement> FromJson(std::string_view text,
--- a/src/libs/node/server_observer.cc
+++ b/src/libs/node/server_observer.cc
@@ -16,10 +16,11 @@
 
 ServerObserver::ServerObserver(net::EventLoop& loop,
                                AnyServerProtocol protocol,
-                               std::function<void()> looked)
+                               Outputs outputs)
     : protocol_(std::move(protocol)),
-      looked_(std::move(looked)),
+      outputs_(std::move(outputs)),
       prober_(loop,
+              outputs_.probed,
               [this](const net::TransferResult& result,
                      const ProbeStart& probe) { OnProbed(result, probe); }) {}
 
@@ -78,7 +79,7 @@
   const bool is_whole = request.end == net::TransferEnd::kComplete;
   if (is_whole) {
     prober_.OnAnswer(now);
-    NoteLoad(answer.headers, now);
+    NoteState(answer.headers, now);
   }
   if (request.is_refused)
     end_watch_.OnRefused(now);
@@ -100,7 +101,7 @@
                               const ProbeStart& probe) {
   if (probe.life == life_)
     JudgeProbe(result, probe.begun, base::Clock::now());
-  looked_();
+  outputs_.looked();
 }
 
 void ServerObserver::JudgeProbe(const net::TransferResult& result,
@@ -113,17 +114,19 @@
   if (result.is_refused)
     end_watch_.OnRefused(now);
   if (result.end == net::TransferEnd::kComplete)
-    NoteLoad(result.answer.headers, now);
+    NoteState(result.answer.headers, now);
   else if (result.end == net::TransferEnd::kTimedOut)
     pace_.OnSilentProbe(now);
   else
     pace_.OnResult(false, now);
 }
 
-void ServerObserver::NoteLoad(const net::HttpHeaders& headers,
-                              base::Instant now) {
+void ServerObserver::NoteState(const net::HttpHeaders& headers,
+                               base::Instant now) {
   if (const auto load = protocol_.load(headers))
     pace_.OnSlowness(load->slowness, now);
+  if (const auto remaining = protocol_.cold_for(headers))
+    outputs_.told_cold(*remaining);
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/node/server_observer.h
+++ b/src/libs/node/server_observer.h
@@ -36,10 +36,17 @@
 
 class ServerObserver {
  public:
-  // `looked` is called when a look has ended. `loop` must outlive this object.
+  struct Outputs {
+    std::function<void()> looked;  // A look has ended.
+    std::function<void()> probed;  // A probe was sent to the server.
+    // The server said how much longer it stays cold.
+    std::function<void(base::Duration)> told_cold;
+  };
+
+  // `loop` must outlive this object.
   ServerObserver(net::EventLoop& loop,
                  AnyServerProtocol protocol,
-                 std::function<void()> looked);
+                 Outputs outputs);
 
   // `has_started`: another life of the server begins.
   void SetServer(const ServerState& server, bool has_started);
@@ -81,10 +88,10 @@
   // Finds out whether the server is still there if it broke something off.
   void AskIfInDoubt(base::Instant now);
   // Takes note of what the server says of itself with an answer.
-  void NoteLoad(const net::HttpHeaders& headers, base::Instant now);
+  void NoteState(const net::HttpHeaders& headers, base::Instant now);
 
   AnyServerProtocol protocol_;
-  std::function<void()> looked_;
+  Outputs outputs_;
   std::string instance_;
   uint64_t life_ = 0;
   admission::ServerPace pace_;
--- a/src/libs/node/server_prober.cc
+++ b/src/libs/node/server_prober.cc
@@ -13,9 +13,12 @@
 
 }  // namespace
 
-ServerProber::ServerProber(net::EventLoop& loop, Handler handler)
+ServerProber::ServerProber(net::EventLoop& loop,
+                           std::function<void()> sent,
+                           Handler handler)
     : client_(loop, net::HttpClientOptions{}),
       scheduler_(admission::ProbeOptions{}, base::Clock::now()),
+      sent_(std::move(sent)),
       handler_(std::move(handler)) {}
 
 void ServerProber::SetServer(const ServerState& server) {
@@ -58,6 +61,7 @@
   net::HttpRequest request{.method = "GET", .target = path_};
   request.headers.push_back(
       {wire::kDeadlineHeader, base::FormatDuration(timeout)});
+  sent_();
   client_.Send(address_, std::move(request), timeout,
                [this, probe = ProbeStart{now, life_}](
                    const net::TransferResult& result) {
--- a/src/libs/node/server_prober.h
+++ b/src/libs/node/server_prober.h
@@ -26,8 +26,10 @@
   using Handler =
       std::function<void(const net::TransferResult&, const ProbeStart&)>;
 
-  // `loop` must outlive this object.
-  ServerProber(net::EventLoop& loop, Handler handler);
+  // `loop` must outlive this object. `sent` is called with each probe.
+  ServerProber(net::EventLoop& loop,
+               std::function<void()> sent,
+               Handler handler);
 
   void SetServer(const ServerState& server);
   // The server answered a request.
@@ -55,6 +57,7 @@
   std::string path_;
   uint64_t life_ = 0;  // Of the server.
   base::Instant last_answer_;
+  std::function<void()> sent_;
   Handler handler_;
 };
 
--- a/src/libs/node/server_protocol.h
+++ b/src/libs/node/server_protocol.h
@@ -40,6 +40,10 @@
   {
     protocol.Load(head.headers)
     } -> std::same_as<std::optional<wire::ServerLoad>>;
+  // How much longer the server stays cold, if the answer says so.
+  {
+    protocol.ColdFor(head.headers)
+    } -> std::same_as<std::optional<base::Duration>>;
   // The start of the server that answered; empty: it does not say.
   { protocol.Instance(head.headers) } -> std::same_as<std::string>;
   // A header that servers echo from the request; empty: there is none.
@@ -57,6 +61,10 @@
         .judge = [protocol](const auto& head) { return protocol.Judge(head); },
         .load =
             [protocol](const auto& headers) { return protocol.Load(headers); },
+        .cold_for =
+            [protocol](const auto& headers) {
+              return protocol.ColdFor(headers);
+            },
         .instance =
             [protocol](const auto& headers) {
               return protocol.Instance(headers);
@@ -67,6 +75,8 @@
   std::function<void(net::HttpRequest&, const ServerSend&)> prepare;
   std::function<ServerVerdict(const net::HttpAnswer&)> judge;
   std::function<std::optional<wire::ServerLoad>(const net::HttpHeaders&)> load;
+  std::function<std::optional<base::Duration>(const net::HttpHeaders&)>
+      cold_for;
   std::function<std::string(const net::HttpHeaders&)> instance;
   std::string answer_tag;
 };
--- a/src/libs/node/server_state.h
+++ b/src/libs/node/server_state.h
@@ -8,6 +8,7 @@
 #include "admission/admission_controller.h"
 #include "admission/probe_scheduler.h"
 #include "base/socket_address.h"
+#include "base/time.h"
 
 namespace chestnutport::node {
 
@@ -21,6 +22,11 @@
   admission::AdmissionOptions admission;
   admission::ProbeOptions probes;
   bool draining = false;
+  // Counts up with each evacuation of the data centre that has ended.
+  uint64_t evacuations = 0;
+  // Until when the server is cold, and when it, or its gate, said so.
+  base::Instant cold_until;
+  base::Instant cold_told_at;
 
   bool TakesWork() const { return announced && !draining; }
 };
--- a/src/libs/routing/server_candidate.h
+++ b/src/libs/routing/server_candidate.h
@@ -22,6 +22,8 @@
   std::string region;
   ServerState state = ServerState::kServing;
   int slots = 1;  // Requests that the server runs at a time.
+  // Requests a second that it is given while it is cold; zero: it is warm.
+  double cold_rate = 0;
 };
 
 }  // namespace chestnutport::routing
--- a/src/libs/routing/server_chooser.cc
+++ b/src/libs/routing/server_chooser.cc
@@ -126,8 +126,8 @@
 void ServerChooser::Weigh(const Known& server,
                           base::Instant now,
                           Best& best) const {
-  const Seconds expected = server.estimate.ExpectedTime(
-      std::max(1, server.candidate.slots), service_, now);
+  const Seconds expected =
+      server.estimate.ExpectedTime(SlotsOf(server.candidate), service_, now);
   const Seconds time = server.distance + expected;
   if (time < best.time) {
     best.time = time;
@@ -135,6 +135,15 @@
   }
 }
 
+int ServerChooser::SlotsOf(const ServerCandidate& candidate) const {
+  const int slots = std::max(1, candidate.slots);
+  if (candidate.cold_rate <= 0)
+    return slots;
+  const double at_once =
+      candidate.cold_rate * service_.typical_latency().count();
+  return std::clamp(static_cast<int>(at_once), 1, slots);
+}
+
 void ServerChooser::OnSent(base::NodeId node, base::Instant now) {
   const auto found = positions_.find(node);
   if (found != positions_.end())
@@ -148,8 +157,7 @@
   if (found == positions_.end())
     return;
   Known& server = servers_[found->second];
-  server.estimate.OnEnded(result, std::max(1, server.candidate.slots), service_,
-                          now);
+  server.estimate.OnEnded(result, SlotsOf(server.candidate), service_, now);
 }
 
 int ServerChooser::InFlight(base::NodeId node) const {
--- a/src/libs/routing/server_chooser.h
+++ b/src/libs/routing/server_chooser.h
@@ -73,6 +73,8 @@
                    base::Random& random) const;
   void Weigh(const Known& server, base::Instant now, Best& best) const;
   void Index(uint32_t position);
+  // Requests that the server is given at a time, at its present rate.
+  int SlotsOf(const ServerCandidate& candidate) const;
 
   Place own_place_;
   std::vector<Known> servers_;
--- a/src/libs/settings/node_settings.h
+++ b/src/libs/settings/node_settings.h
@@ -56,6 +56,10 @@
   // of the requests in any window, and so many beside.
   double fleet_retry_share = 0.2;
   int fleet_retry_burst = 600;
+  // What a cold server may be given of the rate that its service declares, and
+  // so many requests beside in any time.
+  double cold_overage = 1;
+  double cold_slack = 0;
 };
 
 // One setting as it is documented and checked.
--- a/src/libs/store/etcd_form.cc
+++ b/src/libs/store/etcd_form.cc
@@ -83,6 +83,8 @@
   if (!body.is_object())
     return make_error_code(ErrorKind::kStoreUnavailable);
   StorePage page;
+  if (const auto header = body.find("header"); header != body.end())
+    page.as_of = Number(*header, "revision");
   const auto kvs = body.find("kvs");
   if (kvs == body.end())
     return page;
--- a/src/libs/store/store_client.cc
+++ b/src/libs/store/store_client.cc
@@ -28,16 +28,27 @@
 void StoreClient::ListPrefix(const std::string& prefix,
                              Freshness freshness,
                              EntriesHandler handler) {
-  ListFrom(prefix, freshness, {}, std::move(handler));
+  ListFrom(prefix, freshness, {},
+           [handler = std::move(handler)](base::Result<StorePage> page) {
+             if (!page)
+               handler(page.error());
+             else
+               handler(std::move(page.value().entries));
+           });
+}
+
+void StoreClient::ListPage(const std::string& prefix, PageHandler handler) {
+  ListFrom(prefix, Freshness::kLatest, {}, std::move(handler));
 }
 
 void StoreClient::ListFrom(const std::string& prefix,
                            Freshness freshness,
-                           std::vector<StoreEntry> entries,
-                           EntriesHandler handler) {
-  const std::string after = entries.empty() ? "" : entries.back().key;
+                           StorePage listed,
+                           PageHandler handler) {
+  const std::string after =
+      listed.entries.empty() ? "" : listed.entries.back().key;
   Call(form_.list(prefix, after, freshness), timeout_, CallKind::kList,
-       [this, prefix, freshness, entries = std::move(entries),
+       [this, prefix, freshness, listed = std::move(listed),
         handler = std::move(handler)](
            const base::Result<net::HttpAnswer>& answer) mutable {
          if (!answer) {
@@ -57,11 +68,14 @@
          }
          const bool has_more =
              page.value().has_more && !page.value().entries.empty();
-         std::ranges::move(page.value().entries, std::back_inserter(entries));
+         if (listed.as_of == 0)
+           listed.as_of = page.value().as_of;
+         std::ranges::move(page.value().entries,
+                           std::back_inserter(listed.entries));
          if (has_more)
-           ListFrom(prefix, freshness, std::move(entries), std::move(handler));
+           ListFrom(prefix, freshness, std::move(listed), std::move(handler));
          else
-           handler(std::move(entries));
+           handler(std::move(listed));
        });
 }
 
--- a/src/libs/store/store_client.h
+++ b/src/libs/store/store_client.h
@@ -41,6 +41,8 @@
   void ListPrefix(const std::string& prefix,
                   Freshness freshness,
                   EntriesHandler handler);
+  // The same of now, with the store's revision of the first part of it.
+  void ListPage(const std::string& prefix, PageHandler handler);
   // The entry of `key`: one, or none.
   void Read(const std::string& key, EntriesHandler handler);
   // The same, with the store's revision.
@@ -75,8 +77,8 @@
 
   void ListFrom(const std::string& prefix,
                 Freshness freshness,
-                std::vector<StoreEntry> entries,
-                EntriesHandler handler);
+                StorePage listed,
+                PageHandler handler);
   void Call(net::HttpRequest request,
             std::chrono::milliseconds timeout,
             CallKind kind,
--- a/src/libs/store/store_entry.h
+++ b/src/libs/store/store_entry.h
@@ -25,6 +25,7 @@
 // What happened to the keys with a prefix.
 struct StoreNews {
   std::vector<StoreEntry> changed;  // As written, in order.
+  int removed = 0;                  // Keys that were there before.
   int64_t as_of = 0;                // Where to go on from.
   bool history_lost = false;        // Changes were missed: list again.
 };
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -192,6 +192,19 @@
     EventDescription{Event::kMemberGone, "member-gone", Level::kWarning,
                      "A node left or was declared gone.",
                      "Check the VM if that was not planned."},
+    EventDescription{Event::kEvacuated, "evacuated", Level::kInfo,
+                     "The servers of a data centre take no new work until an "
+                     "operator says so.",
+                     "None; see runbooks/evacuation.md."},
+    EventDescription{Event::kEvacuationEnded, "evacuation-ended", Level::kInfo,
+                     "The servers of a data centre take work again, slowly "
+                     "while they are cold.",
+                     "None."},
+    EventDescription{Event::kEvacuationConfirmed, "evacuation-confirmed",
+                     Level::kInfo,
+                     "An operator confirmed that a data centre is evacuated, "
+                     "or no more.",
+                     "None."},
     EventDescription{Event::kInternalFault, "internal-fault", Level::kError,
                      "A fault of chestnutport itself.",
                      "Report it with the log."},
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -72,6 +72,9 @@
   kStoreEntryUnreadable = 3010,
   kMemberJoined = 4001,
   kMemberGone = 4002,
+  kEvacuated = 4101,
+  kEvacuationEnded = 4102,
+  kEvacuationConfirmed = 4103,
   kInternalFault = 9001,
 };
 
--- a/src/libs/wire/header_names.h
+++ b/src/libs/wire/header_names.h
@@ -15,6 +15,9 @@
 // Time since the key was first used, as a duration.
 inline constexpr char kKeyAgeHeader[] = "Chestnutport-Key-Age";
 
+// From the server: how much longer it stays cold, as a duration.
+inline constexpr char kColdForHeader[] = "Chestnutport-Cold-For";
+
 // On an answer to a caller.
 inline constexpr char kOutcomeHeader[] = "Chestnutport-Outcome";
 inline constexpr char kErrorHeader[] = "Chestnutport-Error";
--- /dev/null
+++ b/tests/auto/admission/cold_limit_test.cc
@@ -0,0 +1,212 @@
+// A cold server ends when it gets many more requests in a second than it
+// tolerates. The gate counts all that it is handed, from whatever node.
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+#include <vector>
+
+#include "admission/admission_controller.h"
+
+namespace chestnutport::admission {
+namespace {
+
+using base::Duration;
+using base::Instant;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart = Instant(std::chrono::hours(1));
+constexpr ColdOptions kCold{
+    .rate = 24, .burst = 8, .after_start = seconds(3)};
+constexpr milliseconds kTick(10);
+constexpr milliseconds kWork(65);
+
+// The most of `starts` that lie in any one second.
+size_t MostInASecond(const std::vector<Instant>& starts) {
+  size_t most = 0;
+  for (auto first = starts.begin(); first != starts.end(); ++first) {
+    const auto end = std::ranges::lower_bound(starts, *first + seconds(1));
+    most = std::max(most, static_cast<size_t>(end - first));
+  }
+  return most;
+}
+
+AdmissionOptions ColdServer() {
+  AdmissionOptions options;
+  options.slots = 7;
+  options.adaptive = false;
+  options.cold = kCold;
+  return options;
+}
+
+// All nodes send to one server, many times what it tolerates.
+class Rush {
+ public:
+  explicit Rush(const AdmissionOptions& options) : admission(options) {}
+
+  // Requests at `each`, until `end`.
+  void Play(Instant begin, Instant end, Duration each) {
+    Instant next_tick = begin;
+    for (Instant now = begin; now < end; now += each) {
+      for (; next_tick <= now; next_tick += kTick) {
+        FinishUntil(next_tick);
+        Take(admission.Tick(next_tick), next_tick);
+      }
+      FinishUntil(now);
+      const Arrival arrival{{1, ++last_}, "", "", now + seconds(1), {}};
+      Take(admission.Arrive(arrival, now), now);
+    }
+  }
+
+  AdmissionController admission;
+  std::vector<Instant> starts;
+  std::vector<Duration> told;  // When those that were refused may come back.
+
+ private:
+  struct Running {
+    base::AttemptId id;
+    Instant end;
+  };
+
+  void FinishUntil(Instant now) {
+    while (!running_.empty() && running_.front().end <= now) {
+      const Running ended = running_.front();
+      running_.erase(running_.begin());
+      Take(admission.Finish(ended.id, ended.end), ended.end);
+    }
+  }
+
+  void Take(const AdmissionActions& actions, Instant now) {
+    for (const AdmissionAction& action : actions) {
+      if (action.kind == ActionKind::kStart) {
+        starts.push_back(now);
+        running_.push_back({action.attempt, now + kWork});
+      } else {
+        told.push_back(action.retry_after);
+      }
+    }
+  }
+
+  std::vector<Running> running_;  // By their ends.
+  uint64_t last_ = 0;
+};
+
+TEST_CASE("a server that has just started gets what it tolerates") {
+  Rush rush(ColdServer());
+  rush.admission.OnServerStarted(kStart);
+  rush.Play(kStart, kStart + seconds(3), milliseconds(2));
+  CHECK(MostInASecond(rush.starts) <= 32);
+  // Nor does it get less: what it tolerates is all that there is.
+  CHECK(rush.starts.size() >= 3 * 24);
+
+  SECTION("those that are refused are told when a place is free") {
+    REQUIRE_FALSE(rush.told.empty());
+    CHECK(std::ranges::max(rush.told) <= seconds(2));
+  }
+  SECTION("and once it is warm it gets all that its slots serve") {
+    rush.starts.clear();
+    rush.Play(kStart + seconds(3), kStart + seconds(4), milliseconds(2));
+    CHECK(rush.starts.size() > 90);
+  }
+}
+
+TEST_CASE("the server's own word counts, not its start") {
+  AdmissionController admission(ColdServer());
+  admission.OnServerStarted(kStart);
+  ColdLimit& cold = admission.cold();
+
+  SECTION("it is warm at once") {
+    cold.OnTold({}, kStart);
+    CHECK_FALSE(cold.IsCold(kStart));
+  }
+  SECTION("it stays cold for longer") {
+    cold.OnTold(seconds(5), kStart + seconds(1));
+    CHECK(cold.IsCold(kStart + seconds(5)));
+    CHECK_FALSE(cold.IsCold(kStart + seconds(6)));
+  }
+  SECTION("a late word changes nothing") {
+    cold.OnTold({}, kStart + seconds(1));
+    cold.OnTold(seconds(3), kStart);
+    CHECK_FALSE(cold.IsCold(kStart + seconds(1)));
+  }
+}
+
+TEST_CASE("a warm server becomes cold while it is busy") {
+  Rush rush(ColdServer());
+  rush.Play(kStart, kStart + seconds(2), milliseconds(2));
+  const Instant cold_at = kStart + seconds(2);
+  rush.admission.cold().OnTold(seconds(3), cold_at);
+  rush.starts.clear();
+  rush.Play(cold_at, cold_at + seconds(3), milliseconds(2));
+  CHECK(MostInASecond(rush.starts) <= 32);
+
+  SECTION("the first second's share went to what started before") {
+    const auto early = std::ranges::count_if(
+        rush.starts,
+        [&](Instant at) { return at < cold_at + milliseconds(500); });
+    CHECK(early == 0);
+  }
+}
+
+TEST_CASE("a server in doubt is taken for cold until it says that it is not") {
+  ColdLimit cold(kCold);
+  CHECK_FALSE(cold.IsCold(kStart));
+  cold.Doubt(kStart);
+  CHECK(cold.IsCold(kStart + milliseconds(100)));
+  cold.OnTold({}, kStart + milliseconds(200));
+  CHECK_FALSE(cold.IsCold(kStart + milliseconds(200)));
+}
+
+TEST_CASE("a probe costs a cold server as much as a request") {
+  AdmissionController admission(ColdServer());
+  admission.OnServerStarted(kStart);
+  for (int i = 0; i < 8; ++i)
+    admission.OnProbed(kStart);
+  CHECK_FALSE(admission.HasRoom(kStart));
+}
+
+TEST_CASE("a service that declares no rate is not held back") {
+  AdmissionOptions options = ColdServer();
+  options.cold.rate = 0;
+  Rush rush(options);
+  rush.admission.OnServerStarted(kStart);
+  rush.Play(kStart, kStart + seconds(1), milliseconds(2));
+  CHECK(rush.starts.size() > 90);
+}
+
+TEST_CASE("whatever comes when, no second holds more than was declared") {
+  rc::prop("a bound on any second", [] {
+    const auto rate = *rc::gen::inRange(1, 100);
+    const auto burst = *rc::gen::inRange(0, 30);
+    const auto gaps = *rc::gen::container<std::vector<int>>(
+        300, rc::gen::inRange(0, 40));
+    AdmissionOptions options = ColdServer();
+    options.slots = 1000;
+    options.cold = {.rate = static_cast<double>(rate),
+                    .burst = static_cast<double>(burst),
+                    .after_start = std::chrono::hours(1)};
+    AdmissionController admission(options);
+    admission.OnServerStarted(kStart);
+    Instant now = kStart;
+    std::vector<Instant> starts;
+    uint64_t last = 0;
+    for (const int gap : gaps) {
+      now += milliseconds(gap);
+      const Arrival arrival{{1, ++last}, "", "", now + seconds(1), {}};
+      for (const auto& actions :
+           {admission.Tick(now), admission.Arrive(arrival, now)}) {
+        for (const AdmissionAction& action : actions) {
+          if (action.kind == ActionKind::kStart)
+            starts.push_back(now);
+        }
+      }
+    }
+    RC_ASSERT(MostInASecond(starts) <=
+              static_cast<size_t>(rate + std::max(burst, 1)));
+  });
+}
+
+}  // namespace
+}  // namespace chestnutport::admission
--- a/tests/auto/operators/command_test.cc
+++ b/tests/auto/operators/command_test.cc
@@ -68,6 +68,9 @@
       {"status", "x"},
       {"drain", "a", "b"},
       {"quarantine", "x"},
+      {"evacuations", "x"},
+      {"evacuate"},
+      {"readmit", "a", "b", "c"},
       {"release"},
       {"status", "--node=localhost"},
       {"status", "--node"},
@@ -88,7 +91,8 @@
 TEST_CASE("each command has its help") {
   for (const char* command :
        {"check", "plan", "confirm", "history", "status", "servers", "drain",
-        "undrain", "quarantine", "release"}) {
+        "undrain", "evacuate", "readmit", "evacuations", "quarantine",
+        "release"}) {
     const Ran ran = Run({"help", command});
     CHECK(ran.exit_code == 0);
     CHECK(Contains(ran.output, std::string("chestnutport ") + command));
@@ -164,6 +168,25 @@
     CHECK(fleet.WaitReady(a, 2, 1));
     CHECK(Run({node, "drain", "nobody"}).exit_code == 1);
   }
+  SECTION("a data centre is evacuated by a plan, and taken back by one") {
+    const auto plan_of = [&](const char* command) {
+      const Ran ran = Run({node, "--output=json", command, "poa-b"});
+      return json::parse(ran.output).at("plan").get<std::string>();
+    };
+    const std::string evacuation = plan_of("evacuate");
+    CHECK(Contains(Run({node, "evacuations"}).output, "none"));
+    CHECK(
+        Run({node, "evacuate", "poa-b", "evacuate-poa-b-beside-x"}).exit_code ==
+        1);
+    CHECK(Run({node, "evacuate", "nowhere"}).exit_code == 1);
+    CHECK(Run({node, "evacuate", "poa-b", evacuation}).exit_code == 0);
+    // Repeating it is harmless.
+    CHECK(Run({node, "evacuate", "poa-b", evacuation}).exit_code == 0);
+    CHECK(fleet.WaitReady(a, 1, 1));
+    CHECK(Contains(Run({node, "evacuations"}).output, "poa-b"));
+    CHECK(Run({node, "readmit", "poa-b", plan_of("readmit")}).exit_code == 0);
+    CHECK(fleet.WaitReady(a, 2, 1));
+  }
   SECTION("the store is down: not confirmed, and when to come back") {
     folder.Declare("dossie", 11);
     const std::string second = plan();
--- a/tests/auto/platform/hosted_path_test.cc
+++ b/tests/auto/platform/hosted_path_test.cc
@@ -49,9 +49,10 @@
     REQUIRE(WaitUntil([&] { return one->IsReady(); }));
   }
 
-  void AddSecond(const std::string& server_address = "127.0.0.1:0") {
+  void AddSecond(const std::string& server_address = "127.0.0.1:0",
+                 const std::string& data_centre = "one") {
     two = std::make_unique<HostedNode>("two", platform.store_address(), folder_,
-                                       server_address);
+                                       server_address, data_centre);
   }
 
   HostedPlatform platform;
@@ -211,6 +212,63 @@
   CHECK(scene.platform.RequestsOf(slow) == before);
 }
 
+TEST_CASE("an evacuated data centre's server gets no new work") {
+  Scene scene;
+  HostedServer& here = scene.platform.AddServer("dossie", "i-one");
+  HostedServer& there = scene.platform.AddServer("dossie", "i-two");
+  scene.AddSecond("127.0.0.1:0", "far");
+  scene.Configure(7, "/p/");
+  REQUIRE(WaitUntil([&] { return scene.two->IsReady(); }));
+  scene.one->Announce(here, "ready", 1);
+  scene.two->Announce(there, "ready", 1);
+  const auto knows_both = [](const HostedNode& node) {
+    const std::string status = node.Operate("GET", "/v1/status").body;
+    const size_t first = status.find("dossie");
+    return first != std::string::npos &&
+           status.find("dossie", first + 1) != std::string::npos;
+  };
+  REQUIRE(WaitUntil(
+      [&] { return knows_both(*scene.one) && knows_both(*scene.two); }));
+  const auto is_evacuated = [](const HostedNode& node, const char* name) {
+    return node.Operate("GET", "/v1/evacuations").body.find(name) !=
+           std::string::npos;
+  };
+  scene.platform.Put("op/evacuate/one", "{}");
+  REQUIRE(WaitUntil([&] {
+    return is_evacuated(*scene.one, "one") && is_evacuated(*scene.two, "one");
+  }));
+  size_t before = scene.platform.RequestsOf(here);
+
+  SECTION("and its node still takes callers") {
+    for (int i = 0; i < 10; ++i) {
+      CHECK(scene.one->Call("/p/x", absl::StrCat("a", i)).status == 200);
+      CHECK(scene.two->Call("/p/x", absl::StrCat("b", i)).status == 200);
+    }
+    CHECK(scene.platform.RequestsOf(here) == before);
+  }
+  SECTION("while the store is down, too") {
+    scene.platform.set_failure(503);
+    CHECK(scene.two->Call("/p/x", "c").status == 200);
+    CHECK(scene.platform.RequestsOf(here) == before);
+    CHECK(is_evacuated(*scene.one, "one"));
+  }
+  SECTION("a service that has servers nowhere else is refused at once") {
+    scene.platform.Put("op/evacuate/far", "{}");
+    REQUIRE(WaitUntil([&] { return is_evacuated(*scene.one, "far"); }));
+    before += scene.platform.RequestsOf(there);
+    CHECK(scene.one->Call("/p/x", "d").status == 503);
+    CHECK(scene.platform.RequestsOf(here) + scene.platform.RequestsOf(there) ==
+          before);
+  }
+  SECTION("until it is taken back") {
+    scene.platform.Remove("op/evacuate/one");
+    CHECK(WaitUntil([&] {
+      scene.one->Call("/p/x", "e");
+      return scene.platform.RequestsOf(here) > before;
+    }));
+  }
+}
+
 TEST_CASE(
     "a node lives on when its settings change, and when its store fails") {
   Scene scene;
--- a/tests/support/gossip_fleet.cc
+++ b/tests/support/gossip_fleet.cc
@@ -323,6 +323,13 @@
   Apply(slot, output);
 }
 
+void GossipFleet::ReadEvacuations(size_t slot,
+                                  const evacuation::Evacuations& read) {
+  GossipOutput output;
+  slots_[slot].gossip->OnEvacuationsRead(now_, read, output);
+  Apply(slot, output);
+}
+
 void GossipFleet::EndServer(
     size_t slot,
     uint32_t life,
--- a/tests/support/gossip_fleet.h
+++ b/tests/support/gossip_fleet.h
@@ -69,6 +69,8 @@
   void Greet(size_t slot, size_t seed);
   void Drain(size_t slot);
   void AnnounceRevision(size_t slot, uint64_t revision);
+  // The node reads this from the store.
+  void ReadEvacuations(size_t slot, const evacuation::Evacuations& read);
   // The server beside the node ends while it runs the requests. `life` counts
   // its starts.
   void EndServer(size_t slot,
--- a/tests/support/hosted_node.cc
+++ b/tests/support/hosted_node.cc
@@ -15,10 +15,11 @@
 
 std::string Settings(const std::string& name,
                      const base::SocketAddress& store,
-                     const std::string& server_address) {
+                     const std::string& server_address,
+                     const std::string& data_centre) {
   return absl::StrCat(
-      "[node]\nname = ", name,
-      "\ndata_centre = one\nregion = south\nfleet = fleet\n"
+      "[node]\nname = ", name, "\ndata_centre = ", data_centre,
+      "\nregion = south\nfleet = fleet\n"
       "adapter = hosted\nservice = dossie\nfirst_contacts =\n"
       "server_address = ",
       server_address,
@@ -61,9 +62,10 @@
 HostedNode::HostedNode(const std::string& name,
                        const base::SocketAddress& store,
                        const std::filesystem::path& folder,
-                       const std::string& server_address)
+                       const std::string& server_address,
+                       const std::string& data_centre)
     : path_(folder / (name + ".ini")) {
-  std::ofstream(path_) << Settings(name, store, server_address);
+  std::ofstream(path_) << Settings(name, store, server_address, data_centre);
   process_ = std::make_unique<Process>(
       "chestnutportd",
       std::vector<std::string>{"--settings=" + path_.string()});
--- a/tests/support/hosted_node.h
+++ b/tests/support/hosted_node.h
@@ -16,11 +16,12 @@
 class HostedNode {
  public:
   // Starts it. `folder` is for its settings; `server_address`: where its server
-  // is looked for.
+  // is looked for. It runs in the data centre "one" unless told otherwise.
   HostedNode(const std::string& name,
              const base::SocketAddress& store,
              const std::filesystem::path& folder,
-             const std::string& server_address = "127.0.0.1:0");
+             const std::string& server_address = "127.0.0.1:0",
+             const std::string& data_centre = "one");
 
   Process& process() { return *process_; }
 
--- a/tests/support/hosted_platform.cc
+++ b/tests/support/hosted_platform.cc
@@ -74,6 +74,13 @@
   });
 }
 
+void HostedPlatform::Remove(const std::string& key) {
+  Run([&] {
+    items_[key] = {"", ++revision_, true};
+    TellWatchers();
+  });
+}
+
 HostedServer& HostedPlatform::AddServer(const std::string& service,
                                         const std::string& instance) {
   auto created = std::make_unique<HostedServer>();
@@ -144,7 +151,9 @@
                               net::HttpRequest request,
                               net::Reply reply) {
   if (request.target == "/healthz") {
-    reply.Send({.status = 200, .headers = OwnHeaders(server), .body = ""});
+    net::HttpHeaders headers = OwnHeaders(server);
+    headers.push_back({"Cold-Start-Ms", std::to_string(server.cold_ms)});
+    reply.Send({.status = 200, .headers = std::move(headers), .body = ""});
     return;
   }
   server.requests.push_back(request);
@@ -178,7 +187,7 @@
   const std::string& target = request.target;
   if (target.starts_with("/chestnutport/kv-key?")) {
     const auto found = items_.find(Parameter(target, "key"));
-    if (found == items_.end()) {
+    if (found == items_.end() || found->second.is_deleted) {
       reply.Send(Json(kNotFound, {{"asOf", revision_}}));
       return;
     }
@@ -187,10 +196,14 @@
                           {"revision", found->second.revision},
                           {"asOf", revision_}}));
   } else if (target.starts_with("/chestnutport/kv-range?")) {
-    const std::string events = EventsAfter(Parameter(target, "prefix"), 0);
-    reply.Send(Json(200, {{"items", json::parse(events)},
-                          {"hasMore", false},
-                          {"asOf", revision_}}));
+    json items = json::array();
+    for (const json& item :
+         json::parse(EventsAfter(Parameter(target, "prefix"), 0))) {
+      if (!item.contains("deleted"))
+        items.push_back(item);
+    }
+    reply.Send(
+        Json(200, {{"items", items}, {"hasMore", false}, {"asOf", revision_}}));
   } else if (target.starts_with("/chestnutport/kv-watch?")) {
     auto watcher = std::make_unique<Watcher>();
     watcher->prefix = Parameter(target, "prefix");
@@ -232,7 +245,12 @@
                                         int64_t after) const {
   json events = json::array();
   for (const auto& [key, item] : items_) {
-    if (key.starts_with(prefix) && item.revision > after) {
+    if (!key.starts_with(prefix) || item.revision <= after)
+      continue;
+    if (item.is_deleted) {
+      events.push_back(
+          {{"key", key}, {"revision", item.revision}, {"deleted", true}});
+    } else {
       events.push_back(
           {{"key", key}, {"value", item.value}, {"revision", item.revision}});
     }
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -24,6 +24,7 @@
   std::string service;
   std::string instance;
   std::string load = "0,0,12,100";  // As its load header says.
+  int cold_ms = 0;                  // As its health answers say.
   // Replaces the usual answer, if set.
   std::function<net::HttpAnswer(const net::HttpRequest&)> answer;
   // The server ends when it has run such a request for a moment, with all that
@@ -48,6 +49,8 @@
   base::SocketAddress store_address() const { return store_->address(); }
   // Writes as the operator does.
   void Put(const std::string& key, const std::string& value);
+  // Deletes as the operator does.
+  void Remove(const std::string& key);
   // From now on every call to the store is answered with this status; zero: as
   // usual.
   void set_failure(int status) { failure_ = status; }
@@ -76,6 +79,7 @@
   struct Item {
     std::string value;  // In base64, as it travels.
     int64_t revision = 0;
+    bool is_deleted = false;
   };
   struct Watcher {
     std::string prefix;
