Run requests in the regions that their route or service declares

Cause: a route's regions (the users' rule HOME) were not read; no site so far declares any, unseen ones will.

Change: routes and services carry regions; the chooser draws among servers that are admitted only, also when a request moves, hedges, falls back to a suspected server, or is bound to the owner of its key; owners are found among the servers of those regions on both sides. Where none is left it is refused at once, not run.

--- a/src/app/chestnutport/command_evacuation.cc
+++ b/src/app/chestnutport/command_evacuation.cc
@@ -25,8 +25,7 @@
     std::cerr << HelpText(command);
     return kExitUsage;
   }
-  json body = {{"data_centre", words[0]},
-               {"evacuated", command == "evacuate"}};
+  json body = {{"data_centre", words[0]}, {"evacuated", command == "evacuate"}};
   if (words.size() > 1)
     body["plan"] = words[1];
   const ApiAnswer answer =
@@ -43,8 +42,8 @@
                       {"SERVERS NOW", "servers"},
                       {"AFTERWARDS", "servers_after"}},
                      answer.body.at("services"))
-            << "Nothing is changed yet. To confirm:\n  chestnutport "
-            << command << " " << words[0] << " " << plan << "\n";
+            << "Nothing is changed yet. To confirm:\n  chestnutport " << command
+            << " " << words[0] << " " << plan << "\n";
   return answer.exit_code;
 }
 
--- a/src/libs/admission/cold_limit.h
+++ b/src/libs/admission/cold_limit.h
@@ -44,7 +44,9 @@
   double rate() const { return options_.rate; }
 
   // Whether a request may be handed to the server now.
-  bool MayStart(base::Instant now) const { return Wait(1, now) == base::Duration(); }
+  bool MayStart(base::Instant now) const {
+    return Wait(1, now) == base::Duration();
+  }
   // Until the last of `requests` may be handed to the server, one after the
   // other.
   base::Duration Wait(double requests, base::Instant now) const;
--- a/src/libs/declarations/route_declaration.h
+++ b/src/libs/declarations/route_declaration.h
@@ -26,6 +26,7 @@
   int urgency = 1;                  // A lower one goes first.
   int most_servers = 1;             // That one request may be handed to.
   std::vector<RouteTarget> targets;
+  std::vector<std::string> regions;  // Where a request may run; empty: any.
 
   // A service by the weights; empty if there are no targets.
   const std::string& Draw(base::Random& random) const;
--- a/src/libs/declarations/service_declaration.cc
+++ b/src/libs/declarations/service_declaration.cc
@@ -128,6 +128,16 @@
   return true;
 }
 
+bool ReadRegions(ServiceDeclaration& service, std::string_view text) {
+  for (const std::string_view part : base::Split(text, ',')) {
+    const std::string_view region = base::Trim(part);
+    if (!IsServiceName(region))
+      return false;
+    service.regions.emplace_back(region);
+  }
+  return !service.regions.empty();
+}
+
 bool ReadKeyRecord(ServiceDeclaration& service, std::string_view text) {
   service.key_record =
       text == "store" ? KeyRecordPlace::kStore : KeyRecordPlace::kOwner;
@@ -149,6 +159,8 @@
       {"requests", "repeatable", "METHOD /path, ... with * for any method",
        ReadRepeatable, "none",
        "Requests that may be run twice: sent again, or hedged."},
+      {"requests", "regions", "names of regions, separated by commas",
+       ReadRegions, "any", "Where requests may run, and their bodies be sent."},
       {"requests", "deadline", "a duration up to 1h, such as 2s",
        Time(&ServiceDeclaration::deadline), "10s",
        "Deadline of a request that brings none."},
--- a/src/libs/declarations/service_declaration.h
+++ b/src/libs/declarations/service_declaration.h
@@ -41,6 +41,7 @@
   std::string host;         // Matches the Host header; empty: any.
   std::string path_prefix;  // Matches the beginning of the path.
   std::vector<RepeatableRule> repeatable;
+  std::vector<std::string> regions;  // Where a request may run; empty: any.
   base::Duration deadline =
       std::chrono::seconds(10);  // If the caller has none.
   base::Duration longest_deadline = std::chrono::seconds(60);
--- a/src/libs/evacuation/evacuations.cc
+++ b/src/libs/evacuation/evacuations.cc
@@ -5,10 +5,9 @@
 namespace chestnutport::evacuation {
 
 bool Evacuations::Contains(std::string_view data_centre) const {
-  return std::ranges::binary_search(data_centres, data_centre, {},
-                                    [](const std::string& name) {
-                                      return std::string_view(name);
-                                    });
+  return std::ranges::binary_search(
+      data_centres, data_centre, {},
+      [](const std::string& name) { return std::string_view(name); });
 }
 
 size_t Evacuations::NameBytes() const {
--- a/src/libs/evacuation_store/evacuation_form.h
+++ b/src/libs/evacuation_store/evacuation_form.h
@@ -16,8 +16,8 @@
 using DataCentres = std::vector<std::string>;
 
 template <typename Form>
-concept EvacuationForm =
-    requires(const Form& form, std::span<const store::StoreEntry> entries) {
+concept EvacuationForm = requires(const Form& form,
+                                  std::span<const store::StoreEntry> entries) {
   // Of all keys that tell of evacuations.
   { form.Prefix() } -> std::same_as<std::string>;
   // The data centres by all entries with the prefix, in any order; nothing if
--- a/src/libs/evacuation_store/evacuation_reader.cc
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -17,8 +17,8 @@
 // How long one watch waits: short enough that a connection that went silent is
 // left soon, long enough that a fleet's watches are few calls.
 constexpr std::chrono::seconds kWatchWait(10);
-// A node that starts hears of the fleet, and so of evacuations, within this time
-// as a rule; only those that are readers then ask the store.
+// A node that starts hears of the fleet, and so of evacuations, within this
+// time as a rule; only those that are readers then ask the store.
 constexpr base::Duration kFirstWait = std::chrono::seconds(1);
 // Readers whose watches were cut together read again spread over this time.
 constexpr base::Duration kReadAgainSpread = std::chrono::milliseconds(200);
@@ -120,9 +120,9 @@
 void EvacuationReader::Watch(int64_t after) {
   store_.Watch(form_.prefix, after, kWatchWait,
                [this, after](const auto& news) {
-                 const bool is_quiet =
-                     news && !news.value().history_lost &&
-                     news.value().changed.empty() && news.value().removed == 0;
+                 const bool is_quiet = news && !news.value().history_lost &&
+                                       news.value().changed.empty() &&
+                                       news.value().removed == 0;
                  if (is_quiet && is_reader_)
                    Watch(std::max(after, news.value().as_of));
                  else if (news && !news.value().history_lost)
--- a/src/libs/evacuation_store/evacuation_writer.cc
+++ b/src/libs/evacuation_store/evacuation_writer.cc
@@ -25,13 +25,14 @@
     handler(make_error_code(ErrorKind::kNotFound));
     return;
   }
-  store_.ReadPage(form_.prefix, [this, order, handler = std::move(handler)](
-                                    const base::Result<store::StorePage>& page) {
-    if (!page)
-      handler(page.error());
-    else
-      Write(order, page.value(), handler);
-  });
+  store_.ReadPage(form_.prefix,
+                  [this, order, handler = std::move(handler)](
+                      const base::Result<store::StorePage>& page) {
+                    if (!page)
+                      handler(page.error());
+                    else
+                      Write(order, page.value(), handler);
+                  });
 }
 
 void EvacuationWriter::Write(const EvacuationOrder& order,
@@ -53,16 +54,16 @@
   const DataCentres after = order.change.Apply(*now);
   const int64_t revision =
       page.entries.empty() ? kNoEntry : page.entries.front().revision;
-  store_.CompareAndSwap(
-      form_.prefix, revision, OwnEvacuationForm::Write(after), kNoLease,
-      [after, handler](const base::Result<bool>& written) {
-        if (!written)
-          handler(written.error());
-        else if (!written.value())
-          handler(make_error_code(ErrorKind::kStalePlan));
-        else
-          handler(after);
-      });
+  store_.CompareAndSwap(form_.prefix, revision, OwnEvacuationForm::Write(after),
+                        kNoLease,
+                        [after, handler](const base::Result<bool>& written) {
+                          if (!written)
+                            handler(written.error());
+                          else if (!written.value())
+                            handler(make_error_code(ErrorKind::kStalePlan));
+                          else
+                            handler(after);
+                        });
 }
 
 }  // namespace chestnutport::evacuation_store
--- a/src/libs/evacuation_store/own_evacuation_form.cc
+++ b/src/libs/evacuation_store/own_evacuation_form.cc
@@ -24,10 +24,10 @@
 
 std::optional<DataCentres> OwnEvacuationForm::Parse(const std::string& text) {
   const json list = json::parse(text, nullptr, false);
-  const bool is_list = list.is_array() &&
-                       std::ranges::all_of(list, [](const json& name) {
-                         return name.is_string();
-                       });
+  const bool is_list =
+      list.is_array() && std::ranges::all_of(list, [](const json& name) {
+        return name.is_string();
+      });
   if (!is_list)
     return std::nullopt;
   return list.get<DataCentres>();
--- a/src/libs/node/caller_request.cc
+++ b/src/libs/node/caller_request.cc
@@ -73,6 +73,7 @@
     return base::make_error_code(ErrorKind::kInvalidDeadline);
   CallerRequest read;
   read.service = declaration->name;
+  read.regions = declaration->regions;
   read.tenant = net::FindHeader(request.headers, wire::kTenantHeader);
   read.traffic_class = net::FindHeader(request.headers, wire::kClassHeader);
   read.may_stop = IsSafe(request.method);
--- a/src/libs/node/caller_request.h
+++ b/src/libs/node/caller_request.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/request_fingerprint.h"
 #include "base/result.h"
@@ -29,6 +30,8 @@
   bool may_stop = false;  // One that runs may be stopped halfway.
   int most_servers = 3;   // That it may be handed to.
   calls::MoveLimits moves;
+  // Where it may run; empty: anywhere.
+  std::vector<std::string> regions;
   // An answer is worth most until then; zero: it is worth the same until the
   // deadline.
   base::Duration target_latency{};
--- a/src/libs/node/control_publishing.cc
+++ b/src/libs/node/control_publishing.cc
@@ -5,6 +5,7 @@
 
 #include "node/control.h"
 #include "node/key_owner_view.h"
+#include "routing/server_filter.h"
 
 namespace chestnutport::node {
 namespace {
@@ -100,10 +101,16 @@
 }
 
 void Control::PublishKeyView() {
+  const std::string& service = own_server_.state().service;
+  const auto* declared = configuration_.configuration().FindService(service);
+  routing::ServerFilter filter;
+  if (declared)
+    filter.regions = declared->regions;
   std::vector<routing::ServerCandidate> servers;
   for (const membership::Member& member : members_) {
-    if (member.server && member.state != membership::MemberState::kGone &&
-        member.server->service == own_server_.state().service) {
+    if (member.server && filter.AdmitsRegion(member.region) &&
+        member.state != membership::MemberState::kGone &&
+        member.server->service == service) {
       servers.push_back(ToCandidate(member, evacuations_));
     }
   }
--- a/src/libs/node/ingress_attempts.cc
+++ b/src/libs/node/ingress_attempts.cc
@@ -68,14 +68,16 @@
                                                       base::Instant now) {
   if (!call.request.idempotency_key.empty())
     return KeyOwner(call.request);
-  return call.service->chooser().Choose(call.tried, now, random_);
+  return call.service->chooser().ChooseAdmitted(
+      {call.tried, call.request.regions}, now, random_);
 }
 
 const routing::ServerCandidate* Ingress::KeyOwner(
     const CallerRequest& request) {
   const keys::KeyScope scope{request.service, request.tenant,
                              request.idempotency_key};
-  return OwnerAmong(scope.Hash(), snapshot_.servers[request.service]);
+  return OwnerAmong(scope.Hash(), snapshot_.servers[request.service],
+                    {{}, request.regions});
 }
 
 bool Ingress::IsSuspect(const ActiveCall& call) const {
@@ -105,7 +107,8 @@
   if (!call.request.idempotency_key.empty())
     return KeyOwner(call.request);
   return OwnerAmong(call.request.fingerprint.value,
-                    snapshot_.servers[call.request.service], call.tried);
+                    snapshot_.servers[call.request.service],
+                    {call.tried, call.request.regions});
 }
 
 const routing::ServerCandidate* Ingress::ChooseForAttempt(ActiveCall& call,
--- a/src/libs/node/key_owner_view.cc
+++ b/src/libs/node/key_owner_view.cc
@@ -1,6 +1,7 @@
 #include "node/key_owner_view.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace chestnutport::node {
 namespace {
@@ -33,12 +34,13 @@
 const routing::ServerCandidate* OwnerAmong(
     uint64_t key_hash,
     std::span<const routing::ServerCandidate> servers,
-    std::span<const base::NodeId> without) {
-  std::vector<keys::OwnerNode> nodes = ToOwnerNodes(servers);
-  std::erase_if(nodes, [without](const keys::OwnerNode& node) {
-    return std::ranges::find(without, node.id) != without.end();
-  });
-  const auto owner = keys::OwnerOf(key_hash, nodes);
+    const routing::ServerFilter& filter) {
+  std::vector<routing::ServerCandidate> admitted;
+  std::ranges::copy_if(servers, std::back_inserter(admitted),
+                       [&filter](const routing::ServerCandidate& server) {
+                         return filter.Admits(server);
+                       });
+  const auto owner = keys::OwnerOf(key_hash, ToOwnerNodes(admitted));
   if (!owner)
     return nullptr;
   const auto found =
--- a/src/libs/node/key_owner_view.h
+++ b/src/libs/node/key_owner_view.h
@@ -7,6 +7,7 @@
 
 #include "keys/key_ownership.h"
 #include "routing/server_candidate.h"
+#include "routing/server_filter.h"
 
 namespace chestnutport::node {
 
@@ -14,12 +15,12 @@
 std::vector<keys::OwnerNode> ToOwnerNodes(
     std::span<const routing::ServerCandidate> servers);
 
-// The server whose node owns the key, those of `without` left out; null if
+// The server whose node owns the key, of those that the filter admits; null if
 // there is none.
 const routing::ServerCandidate* OwnerAmong(
     uint64_t key_hash,
     std::span<const routing::ServerCandidate> servers,
-    std::span<const base::NodeId> without = {});
+    const routing::ServerFilter& filter = {});
 
 }  // namespace chestnutport::node
 
--- a/src/libs/node/operator_evacuation.cc
+++ b/src/libs/node/operator_evacuation.cc
@@ -49,9 +49,9 @@
     if (!member.server)
       continue;
     int& count = servers[member.server->service];
-    const bool is_out = std::ranges::find(evacuated, member.data_centre) !=
-                            evacuated.end() ||
-                        member.state == membership::MemberState::kGone;
+    const bool is_out =
+        std::ranges::find(evacuated, member.data_centre) != evacuated.end() ||
+        member.state == membership::MemberState::kGone;
     count += is_out ? 0 : 1;
   }
   return servers;
--- a/src/libs/routing/server_chooser.cc
+++ b/src/libs/routing/server_chooser.cc
@@ -15,10 +15,6 @@
 constexpr int kDrawn = 3;
 constexpr int kDrawnNear = 2;
 
-bool Contains(std::span<const base::NodeId> nodes, base::NodeId node) {
-  return std::ranges::find(nodes, node) != nodes.end();
-}
-
 }  // namespace
 
 struct ServerChooser::Best {
@@ -46,6 +42,7 @@
   positions_.clear();
   serving_.clear();
   near_.clear();
+  serving_in_.clear();
   suspected_.clear();
   for (uint32_t position = 0; position < servers_.size(); ++position)
     Index(position);
@@ -59,39 +56,58 @@
   if (candidate.state != ServerState::kServing)
     return;
   serving_.push_back(position);
+  serving_in_[candidate.region].push_back(position);
   if (candidate.data_centre == own_place_.data_centre)
     near_.push_back(position);
 }
 
-const ServerCandidate* ServerChooser::Choose(
-    std::span<const base::NodeId> excluded,
+const ServerCandidate* ServerChooser::ChooseAdmitted(
+    const ServerFilter& filter,
     base::Instant now,
     base::Random& random) const {
   Best best;
-  DrawOwn(excluded, now, best);
-  Draw(near_, kDrawnNear, excluded, now, random, best);
-  Draw(serving_, kDrawn, excluded, now, random, best);
+  DrawOwn(filter, now, best);
+  if (filter.AdmitsRegion(own_place_.region))
+    Draw(near_, kDrawnNear, filter, now, random, best);
+  DrawServing(filter, now, random, best);
   if (!best.server)
-    best.server = Any(serving_, excluded, random);
+    best.server = Any(serving_, filter, random);
   if (!best.server)
-    best.server = Any(suspected_, excluded, random);
+    best.server = Any(suspected_, filter, random);
   return best.server ? &best.server->candidate : nullptr;
 }
 
-void ServerChooser::DrawOwn(std::span<const base::NodeId> excluded,
+void ServerChooser::DrawOwn(const ServerFilter& filter,
                             base::Instant now,
                             Best& best) const {
   const auto found = positions_.find(own_place_.node);
-  if (found == positions_.end() || Contains(excluded, own_place_.node))
+  if (found == positions_.end())
     return;
   const Known& server = servers_[found->second];
-  if (server.candidate.state == ServerState::kServing)
+  if (server.candidate.state == ServerState::kServing &&
+      filter.Admits(server.candidate)) {
     Weigh(server, now, best);
+  }
+}
+
+void ServerChooser::DrawServing(const ServerFilter& filter,
+                                base::Instant now,
+                                base::Random& random,
+                                Best& best) const {
+  if (filter.regions.empty()) {
+    Draw(serving_, kDrawn, filter, now, random, best);
+    return;
+  }
+  for (const std::string& region : filter.regions) {
+    const auto found = serving_in_.find(region);
+    if (found != serving_in_.end())
+      Draw(found->second, kDrawn, filter, now, random, best);
+  }
 }
 
 void ServerChooser::Draw(const Indexes& from,
                          int wanted,
-                         std::span<const base::NodeId> excluded,
+                         const ServerFilter& filter,
                          base::Instant now,
                          base::Random& random,
                          Best& best) const {
@@ -100,24 +116,26 @@
   std::uniform_int_distribution<size_t> any(0, from.size() - 1);
   for (int i = 0; i < wanted; ++i) {
     const Known& server = servers_[from[any(random)]];
-    if (!Contains(excluded, server.candidate.node))
+    if (filter.Admits(server.candidate))
       Weigh(server, now, best);
   }
 }
 
-const ServerChooser::Known* ServerChooser::Any(
-    const Indexes& from,
-    std::span<const base::NodeId> excluded,
-    base::Random& random) const {
+const ServerChooser::Known* ServerChooser::Any(const Indexes& from,
+                                               const ServerFilter& filter,
+                                               base::Random& random) const {
   if (from.empty())
     return nullptr;
   std::uniform_int_distribution<size_t> any(0, from.size() - 1);
   const size_t start = any(random);
-  // One step more than there are excluded finds one if there is any.
-  const size_t steps = std::min(from.size(), excluded.size() + 1);
+  // One step more than there are excluded finds one if there is any; where
+  // regions are left out, all may have to be looked at.
+  const size_t steps = filter.regions.empty()
+                           ? std::min(from.size(), filter.excluded.size() + 1)
+                           : from.size();
   for (size_t i = 0; i < steps; ++i) {
     const Known& server = servers_[from[(start + i) % from.size()]];
-    if (!Contains(excluded, server.candidate.node))
+    if (filter.Admits(server.candidate))
       return &server;
   }
   return nullptr;
--- a/src/libs/routing/server_chooser.h
+++ b/src/libs/routing/server_chooser.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -18,6 +19,7 @@
 #include "routing/place.h"
 #include "routing/server_candidate.h"
 #include "routing/server_estimate.h"
+#include "routing/server_filter.h"
 #include "routing/service_estimate.h"
 
 namespace chestnutport::routing {
@@ -34,7 +36,13 @@
   // until the next SetServers().
   const ServerCandidate* Choose(std::span<const base::NodeId> excluded,
                                 base::Instant now,
-                                base::Random& random) const;
+                                base::Random& random) const {
+    return ChooseAdmitted({excluded, {}}, now, random);
+  }
+  // The same, among the servers that the filter admits.
+  const ServerCandidate* ChooseAdmitted(const ServerFilter& filter,
+                                        base::Instant now,
+                                        base::Random& random) const;
 
   // Each OnSent() is followed by one OnEnded() for the same node. Both are
   // harmless for a node that is no candidate any more.
@@ -58,18 +66,21 @@
   using Indexes = std::vector<uint32_t>;
   struct Best;
 
-  void DrawOwn(std::span<const base::NodeId> excluded,
-               base::Instant now,
-               Best& best) const;
+  void DrawOwn(const ServerFilter& filter, base::Instant now, Best& best) const;
   void Draw(const Indexes& from,
             int wanted,
-            std::span<const base::NodeId> excluded,
+            const ServerFilter& filter,
             base::Instant now,
             base::Random& random,
             Best& best) const;
-  // Any that is not excluded, by walking on from a random one.
+  // From all that serve, or from those of each region that is admitted.
+  void DrawServing(const ServerFilter& filter,
+                   base::Instant now,
+                   base::Random& random,
+                   Best& best) const;
+  // Any that is admitted, by walking on from a random one.
   const Known* Any(const Indexes& from,
-                   std::span<const base::NodeId> excluded,
+                   const ServerFilter& filter,
                    base::Random& random) const;
   void Weigh(const Known& server, base::Instant now, Best& best) const;
   void Index(uint32_t position);
@@ -81,6 +92,7 @@
   absl::flat_hash_map<base::NodeId, uint32_t> positions_;
   Indexes serving_;
   Indexes near_;  // Those that serve in the own data centre.
+  absl::flat_hash_map<std::string, Indexes> serving_in_;  // By region.
   Indexes suspected_;
   ServiceEstimate service_;
 };
--- /dev/null
+++ b/src/libs/routing/server_filter.h
@@ -0,0 +1,30 @@
+// Which servers a request may go to.
+#ifndef ROUTING_SERVER_FILTER_H_
+#define ROUTING_SERVER_FILTER_H_
+
+#include <algorithm>
+#include <span>
+#include <string>
+
+#include "base/node_id.h"
+#include "routing/server_candidate.h"
+
+namespace chestnutport::routing {
+
+struct ServerFilter {
+  std::span<const base::NodeId> excluded;
+  std::span<const std::string> regions;  // Empty: any.
+
+  bool AdmitsRegion(const std::string& region) const {
+    return regions.empty() ||
+           std::ranges::find(regions, region) != regions.end();
+  }
+  bool Admits(const ServerCandidate& server) const {
+    return AdmitsRegion(server.region) &&
+           std::ranges::find(excluded, server.node) == excluded.end();
+  }
+};
+
+}  // namespace chestnutport::routing
+
+#endif  // ROUTING_SERVER_FILTER_H_
--- a/tests/auto/admission/cold_limit_test.cc
+++ b/tests/auto/admission/cold_limit_test.cc
@@ -2,9 +2,9 @@
 // tolerates. The gate counts all that it is handed, from whatever node.
 #include <rapidcheck.h>
 
+#include <rapidcheck/catch.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <rapidcheck/catch.h>
 #include <vector>
 
 #include "admission/admission_controller.h"
@@ -18,8 +18,7 @@
 using std::chrono::seconds;
 
 constexpr Instant kStart = Instant(std::chrono::hours(1));
-constexpr ColdOptions kCold{
-    .rate = 24, .burst = 8, .after_start = seconds(3)};
+constexpr ColdOptions kCold{.rate = 24, .burst = 8, .after_start = seconds(3)};
 constexpr milliseconds kTick(10);
 constexpr milliseconds kWork(65);
 
@@ -143,9 +142,9 @@
   CHECK(MostInASecond(rush.starts) <= 32);
 
   SECTION("the first second's share went to what started before") {
-    const auto early = std::ranges::count_if(
-        rush.starts,
-        [&](Instant at) { return at < cold_at + milliseconds(500); });
+    const auto early = std::ranges::count_if(rush.starts, [&](Instant at) {
+      return at < cold_at + milliseconds(500);
+    });
     CHECK(early == 0);
   }
 }
@@ -180,8 +179,8 @@
   rc::prop("a bound on any second", [] {
     const auto rate = *rc::gen::inRange(1, 100);
     const auto burst = *rc::gen::inRange(0, 30);
-    const auto gaps = *rc::gen::container<std::vector<int>>(
-        300, rc::gen::inRange(0, 40));
+    const auto gaps =
+        *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 40));
     AdmissionOptions options = ColdServer();
     options.slots = 1000;
     options.cold = {.rate = static_cast<double>(rate),
--- a/tests/auto/evacuation/evacuation_forms_test.cc
+++ b/tests/auto/evacuation/evacuation_forms_test.cc
@@ -17,7 +17,8 @@
   CHECK(form.Read(written) == DataCentres{"poa-b"});
 
   SECTION("what is no list of names is not taken for the end of one") {
-    const std::string value = GENERATE("", "{}", "[1]", "poa-b", "[\"a\",null]");
+    const std::string value =
+        GENERATE("", "{}", "[1]", "poa-b", "[\"a\",null]");
     CHECK_FALSE(form.Read(Entries{{key, value, 5}}).has_value());
   }
 }
--- a/tests/auto/platform/hosted_configuration_form_test.cc
+++ b/tests/auto/platform/hosted_configuration_form_test.cc
@@ -50,6 +50,22 @@
   CHECK(Parse(deep).routes.size() == 0);
 }
 
+TEST_CASE("a route's regions and a service's cold rate are read") {
+  const auto configuration = Parse(R"({"version":7,"routes":{
+    "columns":["name","host","prefix","service","allowedRegions"],
+    "rows":[["r","a.example","/p/","one",["sul","norte"]],
+            ["s","a.example","/q/","one",null]]},
+   "services":{"columns":["name","coldStart","coldPerS"],
+    "rows":[["one","3s",16.5],["two",null,null],["three","x",-1]]}})");
+  CHECK(configuration.routes.Match("a.example", "/p/x")->regions ==
+        std::vector<std::string>{"sul", "norte"});
+  CHECK(configuration.routes.Match("a.example", "/q/x")->regions.empty());
+  CHECK(configuration.services[0].cold_rate == 16.5);
+  CHECK(configuration.services[0].cold_start == std::chrono::seconds(3));
+  CHECK(configuration.services[1].cold_rate == 0);
+  CHECK(configuration.services[2].cold_rate == 0);
+}
+
 TEST_CASE("the longest prefix of the host decides") {
   const auto configuration = Parse(kDocument);
   REQUIRE(configuration.routes.size() == 2);
--- a/tests/auto/routing/server_chooser_test.cc
+++ b/tests/auto/routing/server_chooser_test.cc
@@ -139,6 +139,69 @@
   CHECK(story.Choose() != NodeId{});
 }
 
+TEST_CASE("A request that may run in some regions only") {
+  auto servers = Servers(6);
+  servers[0].region = "norte";
+  servers[1].region = "norte";
+  servers[2].region = "leste";
+  Story story(servers);
+  const std::vector<std::string> norte = {"norte"};
+  const auto choose = [&](std::span<const NodeId> excluded,
+                          std::span<const std::string> regions) {
+    const auto* server = story.chooser.ChooseAdmitted({excluded, regions},
+                                                      story.now, story.random);
+    return server ? server->node : NodeId{};
+  };
+
+  SECTION("goes to no server elsewhere, though the own region has room") {
+    for (int i = 0; i < 100; ++i) {
+      const NodeId node = choose({}, norte);
+      CHECK((node == servers[0].node || node == servers[1].node));
+      story.chooser.OnSent(node, story.now);
+    }
+  }
+  SECTION("nor when it moves") {
+    const NodeId one[] = {servers[0].node};
+    CHECK(choose(one, norte) == servers[1].node);
+    const NodeId both[] = {servers[0].node, servers[1].node};
+    CHECK(choose(both, norte) == NodeId{});
+  }
+  SECTION("nor if only a suspected server is left there") {
+    servers[0].state = ServerState::kSuspected;
+    servers[1].state = ServerState::kDraining;
+    story.chooser.SetServers(servers, story.now);
+    CHECK(choose({}, norte) == servers[0].node);
+  }
+  SECTION("goes to any of several regions") {
+    const std::vector<std::string> two = {"norte", "leste"};
+    story.chosen.clear();
+    for (int i = 0; i < 30; ++i) {
+      const NodeId node = choose({}, two);
+      ++story.chosen[node];
+      story.chooser.OnSent(node, story.now);
+    }
+    CHECK(story.chosen.size() == 3);
+  }
+  SECTION("has no server where none is") {
+    const std::vector<std::string> nowhere = {"sul-2"};
+    CHECK(choose({}, nowhere) == NodeId{});
+  }
+}
+
+TEST_CASE("A cold server gets its part") {
+  auto servers = Servers(4);
+  // Half of what a warm one serves at the usual latency, and less.
+  servers[0].cold_rate = 24;
+  Story story(servers);
+  story.Serve(100, [](NodeId) { return Answered(); });
+  std::vector<NodeId> busy;
+  for (int i = 0; i < 24; ++i) {
+    busy.push_back(story.Choose());
+    story.chooser.OnSent(busy.back(), story.now);
+  }
+  CHECK(std::ranges::count(busy, servers[0].node) <= 2);
+}
+
 TEST_CASE("States that membership tells") {
   auto servers = Servers(3);
   SECTION("a suspected server is used last") {
