--- a/src/libs/admission/admission_controller.cc
+++ b/src/libs/admission/admission_controller.cc
@@ -16,7 +16,8 @@
 constexpr Duration kLeastWait = std::chrono::milliseconds(1);
 // Of the time to the target, so many times the usual work is kept free of
 // waiting: a third of the requests takes more than the usual work, and a VM
-// may slow down while one runs.
+// may slow down while one runs. At a cold server the wait is for its rate and
+// well known, and there is no better place to go: then once is enough.
 constexpr int kWorkKept = 2;
 
 }  // namespace
@@ -52,7 +53,7 @@
       arrival.deadline, arrival.target};
   if (const auto refusal = RefusalOf(waiting, now))
     return {Refuse(attempt, *refusal, now)};
-  if (HasRoom(now))
+  if (HasRoomFor(waiting.flow, now))
     return {Start(waiting, now)};
   return Enqueue(waiting, now);
 }
@@ -77,17 +78,20 @@
     return ErrorKind::kDraining;
   if (waiting.deadline <= now)
     return ErrorKind::kDeadlineTooClose;
-  if (HasRoom(now))
+  if (HasRoomFor(waiting.flow, now))
     return std::nullopt;
-  if (waiting.target && !KnowsServiceTime())
+  const bool is_limited = cold_.IsLimited(now);
+  if (waiting.target && !KnowsServiceTime() && !is_limited)
     return ErrorKind::kOverloaded;
-  const Duration wait = DrainTime(queue_.Ahead(waiting.flow) + 1, now);
+  const Duration wait = DrainTime(queue_.Ahead(waiting.flow) + 1,
+                                  queue_.RankOf(waiting.flow), now);
   if (now + wait >= waiting.deadline)
     return ErrorKind::kDeadlineTooClose;
   // What would be served late only makes others late: it is told at once, and
   // its caller may come back when there is room.
+  const int work_kept = is_limited ? 1 : kWorkKept;
   if (waiting.target &&
-      now + wait + kWorkKept * UsualWork(waiting.flow) > *waiting.target)
+      now + wait + work_kept * UsualWork(waiting.flow) > *waiting.target)
     return ErrorKind::kOverloaded;
   return std::nullopt;
 }
@@ -168,8 +172,8 @@
   const auto queued = static_cast<int>(queue_.size());
   wire::LoadReport report{
       static_cast<int>(running_.size()), Limit(now), queued, {}};
-  if (queued > 0 || !MayStart(now))
-    report.expected_wait = DrainTime(queued + 1, now);
+  if (queued > 0 || !MayStart(0, now))
+    report.expected_wait = DrainTime(queued + 1, 0, now);
   return report;
 }
 
@@ -183,8 +187,8 @@
 Duration AdmissionController::RetryAfter(ErrorKind error, Instant now) const {
   const bool is_full =
       error == ErrorKind::kOverloaded || error == ErrorKind::kDeadlineTooClose;
-  if (is_full && (KnowsServiceTime() || !cold_.MayStart(now)))
-    return std::max(DrainTime(Queued() + 1, now), kLeastWait);
+  if (is_full && (KnowsServiceTime() || cold_.IsLimited(now)))
+    return std::max(DrainTime(Queued() + 1, 0, now), kLeastWait);
   return base::AnswerTo(error).retry_after;
 }
 
@@ -210,8 +214,10 @@
 }
 
 void AdmissionController::StartWaiting(AdmissionActions& actions, Instant now) {
-  while (queue_.size() > 0 && MayStart(now)) {
-    const auto next = queue_.Pop();
+  while (queue_.size() > 0 && HasFreeSlot(now)) {
+    const auto next = queue_.Pop(cold_.RankAllowed(now));
+    if (!next)
+      return;
     // Others that wait can still be served in time.
     const bool is_late = next->target && queue_.size() > 0 &&
                          now + UsualWork(next->flow) > *next->target;
@@ -224,8 +230,15 @@
   }
 }
 
-bool AdmissionController::MayStart(Instant now) const {
-  return HasFreeSlot(now) && cold_.MayStart(now);
+bool AdmissionController::MayStart(int rank, Instant now) const {
+  return HasFreeSlot(now) && cold_.MayStart(rank, now);
+}
+
+bool AdmissionController::HasRoomFor(FlowId flow, Instant now) const {
+  const int rank = queue_.RankOf(flow);
+  const bool is_next =
+      cold_.IsLimited(now) ? !queue_.HasUpTo(rank) : queue_.size() == 0;
+  return is_next && MayStart(rank, now);
 }
 
 bool AdmissionController::HasFreeSlot(Instant now) const {
@@ -244,14 +257,16 @@
   return limit_.served() >= options_.slots;
 }
 
-Duration AdmissionController::DrainTime(double requests, Instant now) const {
+Duration AdmissionController::DrainTime(double requests,
+                                        int rank,
+                                        Instant now) const {
   const auto each = std::chrono::duration<double>(limit_.service_time());
   const auto expected =
       std::chrono::duration_cast<Duration>(each * requests / Limit(now));
   // A server on which nothing moved for a while may need as long again.
   const Duration stuck =
       HasFreeSlot(now) ? Duration() : Duration(now - progress_at_);
-  return std::max({expected, stuck, cold_.Wait(requests, now)});
+  return std::max({expected, stuck, cold_.Wait(requests, rank, now)});
 }
 
 }  // namespace chestnutport::admission
--- a/src/libs/admission/admission_controller.h
+++ b/src/libs/admission/admission_controller.h
@@ -73,9 +73,9 @@
   ColdLimit& cold() { return cold_; }
   const ColdLimit& cold() const { return cold_; }
 
-  // Whether an attempt that arrives now would start at once.
+  // Whether an attempt that arrives now would start at once, if it is urgent.
   bool HasRoom(base::Instant now) const {
-    return queue_.size() == 0 && MayStart(now);
+    return queue_.size() == 0 && MayStart(0, now);
   }
   wire::LoadReport Load(base::Instant now) const;
   bool IsDraining() const { return draining_; }
@@ -100,7 +100,9 @@
   AdmissionActions Enqueue(const QueuedAttempt& attempt, base::Instant now);
   void StartWaiting(AdmissionActions& actions, base::Instant now);
   // Whether one more may run beside those that run, and may start now.
-  bool MayStart(base::Instant now) const;
+  bool MayStart(int rank, base::Instant now) const;
+  // The same for an attempt that arrives now, after those that wait.
+  bool HasRoomFor(FlowId flow, base::Instant now) const;
   bool HasFreeSlot(base::Instant now) const;
   int Limit(base::Instant now) const;
   int Queued() const { return static_cast<int>(queue_.size()); }
@@ -112,8 +114,8 @@
   // started what waits by them is refused after hundreds of milliseconds in the
   // queue.
   bool KnowsServiceTime() const;
-  // The time in which `requests` get through.
-  base::Duration DrainTime(double requests, base::Instant now) const;
+  // The time in which `requests` get through, the last of that rank.
+  base::Duration DrainTime(double requests, int rank, base::Instant now) const;
 
   AdmissionOptions options_;
   bool draining_ = false;
--- a/src/libs/admission/cold_limit.cc
+++ b/src/libs/admission/cold_limit.cc
@@ -57,10 +57,22 @@
   return std::min(tokens_ + earned, std::max(1.0, options_.burst));
 }
 
-Duration ColdLimit::Wait(double requests, Instant now) const {
+double ColdLimit::Reserve(int rank) const {
+  return std::max(0.0, options_.burst - 1) *
+         std::clamp(rank, 0, kMostRanks - 1) / kMostRanks;
+}
+
+int ColdLimit::RankAllowed(Instant now) const {
+  int rank = kMostRanks - 1;
+  while (rank >= 0 && !MayStart(rank, now))
+    --rank;
+  return rank;
+}
+
+Duration ColdLimit::Wait(double requests, int rank, Instant now) const {
   if (!IsLimited(now))
     return {};
-  const double missing = requests - TokensAt(now) - kRounding;
+  const double missing = requests + Reserve(rank) - TokensAt(now) - kRounding;
   if (missing <= 0)
     return {};
   const auto wait =
--- a/src/libs/admission/cold_limit.h
+++ b/src/libs/admission/cold_limit.h
@@ -22,6 +22,9 @@
 
 class ColdLimit {
  public:
+  // Ranks of urgency that are told apart; 0 is the most urgent.
+  static constexpr int kMostRanks = 4;
+
   explicit ColdLimit(const ColdOptions& options) { set_options(options); }
 
   void set_options(const ColdOptions& options);
@@ -43,17 +46,23 @@
   // What a cold server is given a second; zero: there is no limit.
   double rate() const { return options_.rate; }
 
-  // Whether a request may be handed to the server now.
-  bool MayStart(base::Instant now) const {
-    return Wait(1, now) == base::Duration();
+  // Whether a request may be handed to the server now. Of the burst, the less
+  // urgent ranks leave a part to those before them, so that the few places of a
+  // cold server go to what is most urgent, whatever comes first.
+  bool MayStart(int rank, base::Instant now) const {
+    return Wait(1, rank, now) == base::Duration();
   }
+  // The least urgent rank that may start now; less than zero: none.
+  int RankAllowed(base::Instant now) const;
   // Until the last of `requests` may be handed to the server, one after the
   // other.
-  base::Duration Wait(double requests, base::Instant now) const;
+  base::Duration Wait(double requests, int rank, base::Instant now) const;
   // A request or a probe was handed to the server.
   void OnStarted(base::Instant now);
 
  private:
+  // Tokens that a rank leaves to those before it.
+  double Reserve(int rank) const;
   double TokensAt(base::Instant now) const;
 
   ColdOptions options_;
--- a/src/libs/admission/fair_queue.cc
+++ b/src/libs/admission/fair_queue.cc
@@ -14,7 +14,6 @@
 
 constexpr size_t kMostFlows = 256;
 constexpr double kClassRatio = 8;  // Weight of a class to the next.
-constexpr size_t kMostRanks = 4;   // Further classes weigh as the last.
 constexpr double kUnknownCost = 0.001;
 
 // Shared by the tenants beyond the most flows.
@@ -27,12 +26,13 @@
     declared.push_back({});
   std::ranges::stable_sort(declared, {}, &ClassUrgency::urgency);
   std::vector<ClassState> classes(declared.size());
-  size_t rank = 0;
+  int rank = 0;
   for (size_t i = 0; i < declared.size(); ++i) {
     if (i > 0 && declared[i].urgency != declared[i - 1].urgency)
-      rank = std::min(rank + 1, kMostRanks - 1);
+      rank = std::min(rank + 1, FairQueue::kLeastUrgent);
     classes[i].name = declared[i].name;
-    for (size_t step = rank; step + 1 < kMostRanks; ++step)
+    classes[i].rank = rank;
+    for (int step = rank; step < FairQueue::kLeastUrgent; ++step)
       classes[i].tag.weight *= kClassRatio;
   }
   return classes;
@@ -89,10 +89,10 @@
   ++size_;
 }
 
-std::optional<QueuedAttempt> FairQueue::Pop() {
+std::optional<QueuedAttempt> FairQueue::Pop(int most_rank) {
   ClassState* first = nullptr;
   for (ClassState& candidate : classes_) {
-    if (!candidate.active.empty() &&
+    if (!candidate.active.empty() && candidate.rank <= most_rank &&
         (!first || candidate.tag.start < first->tag.start)) {
       first = &candidate;
     }
@@ -186,6 +186,16 @@
   return ahead;
 }
 
+int FairQueue::RankOf(FlowId flow) const {
+  return classes_[flows_[flow].traffic_class].rank;
+}
+
+bool FairQueue::HasUpTo(int rank) const {
+  return std::ranges::any_of(classes_, [rank](const ClassState& waiting) {
+    return waiting.rank <= rank && !waiting.active.empty();
+  });
+}
+
 size_t FairQueue::ClassIndex(std::string_view name) const {
   const auto found = std::ranges::find(classes_, name, &ClassState::name);
   return found == classes_.end()
--- a/src/libs/admission/fair_queue.h
+++ b/src/libs/admission/fair_queue.h
@@ -22,6 +22,9 @@
 
 class FairQueue {
  public:
+  // Classes weigh by rank; from this one on all weigh the same.
+  static constexpr int kLeastUrgent = 3;
+
   explicit FairQueue(const TrafficShares& shares);
 
   // Flows and what waits in them stay; their weights follow the new shares.
@@ -32,8 +35,8 @@
   FlowId Flow(std::string_view traffic_class, std::string_view tenant);
 
   void Push(const QueuedAttempt& attempt);
-  // The next to run, or nothing if none waits.
-  std::optional<QueuedAttempt> Pop();
+  // The next to run, or nothing if none waits; of ranks up to `most_rank` only.
+  std::optional<QueuedAttempt> Pop(int most_rank = kLeastUrgent);
   // Takes out one whose deadline has passed.
   std::optional<QueuedAttempt> PopExpired(base::Instant now);
   // Takes out the latest deadline of the flow that has most waiting for its
@@ -51,6 +54,11 @@
   // How many would run before one that is pushed to the flow now.
   double Ahead(FlowId flow) const;
 
+  // The rank of the flow's class by urgency; 0 is the most urgent.
+  int RankOf(FlowId flow) const;
+  // Whether anything of that rank waits, or of a more urgent one.
+  bool HasUpTo(int rank) const;
+
   size_t size() const { return size_; }
   size_t flows() const { return flows_.size(); }
 
@@ -72,6 +80,7 @@
   };
   struct ClassState {
     std::string name;
+    int rank = 0;
     Tag tag;
     double virtual_time = 0;
     std::vector<FlowId> active;  // Flows with something waiting.
