--- a/src/libs/node/gate_serving.cc
+++ b/src/libs/node/gate_serving.cc
@@ -51,7 +51,7 @@
   attempt.started_at = now;
   attempt.life = server_.life;
   attempt.instance = server_.instance;
-  running_.OnStarted(attempt.name);
+  running_.OnStarted(attempt.name, attempt.traffic_class);
   guard_.OnStarted(attempt.id, attempt.guarded);
   const base::Duration remaining = attempt.deadline - now;
   protocol_.prepare(request, {remaining, server_.instance});
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -146,6 +146,9 @@
   request.fingerprint = FingerprintOf(request);
   if (RefuseQuarantined(request, reply))
     return;
+  const auto class_above = running_.ClassAbove(request.name);
+  if (class_above)
+    request.traffic_class = ClassOfCall(request, *class_above);
   ServiceTraffic& service = Traffic(request.service);
   const base::Instant now = loop_.now();
   const calls::Call decision(service.Policy(request), now,
@@ -154,7 +157,7 @@
                                                       .service = &service,
                                                       .decision = decision,
                                                       .arrived_at = now});
-  call->is_nested = running_.IsNested(request.name);
+  call->is_nested = class_above.has_value();
   call->request = std::move(request);
   call->reply = std::move(reply);
   const CallId id = call->id;
@@ -169,6 +172,22 @@
   Follow(id, steps);
 }
 
+std::string Ingress::ClassOfCall(const CallerRequest& call,
+                                 const std::string& above) const {
+  const auto* service = snapshot_.configuration->FindService(call.service);
+  if (!service)
+    return call.traffic_class;
+  const auto urgency_of = [service](const std::string& name) {
+    const auto found = std::ranges::find(service->classes, name,
+                                         &declarations::ClassDeclaration::name);
+    return found == service->classes.end() ? std::nullopt
+                                           : std::optional(found->urgency);
+  };
+  const auto own = urgency_of(call.traffic_class);
+  const auto of_above = urgency_of(above);
+  return own && of_above && *of_above > *own ? above : call.traffic_class;
+}
+
 bool Ingress::RefuseQuarantined(const CallerRequest& request,
                                 net::Reply& reply) {
   const quarantine::VerdictUntil verdict = verdicts_->Of(request.fingerprint);
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -61,6 +61,10 @@
 
  private:
   void OnRequest(net::HttpRequest request, net::Reply reply);
+  // A call that a server makes is no more urgent than the request `above` it,
+  // which it is made for: the class that it is given.
+  std::string ClassOfCall(const CallerRequest& call,
+                          const std::string& above) const;
   // Answers a request that servers ended with each time. Returns whether it was
   // one.
   bool RefuseQuarantined(const CallerRequest& request, net::Reply& reply);
--- a/src/libs/node/running_requests.cc
+++ b/src/libs/node/running_requests.cc
@@ -5,11 +5,12 @@
 
 namespace chestnutport::node {
 
-void RunningRequests::OnStarted(const std::string& name) {
+void RunningRequests::OnStarted(const std::string& name,
+                                const std::string& traffic_class) {
   if (name.empty())
     return;
   const std::lock_guard lock(mutex_);
-  running_[name] = Running();
+  running_[name] = {.traffic_class = traffic_class};
 }
 
 bool RunningRequests::OnEnded(const std::string& name) {
@@ -18,9 +19,13 @@
   return !ended.empty() && ended.mapped().has_failed_call;
 }
 
-bool RunningRequests::IsNested(std::string_view name) const {
+std::optional<std::string> RunningRequests::ClassAbove(
+    std::string_view name) const {
   const std::lock_guard lock(mutex_);
-  return ParentOf(name) != nullptr;
+  const std::string* parent = ParentOf(name);
+  if (!parent)
+    return std::nullopt;
+  return running_.at(*parent).traffic_class;
 }
 
 void RunningRequests::OnCallFailed(std::string_view name) {
--- a/src/libs/node/running_requests.h
+++ b/src/libs/node/running_requests.h
@@ -19,17 +19,22 @@
 class RunningRequests {
  public:
   // The server got the request; an empty name is not kept.
-  void OnStarted(const std::string& name);
+  void OnStarted(const std::string& name,
+                 const std::string& traffic_class = {});
   // Returns whether a call failed that the server made for the request.
   bool OnEnded(const std::string& name);
 
   // Whether the server makes the call `name` for a request that it runs.
-  bool IsNested(std::string_view name) const;
+  bool IsNested(std::string_view name) const { return !!ClassAbove(name); }
+  // The class of the request that the server makes the call for; nothing: it is
+  // no such call.
+  std::optional<std::string> ClassAbove(std::string_view name) const;
   // The call `name` got no good answer.
   void OnCallFailed(std::string_view name);
 
  private:
   struct Running {
+    std::string traffic_class;
     bool has_failed_call = false;
   };
 
--- a/tests/auto/admission/cold_limit_test.cc
+++ b/tests/auto/admission/cold_limit_test.cc
@@ -5,6 +5,10 @@
 #include <rapidcheck/catch.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "admission/admission_controller.h"
@@ -166,6 +170,56 @@
   CHECK_FALSE(admission.HasRoom(kStart));
 }
 
+// Twice what the server tolerates; a fifth of it is urgent, and comes between
+// the others. Each is late after its target, and may wait until then.
+TEST_CASE("the few places of a cold server go to what is most urgent") {
+  AdmissionOptions options = ColdServer();
+  options.shares.classes = {{"urgent", 0}, {"usual", 1}, {"other", 2}};
+  AdmissionController admission(options);
+  admission.OnServerStarted(kStart);
+  struct Figures {
+    int asked = 0;
+    int started = 0;
+  };
+  std::map<std::string, Figures> figures;
+  std::map<uint64_t, std::string> class_of;
+  std::deque<std::pair<Instant, base::AttemptId>> running;
+  const auto take = [&](const AdmissionActions& actions, Instant now) {
+    for (const AdmissionAction& action : actions) {
+      if (action.kind != ActionKind::kStart)
+        continue;
+      ++figures[class_of[action.attempt.sequence]].started;
+      running.emplace_back(now + kWork, action.attempt);
+    }
+  };
+  uint64_t last = 0;
+  for (Instant now = kStart; now < kStart + seconds(3); now += kTick) {
+    while (!running.empty() && running.front().first <= now) {
+      const auto ended = running.front();
+      running.pop_front();
+      take(admission.Finish(ended.second, now), now);
+    }
+    take(admission.Tick(now), now);
+    if (++last % 2 != 0)
+      continue;
+    const char* name = last % 10 == 0  ? "urgent"
+                       : last % 4 == 0 ? "usual"
+                                       : "other";
+    class_of[last] = name;
+    ++figures[name].asked;
+    const Arrival arrival{
+        {1, last}, "", name, now + seconds(1), now + milliseconds(200)};
+    take(admission.Arrive(arrival, now), now);
+  }
+  INFO("usual " << figures["usual"].started << " of " << figures["usual"].asked
+                << ", other " << figures["other"].started << " of "
+                << figures["other"].asked);
+  CHECK(figures["urgent"].started == figures["urgent"].asked);
+  // Of some 80 places the urgent leave 50, and 60 are asked for.
+  CHECK(figures["usual"].started * 3 >= figures["usual"].asked * 2);
+  CHECK(figures["other"].started * 4 <= figures["usual"].started);
+}
+
 TEST_CASE("a service that declares no rate is not held back") {
   AdmissionOptions options = ColdServer();
   options.cold.rate = 0;
--- a/tests/auto/node/running_requests_test.cc
+++ b/tests/auto/node/running_requests_test.cc
@@ -15,6 +15,11 @@
     CHECK(running.IsNested("2489dd5a-1"));
     CHECK(running.IsNested("2489dd5a.6aba.7"));
   }
+  SECTION("and it is known how urgent the request above is") {
+    running.OnStarted("ab", "urgency-2");
+    CHECK(running.ClassAbove("ab.1") == "urgency-2");
+    CHECK_FALSE(running.ClassAbove("ac.1").has_value());
+  }
   SECTION("other requests are not") {
     CHECK_FALSE(running.IsNested("2489dd5a"));
     CHECK_FALSE(running.IsNested("2489dd5a6aba"));
