Keep a margin below a cold server's bound for what is handed over late

The gate let through exactly the declared bound; a node with a tenth of a core hands over late what it decided early, and the health check that finds a server is not counted by the gate.

Change: the burst is less by one and by what the rate earns in 100 ms; where that leaves nothing of it, the rate is lowered. The property test plays such delays: it failed first (21 and 1 of 21), and holds now.

--- a/src/libs/admission/cold_limit.cc
+++ b/src/libs/admission/cold_limit.cc
@@ -13,14 +13,35 @@
 // What a server in doubt is taken to stay cold for: its health check tells
 // sooner, several times a second.
 constexpr std::chrono::seconds kDoubt{3};
+// A busy VM hands a request over so much later than it was decided, at most.
+// What was decided in more than a second may then reach the server in one.
+constexpr std::chrono::milliseconds kHandingOver{100};
+// The health check that finds a server is sent before its gate counts.
+constexpr double kUncounted = 1;
 // A request more than this below a whole token is a matter of rounding.
 constexpr double kRounding = 1e-6;
+// Also a server that tolerates next to nothing is tried.
+constexpr double kLeastRate = 0.5;
+
+// What may be decided so that no second holds more than `declared` as the
+// server counts.
+ColdOptions WithMargin(const ColdOptions& declared) {
+  ColdOptions kept = declared;
+  const double late = Seconds(kHandingOver).count();
+  kept.burst = declared.burst - kUncounted - declared.rate * late;
+  if (kept.burst >= 1 || declared.rate <= 0)
+    return kept;
+  kept.burst = 1;
+  const double in_a_second = declared.rate + declared.burst;
+  kept.rate = std::max(kLeastRate, (in_a_second - kUncounted - 1) / (1 + late));
+  return kept;
+}
 
 }  // namespace
 
 void ColdLimit::set_options(const ColdOptions& options) {
-  options_ = options;
-  tokens_ = std::min(tokens_, std::max(1.0, options.burst));
+  options_ = WithMargin(options);
+  tokens_ = std::min(tokens_, std::max(1.0, options_.burst));
 }
 
 void ColdLimit::OnServerStarted(Instant now) {
