Prefer the own data centre for callers' requests only, not for servers' calls

Change: the filter of a choice says whether near servers are preferred; calls that a server makes do not prefer them. The decisions' benchmark passes it by depth, as a node does.

--- a/src/libs/admission/concurrency_limit.h
+++ b/src/libs/admission/concurrency_limit.h
@@ -7,9 +7,7 @@
 // the service time falls with the limit, and the change is kept; if not, it is
 // taken back. Upward trials are cheap and frequent. A downward one takes slots
 // from requests that could use them, so it is made only when service times
-// rise: made by the way as well, by servers that became busy together, it cost
-// callers a p99 of 1.19 times an omniscient chooser's after the loss of a data
-// centre, on the mean of nine seeds, where it is 1.02 without (virtual time).
+// rise.
 #ifndef ADMISSION_CONCURRENCY_LIMIT_H_
 #define ADMISSION_CONCURRENCY_LIMIT_H_
 
--- a/src/libs/calls/move_limits.h
+++ b/src/libs/calls/move_limits.h
@@ -16,13 +16,8 @@
 
 // A quarter to a third of a fleet's servers is slow at a time: the chance that
 // seven in a row are is one in 1,500 at most. A move takes two to five
-// milliseconds.
-//
-// In a rush that fills nearly all servers, lookups of 30 ms with a target of
-// 120 ms are served in time in 0.623 of the cases with none, 0.623 with one,
-// 0.595 with three and 0.549 with five moves (virtual time, six plays): where
-// most are full, the queue of the second is as good as that of the sixth, and
-// the time to the target is not spent on the way.
+// milliseconds. Where most servers are full, the queue of the second is as good
+// as that of the sixth, and the time to the target is not spent on the way.
 inline constexpr MoveLimits kUsualMoves{.if_poor = 7, .if_full = 1};
 
 }  // namespace chestnutport::calls
--- a/src/libs/membership/evidence_spread.h
+++ b/src/libs/membership/evidence_spread.h
@@ -4,9 +4,8 @@
 // At most ends nothing follows from what a server ran. So a single end is told
 // only to the few nodes that collect what is known of a request, chosen by its
 // fingerprint; once two ends are known of a request, all nodes are told, with
-// the gossip's messages. If all were told of each end, ten ends a second among
-// 295 servers would fill the budget of every node, and a request that had ended
-// three was not known to all after 3 s (virtual time); so it is after 80 ms.
+// the gossip's messages. If all were told of each end, ten ends a second in a
+// fleet of hundreds would fill the budget of every node.
 #ifndef MEMBERSHIP_EVIDENCE_SPREAD_H_
 #define MEMBERSHIP_EVIDENCE_SPREAD_H_
 
--- a/src/libs/membership/gossip_options.h
+++ b/src/libs/membership/gossip_options.h
@@ -40,8 +40,7 @@
   size_t bytes_per_second = 5000;
   // Enough for the news of a start of all of some 300 nodes at once, each of
   // which is passed on to three members with its record of about 110 bytes.
-  // What does not fit waits, and has to be pulled: with 40 kB a node knew three
-  // quarters of the others after a second, with 160 kB all (virtual time).
+  // What does not fit waits, and has to be pulled.
   size_t burst_bytes = 160000;
   // The same for what nodes tell of servers that ended and what those ran. An
   // end with 12 requests running costs the node beside the server 4 kB in a
--- a/src/libs/node/ingress_attempts.cc
+++ b/src/libs/node/ingress_attempts.cc
@@ -69,7 +69,10 @@
   if (!call.request.idempotency_key.empty())
     return KeyOwner(call.request);
   return call.service->chooser().ChooseAdmitted(
-      {call.tried, call.request.regions}, now, random_);
+      {.excluded = call.tried,
+       .regions = call.request.regions,
+       .prefers_near = !call.is_nested && call.request.depth == 0},
+      now, random_);
 }
 
 const routing::ServerCandidate* Ingress::KeyOwner(
@@ -77,7 +80,7 @@
   const keys::KeyScope scope{request.service, request.tenant,
                              request.idempotency_key};
   return OwnerAmong(scope.Hash(), snapshot_.servers[request.service],
-                    {{}, request.regions});
+                    {.regions = request.regions});
 }
 
 bool Ingress::IsSuspect(const ActiveCall& call) const {
@@ -108,7 +111,7 @@
     return KeyOwner(call.request);
   return OwnerAmong(call.request.fingerprint.value,
                     snapshot_.servers[call.request.service],
-                    {call.tried, call.request.regions});
+                    {.excluded = call.tried, .regions = call.request.regions});
 }
 
 const routing::ServerCandidate* Ingress::ChooseForAttempt(ActiveCall& call,
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -32,8 +32,8 @@
 constexpr int kNoticePart = 2;
 // So long before traffic ends, others are told that the server beside takes
 // nothing more, or for half of the notice if that is shorter. They hear it
-// within 0.6 s (in virtual time, 10 to 3,000 nodes); until then it serves them:
-// a third of a small fleet would be idle while its nodes are restarted in turn.
+// sooner; until then it serves them: a third of a small fleet would be idle
+// while its nodes are restarted in turn.
 constexpr std::chrono::seconds kServerNotice(1);
 constexpr int kServerNoticePart = 2;
 constexpr int kTrafficThreads = 2;
--- a/src/libs/node/server_observer.cc
+++ b/src/libs/node/server_observer.cc
@@ -65,9 +65,7 @@
                          .broken_at = now});
   }
   // An end that comes after the next life has announced itself says nothing of
-  // that one. A refusal that was meant for the life before, held against the
-  // next, left three of seven servers idle for 55 s (a day on which servers
-  // ended 28 times).
+  // that one, which would stand idle for a refusal that was not its own.
   if (request.life == life_)
     JudgeEnd(request, answer, now);
   AskIfInDoubt(now);
--- a/src/libs/quarantine/crash_ledger.h
+++ b/src/libs/quarantine/crash_ledger.h
@@ -33,9 +33,7 @@
   // The sum of the marks' surprise that a verdict takes besides: the chance
   // that servers ended three times in such a time for other reasons is one in
   // 250,000. For each further mark it takes more, as what runs for long gets
-  // some from each of many ends by chance. With 45 in place of 54, three in
-  // 486,000 calls were held that ended no server, where each of seven servers
-  // ended every ten seconds; with 54 none (virtual time, 30 plays).
+  // some from each of many ends by chance.
   static constexpr int kQuarantineSurprise = 54;
   static constexpr int kSurpriseOfFurther = 6;
   // How long a quarantine holds after the last end; then the request is tried
@@ -45,9 +43,7 @@
   // are warm.
   static constexpr std::chrono::seconds kFirstHold{5};
   // The same with one end more. A server that was mended serves the request by
-  // then; one that was not ends once in this time. To hold it so long only once
-  // two servers ended that ran no other suspect cost 365 ends in place of 216,
-  // by 60 guilty requests that came in pairs (virtual time).
+  // then; one that was not ends once in this time.
   static constexpr std::chrono::minutes kHold{10};
   // For how long ends are remembered, and what was refuted.
   static constexpr std::chrono::minutes kMemory{20};
@@ -57,9 +53,7 @@
   static constexpr size_t kMostRequests = 4096;
   // Ends of a request, refuted or not: the latest by their order, which is the
   // same on all nodes, so that these hold the same ones. By the times at which
-  // nodes heard of them 295 nodes went on telling each other of ever different
-  // eight, 3,092 B/s each, and not all heard that the request was answered
-  // (virtual time, all servers ended with it within 0.3 s).
+  // nodes heard of them they would tell each other of ever different ones.
   static constexpr size_t kMostMarks = 8;
   static constexpr size_t kMostEnds = 1024;
   // Requests in one answer to a node that asks: about 40 kB.
--- a/src/libs/routing/server_chooser.cc
+++ b/src/libs/routing/server_chooser.cc
@@ -8,14 +8,11 @@
 namespace {
 
 // Servers weighed for a choice: from all, and from the own data centre, as
-// bytes between data centres cost. Near ones get no further advantage: by a
-// factor of 1.15 calls of a chain of 24 filled their own data centre and waited
-// for each other (goodput 0.15 in place of 1, virtual time, 11 servers in
-// four data centres).
+// bytes between data centres cost.
 constexpr int kDrawn = 3;
 constexpr int kDrawnNear = 2;
-// A near server counts for so much less, while it is no slower than usual and
-// this part of what it is given at most stays free.
+// The time of a near server counts so much less while it is no slower than
+// usual and no more than this part of its places is taken.
 constexpr double kNearGain = 0.8;
 constexpr double kRoomyLoad = 0.6;
 constexpr double kUsualStrain = 1.5;
@@ -91,7 +88,7 @@
   const Known& server = servers_[found->second];
   if (server.candidate.state == ServerState::kServing &&
       filter.Admits(server.candidate)) {
-    Weigh(server, now, best);
+    Weigh(server, filter, now, best);
   }
 }
 
@@ -122,7 +119,7 @@
   for (int i = 0; i < wanted; ++i) {
     const Known& server = servers_[from[any(random)]];
     if (filter.Admits(server.candidate))
-      Weigh(server, now, best);
+      Weigh(server, filter, now, best);
   }
 }
 
@@ -147,12 +144,13 @@
 }
 
 void ServerChooser::Weigh(const Known& server,
+                          const ServerFilter& filter,
                           base::Instant now,
                           Best& best) const {
   const Seconds expected =
       server.estimate.ExpectedTime(SlotsOf(server.candidate), service_, now);
   Seconds time = server.distance + expected;
-  if (IsNearWithRoom(server, now))
+  if (filter.prefers_near && IsNearWithRoom(server, now))
     time *= kNearGain;
   if (time < best.time) {
     best.time = time;
--- a/src/libs/routing/server_chooser.h
+++ b/src/libs/routing/server_chooser.h
@@ -37,7 +37,7 @@
   const ServerCandidate* Choose(std::span<const base::NodeId> excluded,
                                 base::Instant now,
                                 base::Random& random) const {
-    return ChooseAdmitted({excluded, {}}, now, random);
+    return ChooseAdmitted({.excluded = excluded}, now, random);
   }
   // The same, among the servers that the filter admits.
   const ServerCandidate* ChooseAdmitted(const ServerFilter& filter,
@@ -84,7 +84,10 @@
                    base::Random& random) const;
   // Whether bytes between data centres can be saved at no cost to the request.
   bool IsNearWithRoom(const Known& server, base::Instant now) const;
-  void Weigh(const Known& server, base::Instant now, Best& best) const;
+  void Weigh(const Known& server,
+             const ServerFilter& filter,
+             base::Instant now,
+             Best& best) const;
   void Index(uint32_t position);
   // Requests that the server is given at a time, at its present rate.
   int SlotsOf(const ServerCandidate& candidate) const;
--- a/src/libs/routing/server_filter.h
+++ b/src/libs/routing/server_filter.h
@@ -1,4 +1,4 @@
-// Which servers a request may go to.
+// Which servers a request may go to, and which are preferred.
 #ifndef ROUTING_SERVER_FILTER_H_
 #define ROUTING_SERVER_FILTER_H_
 
@@ -14,6 +14,10 @@
 struct ServerFilter {
   std::span<const base::NodeId> excluded;
   std::span<const std::string> regions;  // Empty: any.
+  // Whether near servers are preferred while they have room. Not for a call
+  // that a server makes: those of a long chain would fill their own data centre
+  // and wait for each other.
+  bool prefers_near = false;
 
   bool AdmitsRegion(const std::string& region) const {
     return regions.empty() ||
--- a/tests/auto/routing/server_chooser_test.cc
+++ b/tests/auto/routing/server_chooser_test.cc
@@ -188,6 +188,33 @@
   }
 }
 
+TEST_CASE("Bytes between data centres are saved while near servers have room") {
+  auto servers = Servers(8);
+  for (int i = 4; i < 8; ++i)
+    servers[i].data_centre = "poa-b";
+  // Of `calls` that all stay in flight, those that near servers get.
+  const auto near_share = [&](bool prefers_near, int calls) {
+    Story story(servers);
+    int near = 0;
+    for (int i = 0; i < calls; ++i) {
+      const auto* server = story.chooser.ChooseAdmitted(
+          {.prefers_near = prefers_near}, story.now, story.random);
+      near += server->data_centre == "poa-a" ? 1 : 0;
+      story.chooser.OnSent(server->node, story.now);
+    }
+    return static_cast<double>(near) / calls;
+  };
+
+  SECTION("by a caller's request") {
+    const double preferred = near_share(true, 24);
+    const double usual = near_share(false, 24);
+    CHECK(preferred > usual);
+  }
+  SECTION("but not once they are fuller than the others") {
+    CHECK(near_share(true, 90) < 0.6);
+  }
+}
+
 TEST_CASE("A cold server gets its part") {
   auto servers = Servers(4);
   // Half of what a warm one serves at the usual latency, and less.
--- a/tests/benchmarks/decisions/shipped_policy.h
+++ b/tests/benchmarks/decisions/shipped_policy.h
@@ -12,6 +12,15 @@
   static constexpr std::string_view kName = "shipped";
   explicit ShippedPolicy(const PolicyPlace& place)
       : routing::ServerChooser(place.own) {}
+
+  // For a caller's request, not a call that a server makes.
+  const routing::ServerCandidate* ChooseForCaller(
+      std::span<const base::NodeId> excluded,
+      base::Instant now,
+      base::Random& random) const {
+    return ChooseAdmitted({.excluded = excluded, .prefers_near = true}, now,
+                          random);
+  }
 };
 
 }  // namespace chestnutport::bench
--- a/tests/benchmarks/decisions/simulation.h
+++ b/tests/benchmarks/decisions/simulation.h
@@ -161,10 +161,22 @@
     });
   }
 
+  const routing::ServerCandidate* ChooseServer(Policy& policy,
+                                               const CallRun& call,
+                                               base::Random& random) {
+    if constexpr (requires {
+                    policy.ChooseForCaller(call.tried, now(), random);
+                  }) {
+      if (call.depth == 0)
+        return policy.ChooseForCaller(call.tried, now(), random);
+    }
+    return policy.Choose(call.tried, now(), random);
+  }
+
   bool Send(Ingress& ingress, CallRun& call, int attempt) {
     Policy& policy = ingress.services[call.service]->policy;
     call.attempts.resize(attempt + 1);
-    const auto* chosen = policy.Choose(call.tried, now(), ingress.random);
+    const auto* chosen = ChooseServer(policy, call, ingress.random);
     if (!chosen)
       return false;
     call.tried.push_back(chosen->node);
