--- a/src/libs/evacuation_store/evacuation_reader.cc
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -102,19 +102,16 @@
 }
 
 void EvacuationReader::OnPage(const base::Result<store::StorePage>& page) {
-  auto names = form_.read(page.value().entries);
-  Evacuations read{static_cast<uint64_t>(page.value().as_of), {}};
-  if (names)
-    read.data_centres = Sorted(*std::move(names));
+  const auto names = form_.read(page.value().entries);
+  const Evacuations read{static_cast<uint64_t>(page.value().as_of),
+                         names ? Sorted(*names) : DataCentres()};
   const bool is_unreadable =
       !names || read.NameBytes() > Evacuations::kLargestNames;
   // What is held stays: an evacuation must not end by a fault of its writer.
-  if (is_unreadable && !std::exchange(is_unreadable_, true))
+  if (!std::exchange(is_unreadable_, is_unreadable) && is_unreadable)
     LogEvent(Event::kStoreEntryUnreadable, {{"key", form_.prefix}});
-  if (is_unreadable)
-    return;
-  is_unreadable_ = false;
-  read_(read);
+  if (!is_unreadable)
+    read_(read);
 }
 
 void EvacuationReader::Watch(int64_t after) {
