Name the settings of cold servers by our own words

Cause: overage and slack are the platform's words for its bounds, and stood in the settings outside of its folder.

No behaviour changes.

--- a/src/libs/node/control_publishing.cc
+++ b/src/libs/node/control_publishing.cc
@@ -33,8 +33,8 @@
 admission::ColdOptions ColdOptionsOf(
     const declarations::ServiceDeclaration& service,
     const settings::NodeSettings& settings) {
-  return {.rate = service.cold_rate * settings.cold_overage,
-          .burst = settings.cold_slack,
+  return {.rate = service.cold_rate * settings.cold_rate_factor,
+          .burst = settings.cold_burst,
           .after_start = service.cold_start};
 }
 
--- a/src/libs/settings/node_settings.cc
+++ b/src/libs/settings/node_settings.cc
@@ -114,17 +114,18 @@
          settings.fleet_retry_burst >= 0;
 }
 
-bool ReadColdOverage(NodeSettings& settings, std::string_view text) {
+bool ReadColdRateFactor(NodeSettings& settings, std::string_view text) {
   constexpr double kLeast = 0.01;
   constexpr double kMost = 100;
-  return base::ParseNumber(text, &settings.cold_overage) &&
-         settings.cold_overage >= kLeast && settings.cold_overage <= kMost;
+  return base::ParseNumber(text, &settings.cold_rate_factor) &&
+         settings.cold_rate_factor >= kLeast &&
+         settings.cold_rate_factor <= kMost;
 }
 
-bool ReadColdSlack(NodeSettings& settings, std::string_view text) {
+bool ReadColdBurst(NodeSettings& settings, std::string_view text) {
   constexpr double kMost = 1000000;
-  return base::ParseNumber(text, &settings.cold_slack) &&
-         settings.cold_slack >= 0 && settings.cold_slack <= kMost;
+  return base::ParseNumber(text, &settings.cold_burst) &&
+         settings.cold_burst >= 0 && settings.cold_burst <= kMost;
 }
 
 bool ReadStopGrace(NodeSettings& settings, std::string_view text) {
@@ -174,13 +175,13 @@
       {{"retries", "burst", "attempts", "600", "0 or more",
         "Second attempts of the whole fleet beyond that share."},
        ReadRetryBurst},
-      {{"cold_servers", "overage", "", "1", "0.01 to 100",
+      {{"cold_servers", "rate_factor", "", "1", "0.01 to 100",
         "What a cold server is given, as a share of what its service says "
         "that it tolerates."},
-       ReadColdOverage},
-      {{"cold_servers", "slack", "requests", "0", "0 to 1000000",
+       ReadColdRateFactor},
+      {{"cold_servers", "burst", "requests", "0", "0 to 1000000",
         "Requests that a cold server is given beside, in any time."},
-       ReadColdSlack},
+       ReadColdBurst},
       {{"listen", "caller", "address", "", kAddressRange,
         "Where callers send requests."},
        Address(&NodeSettings::caller_listen)},
--- a/src/libs/settings/node_settings.h
+++ b/src/libs/settings/node_settings.h
@@ -58,8 +58,8 @@
   int fleet_retry_burst = 600;
   // What a cold server may be given of the rate that its service declares, and
   // so many requests beside in any time.
-  double cold_overage = 1;
-  double cold_slack = 0;
+  double cold_rate_factor = 1;
+  double cold_burst = 0;
 };
 
 // One setting as it is documented and checked.
