Blame no request for the end of a server that got more than it tolerates cold

Cause: a server that turns cold while it is busy may end of what it already got.

Ruled out: to take no end of a cold server for evidence: a request that ends servers ends cold ones too, and with the rate kept load no longer explains that. Many ends in a service at once are not looked at: a gate sees its own server.

Change: a request that a server breaks off remembers whether the server was cold and had got more than it tolerates; if all that were broken off did, the end is logged, and nobody is blamed.

--- a/src/libs/admission/cold_limit.cc
+++ b/src/libs/admission/cold_limit.cc
@@ -80,6 +80,10 @@
   return options_.rate > 0 && IsCold(now);
 }
 
+bool ColdLimit::IsOverRate(Instant now) const {
+  return IsLimited(now) && TokensAt(now) < 0;
+}
+
 double ColdLimit::TokensAt(Instant now) const {
   const double earned =
       Seconds(std::max<Duration>(now - counted_at_, Duration())).count() *
--- a/src/libs/admission/cold_limit.h
+++ b/src/libs/admission/cold_limit.h
@@ -44,6 +44,9 @@
   bool IsCold(base::Instant now) const;
   // Whether it is given fewer requests for it.
   bool IsLimited(base::Instant now) const;
+  // Whether the server is cold, and got more than it tolerates: before it said
+  // so, as a rule.
+  bool IsOverRate(base::Instant now) const;
   // Until when the server is cold, as far as it is known.
   base::Instant cold_until() const { return cold_until_; }
   // What a cold server is given a second; zero: there is no limit.
--- a/src/libs/admission/server_end_watch.h
+++ b/src/libs/admission/server_end_watch.h
@@ -23,6 +23,8 @@
   bool is_suspect = false;  // By the word of the node that sent it.
   uint64_t life = 0;        // Of the server that ran it, as its node counts.
   std::string instance;     // How that life names itself.
+  // The server was cold, and had got more than it tolerates.
+  bool is_over_cold_rate = false;
   base::Instant started_at;
   base::Instant broken_at;
 };
--- a/src/libs/node/gate_serving.cc
+++ b/src/libs/node/gate_serving.cc
@@ -1,5 +1,6 @@
 // What becomes of attempts at the server: handing them over, their ends, and
 // stopping them.
+#include <algorithm>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -132,6 +133,7 @@
   end.is_refused = result.is_refused;
   end.fingerprint = attempt.guarded.fingerprint;
   end.is_suspect = attempt.guarded.is_suspect;
+  end.is_over_cold_rate = admission_.cold().IsOverRate(now);
   end.started_at = *attempt.started_at;
   end.instance = attempt.instance;
   observer_.OnRequestEnd(end, result.answer, now);
@@ -146,6 +148,11 @@
 
 void Gate::OnServerEnded(const std::vector<admission::BrokenRequest>& broken) {
   LogServerEnd(server_.service, broken);
+  // What it got in all explains the end, so no single request is blamed.
+  const bool is_explained =
+      std::ranges::all_of(broken, &admission::BrokenRequest::is_over_cold_rate);
+  if (is_explained)
+    return;
   std::vector<quarantine::RunningRequest> running;
   running.reserve(broken.size());
   for (const admission::BrokenRequest& request : broken) {
--- a/src/libs/node/server_observer.cc
+++ b/src/libs/node/server_observer.cc
@@ -61,6 +61,7 @@
                          .is_suspect = request.is_suspect,
                          .life = request.life,
                          .instance = request.instance,
+                         .is_over_cold_rate = request.is_over_cold_rate,
                          .started_at = request.started_at,
                          .broken_at = now});
   }
--- a/src/libs/node/server_observer.h
+++ b/src/libs/node/server_observer.h
@@ -30,6 +30,8 @@
   uint64_t life = 0;        // Of the server, when the request was sent to it.
   base::RequestFingerprint fingerprint;
   bool is_suspect = false;  // By the word of the node that sent it.
+  // The server was cold, and had got more than it tolerates.
+  bool is_over_cold_rate = false;
   base::Instant started_at;
   std::string instance;  // The start of the server that was meant.
 };
--- a/tests/auto/admission/gate_quarantine_test.cc
+++ b/tests/auto/admission/gate_quarantine_test.cc
@@ -66,6 +66,38 @@
   }
 }
 
+TEST_CASE("a server ends that got more than a cold one tolerates") {
+  GateScene scene;
+  scene.state.health_path = "/health";
+  scene.state.admission.slots = 4;
+  scene.state.admission.cold = {.rate = 4, .burst = 0, .after_start = {}};
+  scene.state.probes.budget = 1;
+  scene.Apply();
+  scene.silent = true;
+  for (int i = 0; i < 3; ++i)
+    scene.BeginGuarded({kOther});
+  REQUIRE(scene.Until([&] { return scene.held.size() >= 3; }));
+  const auto end = [&scene] {
+    scene.EndServer();
+    REQUIRE(scene.Until([&] { return scene.results.size() == 3; }));
+    scene.Until([&] { return !scene.crashes.empty(); });
+  };
+
+  SECTION(
+      "as it turned cold meanwhile: that explains it, no request is blamed") {
+    const base::Instant now = base::Clock::now();
+    scene.state.cold_told_at = now;
+    scene.state.cold_until = now + minutes(1);
+    scene.Apply();
+    end();
+    CHECK(scene.crashes.empty());
+  }
+  SECTION("while it was warm: what it ran is told") {
+    end();
+    CHECK(scene.crashes.size() == 1);
+  }
+}
+
 TEST_CASE("a gate that knows verdicts on requests") {
   GateScene scene;
   scene.state.admission.slots = 4;
