Share the readers' role and their watch times between the two readers of the store

Cause: the reader of evacuations wrote again what the reader of the configuration had: when it is a reader, when it is alone, how long a watch waits and how soon it is followed by a reading.

Change: configuration::ReaderRole, and both times with ReadPace. No behaviour changes.

Measured: configuration_test, platform_path_test and promise_confirmed_configuration_test green.

--- a/src/libs/configuration/read_pace.cc
+++ b/src/libs/configuration/read_pace.cc
@@ -40,4 +40,8 @@
   return Draw(interval_ / 2, interval_, random);
 }
 
+base::Duration ReadPace::Again(base::Random& random) {
+  return Draw({}, kReadAgainSpread, random);
+}
+
 }  // namespace chestnutport::configuration
--- a/src/libs/configuration/read_pace.h
+++ b/src/libs/configuration/read_pace.h
@@ -18,6 +18,13 @@
 inline constexpr base::Duration kFirstReadSpread =
     std::chrono::milliseconds(500);
 
+// How long one watch waits: short enough that a connection that went silent is
+// left soon, long enough that a fleet's watches are few calls.
+inline constexpr std::chrono::seconds kWatchWait(10);
+// Readers whose watches were cut together read again spread over this time.
+inline constexpr base::Duration kReadAgainSpread =
+    std::chrono::milliseconds(200);
+
 // Draws each wait between half and the whole of an interval that doubles after
 // a failure, and while the node is alone.
 class ReadPace {
@@ -32,6 +39,8 @@
   // configuration from a neighbour after some 70 ms, and seldom reads before.
   base::Duration First(base::Random& random) const;
   base::Duration Next(bool read_failed, bool is_alone, base::Random& random);
+  // A wait after a watch that was cut.
+  static base::Duration Again(base::Random& random);
 
  private:
   base::Duration longest_;
--- /dev/null
+++ b/src/libs/configuration/reader_role.cc
@@ -0,0 +1,18 @@
+#include "configuration/reader_role.h"
+
+#include <algorithm>
+
+#include "configuration/reader_choice.h"
+
+namespace chestnutport::configuration {
+
+void ReaderRole::SetMembers(const membership::Member& self,
+                            std::span<const membership::Member> members) {
+  is_reader_ = IsReader(self, members);
+  is_alone_ = std::ranges::none_of(members, [&](const auto& member) {
+    return member.id != self.id &&
+           member.state == membership::MemberState::kAlive;
+  });
+}
+
+}  // namespace chestnutport::configuration
--- a/src/libs/evacuation_store/evacuation_reader.cc
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -1,10 +1,8 @@
 #include "evacuation_store/evacuation_reader.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
-#include "configuration/reader_choice.h"
 #include "telemetry/log.h"
 
 namespace chestnutport::evacuation_store {
@@ -14,14 +12,9 @@
 using telemetry::Event;
 using telemetry::LogEvent;
 
-// How long one watch waits: short enough that a connection that went silent is
-// left soon, long enough that a fleet's watches are few calls.
-constexpr std::chrono::seconds kWatchWait(10);
 // A node that starts hears of the fleet, and so of evacuations, within this
 // time as a rule; only those that are readers then ask the store.
 constexpr base::Duration kFirstWait = std::chrono::seconds(1);
-// Readers whose watches were cut together read again spread over this time.
-constexpr base::Duration kReadAgainSpread = std::chrono::milliseconds(200);
 
 DataCentres Sorted(DataCentres names) {
   std::ranges::sort(names);
@@ -52,16 +45,6 @@
   Schedule(kFirstWait + pace_.First(random_));
 }
 
-void EvacuationReader::SetMembers(
-    const membership::Member& self,
-    const std::vector<membership::Member>& members) {
-  is_reader_ = configuration::IsReader(self, members);
-  is_alone_ = std::ranges::none_of(members, [&](const auto& member) {
-    return member.id != self.id &&
-           member.state == membership::MemberState::kAlive;
-  });
-}
-
 void EvacuationReader::ReadNow() {
   store_.ListPage(form_.prefix, [this](const auto& page) {
     if (page)
@@ -75,13 +58,11 @@
 }
 
 void EvacuationReader::ScheduleSoon() {
-  Schedule(std::uniform_int_distribution<base::Duration::rep>(
-               0, kReadAgainSpread.count())(random_) *
-           base::Duration(1));
+  Schedule(configuration::ReadPace::Again(random_));
 }
 
 void EvacuationReader::Read() {
-  if (!is_reader_) {
+  if (!role_.is_reader()) {
     EndRound(false);
     return;
   }
@@ -94,7 +75,8 @@
     // After a start each node takes itself for a reader until it knows the
     // fleet.
     const bool is_settled = std::exchange(has_read_, true);
-    if (is_settled && is_reader_ && page.value().as_of > 0 && store_.CanWatch())
+    if (is_settled && role_.is_reader() && page.value().as_of > 0 &&
+        store_.CanWatch())
       Watch(page.value().as_of);
     else
       EndRound(false);
@@ -115,12 +97,12 @@
 }
 
 void EvacuationReader::Watch(int64_t after) {
-  store_.Watch(form_.prefix, after, kWatchWait,
+  store_.Watch(form_.prefix, after, configuration::kWatchWait,
                [this, after](const auto& news) {
                  const bool is_quiet = news && !news.value().history_lost &&
                                        news.value().changed.empty() &&
                                        news.value().removed == 0;
-                 if (is_quiet && is_reader_)
+                 if (is_quiet && role_.is_reader())
                    Watch(std::max(after, news.value().as_of));
                  else if (news && !news.value().history_lost)
                    Read();
@@ -130,7 +112,7 @@
 }
 
 void EvacuationReader::EndRound(bool failed) {
-  Schedule(pace_.Next(failed, is_alone_, random_));
+  Schedule(pace_.Next(failed, role_.is_alone(), random_));
 }
 
 }  // namespace chestnutport::evacuation_store
--- a/src/libs/evacuation_store/evacuation_reader.h
+++ b/src/libs/evacuation_store/evacuation_reader.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "configuration/read_pace.h"
+#include "configuration/reader_role.h"
 #include "evacuation/evacuations.h"
 #include "evacuation_store/evacuation_form.h"
 #include "membership/member.h"
@@ -33,7 +34,9 @@
 
   void Start();
   void SetMembers(const membership::Member& self,
-                  const std::vector<membership::Member>& members);
+                  const std::vector<membership::Member>& members) {
+    role_.SetMembers(self, members);
+  }
   // Reads at once, as this node changed something.
   void ReadNow();
 
@@ -52,9 +55,8 @@
   base::Random random_;
   Handler read_;
   configuration::ReadPace pace_;
+  configuration::ReaderRole role_;
   net::EventLoop::TimerId timer_ = 0;
-  bool is_reader_ = true;  // Until other members are known.
-  bool is_alone_ = true;
   bool has_read_ = false;       // Since the start.
   bool is_unreadable_ = false;  // By the last reading; logged once in a row.
 };
--- a/src/libs/node/configuration_reader.cc
+++ b/src/libs/node/configuration_reader.cc
@@ -1,11 +1,9 @@
 #include "node/configuration_reader.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "configuration/reader_choice.h"
 #include "configuration/repair.h"
 #include "telemetry/log.h"
 
@@ -18,12 +16,6 @@
 using telemetry::Event;
 using telemetry::LogEvent;
 
-// How long one watch waits: short enough that a connection that went silent is
-// left soon, long enough that a fleet's watches are few calls.
-constexpr std::chrono::seconds kWatchWait(10);
-// Readers whose watches were cut together read again spread over this time.
-constexpr base::Duration kReadAgainSpread = std::chrono::milliseconds(200);
-
 }  // namespace
 
 ConfigurationReader::ConfigurationReader(
@@ -48,22 +40,12 @@
   Schedule(pace_.First(random_));
 }
 
-void ConfigurationReader::SetMembers(
-    const membership::Member& self,
-    const std::vector<membership::Member>& members) {
-  is_reader_ = configuration::IsReader(self, members);
-  is_alone_ = std::ranges::none_of(members, [&](const auto& member) {
-    return member.id != self.id &&
-           member.state == membership::MemberState::kAlive;
-  });
-}
-
 void ConfigurationReader::Schedule(base::Duration wait) {
   timer_ = loop_.CallAfter(wait, [this] { Read(); });
 }
 
 void ConfigurationReader::Read() {
-  if (!is_reader_) {
+  if (!role_.is_reader()) {
     EndRound(false);
     return;
   }
@@ -94,7 +76,7 @@
 void ConfigurationReader::GoOn() {
   // After a start each node takes itself for a reader until it knows the fleet.
   const bool is_settled = std::exchange(has_read_, true);
-  if (is_settled && is_reader_ && as_of_ > 0 && store_.CanWatch()) {
+  if (is_settled && role_.is_reader() && as_of_ > 0 && store_.CanWatch()) {
     NoteStore(false);
     Watch();
     return;
@@ -103,7 +85,7 @@
 }
 
 void ConfigurationReader::Watch() {
-  store_.WatchHead(as_of_, kWatchWait,
+  store_.WatchHead(as_of_, configuration::kWatchWait,
                    [this](const auto& watched) { OnWatched(watched); });
 }
 
@@ -111,9 +93,7 @@
     const base::Result<ConfigurationStore::Watched>& watched) {
   if (!watched) {
     // Changes may have been missed: what lies there is read.
-    Schedule(std::uniform_int_distribution<base::Duration::rep>(
-                 0, kReadAgainSpread.count())(random_) *
-             base::Duration(1));
+    Schedule(configuration::ReadPace::Again(random_));
     return;
   }
   as_of_ = std::max(as_of_, watched.value().as_of);
@@ -174,7 +154,7 @@
 
 void ConfigurationReader::EndRound(bool failed) {
   NoteStore(failed);
-  Schedule(pace_.Next(failed, is_alone_, random_));
+  Schedule(pace_.Next(failed, role_.is_alone(), random_));
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/node/configuration_reader.h
+++ b/src/libs/node/configuration_reader.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "configuration/held_configuration.h"
 #include "configuration/read_pace.h"
+#include "configuration/reader_role.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
 #include "node/configuration_store.h"
@@ -33,9 +34,11 @@
 
   void Start();
   void SetMembers(const membership::Member& self,
-                  const std::vector<membership::Member>& members);
+                  const std::vector<membership::Member>& members) {
+    role_.SetMembers(self, members);
+  }
 
-  bool is_reader() const { return is_reader_; }
+  bool is_reader() const { return role_.is_reader(); }
 
  private:
   void Schedule(base::Duration wait);
@@ -58,10 +61,9 @@
   base::Random& random_;
   OfferHandler offer_;
   configuration::ReadPace pace_;
+  configuration::ReaderRole role_;
   int64_t as_of_ = 0;  // The store's revision as of which it was read.
   net::EventLoop::TimerId timer_ = 0;
-  bool is_reader_ = true;  // Until other members are known.
-  bool is_alone_ = true;
   bool has_read_ = false;  // Since the start.
   bool store_failed_ = false;
 };
