Show where a configuration came from, and for how long a node was behind

Cause: a configuration that comes into force late cannot be explained from the log: a question to another node that fails has no line, configuration-in-force names no source and no delay, a rejected request names no revision, and a reader that hears nothing from the store looks like one of a quiet store.

Change: event 3011, the fields from and known_for of 3006, the revision in 2032, two gauges. No decision changes.

Measured: configuration_test (RevisionLag), tables, names, links, metrics and promise_confirmed_configuration_test pass.

--- a/src/libs/node/configuration_fetcher.cc
+++ b/src/libs/node/configuration_fetcher.cc
@@ -4,6 +4,10 @@
 #include <random>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "base/encoding.h"
+#include "telemetry/log.h"
+
 namespace chestnutport::node {
 namespace {
 
@@ -110,21 +114,23 @@
 void ConfigurationFetcher::Ask(const Member& member) {
   asking_ = true;
   const FetchRequest request{ask_for_all_ ? 0 : held_.head().revision};
-  caller_.Call(
-      member.control_address, configuration::kFetchMethod, request.ToJson(),
-      kTimeout,
-      [this, from = member.id](const auto& text) { OnAnswer(from, text); });
+  caller_.Call(member.control_address, configuration::kFetchMethod,
+               request.ToJson(), kTimeout,
+               [this, from = member.id, asked_at = loop_.now()](
+                   const auto& text) { OnAnswer(from, asked_at, text); });
 }
 
 void ConfigurationFetcher::OnAnswer(base::NodeId from,
+                                    base::Instant asked_at,
                                     const base::Result<std::string>& text) {
   asking_ = false;
   const uint64_t before = held_.head().revision;
   const auto answer = text ? FetchAnswer::FromJson(text.value()) : std::nullopt;
   if (answer) {
     heard_[from] = answer->revision;
-    Take(*answer);
+    Take(from, *answer);
   } else {
+    LogFailure(from, asked_at);
     // Others are asked first; it is asked again once it is heard again.
     heard_.erase(from);
   }
@@ -136,11 +142,20 @@
                                  [this] { AskNewer(); });
 }
 
-void ConfigurationFetcher::Take(const FetchAnswer& answer) {
+void ConfigurationFetcher::Take(base::NodeId from, const FetchAnswer& answer) {
   if (!answer.head)
     return;
-  const Adoption adoption = offer_(*answer.head, answer.documents);
+  const Adoption adoption = offer_(from, *answer.head, answer.documents);
   ask_for_all_ = adoption == Adoption::kIncomplete;
 }
 
+void ConfigurationFetcher::LogFailure(base::NodeId from,
+                                      base::Instant asked_at) const {
+  telemetry::LogEvent(telemetry::Event::kConfigurationFetchFailed,
+                      {{"node", from.ToString()},
+                       {"took", base::FormatDuration(loop_.now() - asked_at)},
+                       {"held", absl::StrCat(held_.head().revision)},
+                       {"heard", absl::StrCat(GreatestHeard())}});
+}
+
 }  // namespace chestnutport::node
--- a/src/libs/node/configuration_fetcher.h
+++ b/src/libs/node/configuration_fetcher.h
@@ -23,7 +23,8 @@
 class ConfigurationFetcher {
  public:
   using OfferHandler =
-      std::function<configuration::Adoption(const configuration::Head& head,
+      std::function<configuration::Adoption(base::NodeId from,
+                                            const configuration::Head& head,
                                             const configuration::Documents&)>;
 
   // All must outlive the fetcher.
@@ -46,8 +47,11 @@
   void AskAnyone();
   void AskNewer();
   void Ask(const membership::Member& member);
-  void OnAnswer(base::NodeId from, const base::Result<std::string>& text);
-  void Take(const configuration::FetchAnswer& answer);
+  void OnAnswer(base::NodeId from,
+                base::Instant asked_at,
+                const base::Result<std::string>& text);
+  void Take(base::NodeId from, const configuration::FetchAnswer& answer);
+  void LogFailure(base::NodeId from, base::Instant asked_at) const;
 
   net::EventLoop& loop_;
   ControlCaller& caller_;
--- a/src/libs/node/configuration_keeper.cc
+++ b/src/libs/node/configuration_keeper.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "base/encoding.h"
 #include "configuration/fetch.h"
 #include "telemetry/log.h"
 
@@ -18,6 +19,9 @@
 using telemetry::Event;
 using telemetry::LogEvent;
 
+constexpr char kFromStore[] = "store";
+constexpr char kFromOperator[] = "operator";
+
 }  // namespace
 
 ConfigurationKeeper::ConfigurationKeeper(net::EventLoop& loop,
@@ -27,7 +31,8 @@
                                          const AnyConfigurationForm& form,
                                          const settings::NodeSettings& settings,
                                          base::Random random)
-    : random_(random),
+    : loop_(loop),
+      random_(random),
       store_(store, form, settings.fleet),
       reader_(loop,
               store_,
@@ -35,15 +40,17 @@
               random_,
               settings.longest_store_wait,
               [this](const auto& head, const auto& documents) {
-                Offer(head, documents);
+                lag_.OnHeard(head.revision, loop_.now());
+                Offer(head, documents, kFromStore);
               }),
-      fetcher_(loop,
-               caller,
-               held_,
-               random_,
-               [this](const auto& head, const auto& documents) {
-                 return Offer(head, documents);
-               }),
+      fetcher_(
+          loop,
+          caller,
+          held_,
+          random_,
+          [this](base::NodeId from, const auto& head, const auto& documents) {
+            return Offer(head, documents, from.ToString());
+          }),
       confirmer_(loop, store_, held_, [this] {
         return fetcher_.GreatestHeard();
       }) {
@@ -67,6 +74,7 @@
 
 void ConfigurationKeeper::OnRevisionHeard(uint64_t revision,
                                           const membership::Member& from) {
+  lag_.OnHeard(revision, loop_.now());
   fetcher_.OnRevisionHeard(revision, from);
 }
 
@@ -91,11 +99,13 @@
            {{"revision", absl::StrCat(finish.revision)},
             {"by", request.confirmed_by}});
   // Incomplete if others have confirmed since; the reader will see to it.
-  Offer(finish.head, configuration::MakeDocuments(request.texts));
+  Offer(finish.head, configuration::MakeDocuments(request.texts),
+        kFromOperator);
 }
 
 Adoption ConfigurationKeeper::Offer(const Head& head,
-                                    const Documents& documents) {
+                                    const Documents& documents,
+                                    const std::string& source) {
   const Adoption adoption = held_.Offer(head, documents);
   if (adoption != Adoption::kAdopted)
     return adoption;
@@ -103,12 +113,27 @@
       configuration::Assemble(held_.head().manifest, held_.documents());
   configuration_ = std::make_shared<const declarations::Configuration>(
       store_.form().parse(head.revision, *std::move(texts)));
+  const base::Duration known_for =
+      lag_.OnInForce(head.revision, base::Clock::now());
   LogEvent(Event::kConfigurationInForce,
-           {{"revision", absl::StrCat(head.revision)}});
+           {{"revision", absl::StrCat(head.revision)},
+            {"from", source},
+            {"known_for", base::FormatDuration(known_for)}});
   changed_(head.revision);
   return adoption;
 }
 
+base::Duration ConfigurationKeeper::Behind() const {
+  return lag_.Behind(loop_.now());
+}
+
+std::optional<base::Duration> ConfigurationKeeper::StoreWordAge() const {
+  const auto heard_at = reader_.heard_at();
+  if (!reader_.is_reader() || !heard_at)
+    return std::nullopt;
+  return loop_.now() - *heard_at;
+}
+
 void ConfigurationKeeper::AddControlCalls(ControlListener& listener) {
   listener.Add(configuration::kFetchMethod, [this](const std::string& params) {
     const auto request = configuration::FetchRequest::FromJson(params);
--- a/src/libs/node/configuration_keeper.h
+++ b/src/libs/node/configuration_keeper.h
@@ -4,6 +4,7 @@
 #define NODE_CONFIGURATION_KEEPER_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "configuration/confirm_procedure.h"
 #include "configuration/held_configuration.h"
 #include "configuration/packed_documents.h"
+#include "configuration/revision_lag.h"
 #include "declarations/configuration.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
@@ -59,16 +61,25 @@
   }
   const configuration::HeldConfiguration& held() const { return held_; }
   bool is_reader() const { return reader_.is_reader(); }
+  // For how long a newer revision than the one in force has been known.
+  base::Duration Behind() const;
+  // Since the store last said which revision it holds; nothing if this node
+  // does not read it, or has not heard from it yet.
+  std::optional<base::Duration> StoreWordAge() const;
 
  private:
+  // `source`: who offers it, for the log.
   configuration::Adoption Offer(const configuration::Head& head,
-                                const configuration::Documents& documents);
+                                const configuration::Documents& documents,
+                                const std::string& source);
   void OnConfirmed(const configuration::ConfirmRequest& request,
                    const configuration::Finish& finish);
   void AddControlCalls(ControlListener& listener);
 
+  net::EventLoop& loop_;
   base::Random random_;
   configuration::HeldConfiguration held_;
+  configuration::RevisionLag lag_;
   configuration::PackedDocuments packed_;
   // Parsed from `held_`.
   declarations::SharedConfiguration configuration_ =
--- a/src/libs/node/configuration_reader.cc
+++ b/src/libs/node/configuration_reader.cc
@@ -57,6 +57,7 @@
     EndRound(true);
     return;
   }
+  heard_at_ = loop_.now();
   as_of_ = stored.value().as_of;
   const Head& head = stored.value().head;
   if (head.revision > held_.head().revision) {
@@ -96,6 +97,7 @@
     Schedule(configuration::ReadPace::Again(random_));
     return;
   }
+  heard_at_ = loop_.now();
   as_of_ = std::max(as_of_, watched.value().as_of);
   if (watched.value().head &&
       watched.value().head->head.revision > held_.head().revision) {
--- a/src/libs/node/configuration_reader.h
+++ b/src/libs/node/configuration_reader.h
@@ -4,6 +4,7 @@
 #define NODE_CONFIGURATION_READER_H_
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 #include "base/random.h"
@@ -39,6 +40,8 @@
   }
 
   bool is_reader() const { return role_.is_reader(); }
+  // When the store last said which head it holds; nothing if it never did.
+  std::optional<base::Instant> heard_at() const { return heard_at_; }
 
  private:
   void Schedule(base::Duration wait);
@@ -64,6 +67,7 @@
   configuration::ReaderRole role_;
   int64_t as_of_ = 0;  // The store's revision as of which it was read.
   net::EventLoop::TimerId timer_ = 0;
+  std::optional<base::Instant> heard_at_;
   bool has_read_ = false;  // Since the start.
   bool store_failed_ = false;
 };
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -89,10 +89,9 @@
                      }),
       metrics_(metrics,
                [this] {
-                 return ReadControl({members_,
-                                     configuration_.configuration().revision,
-                                     store_.calls(), gate_report_,
-                                     membership_.counters(), quarantine_});
+                 return ReadControl({members_, configuration_, store_.calls(),
+                                     gate_report_, membership_.counters(),
+                                     quarantine_});
                }),
       operator_api_(std::make_unique<OperatorApi>(*this, settings)) {
   AddControlCalls();
--- a/src/libs/node/control_readings.cc
+++ b/src/libs/node/control_readings.cc
@@ -59,6 +59,17 @@
   }
 }
 
+void AppendConfiguration(std::vector<Reading>& readings,
+                         const ConfigurationKeeper& configuration) {
+  readings.push_back(
+      {Metric::kRevision, "",
+       static_cast<double>(configuration.configuration().revision)});
+  readings.push_back(
+      {Metric::kConfigurationBehind, "", Seconds(configuration.Behind())});
+  if (const auto age = configuration.StoreWordAge())
+    readings.push_back({Metric::kStoreWordAge, "", Seconds(*age)});
+}
+
 void AppendStoreCalls(std::vector<Reading>& readings,
                       const store::StoreCallCounts& calls) {
   for (const store::CallKind kind : store::kCallKinds) {
@@ -108,8 +119,7 @@
 std::vector<Reading> ReadControl(const ControlCounts& counts) {
   std::vector<Reading> readings;
   AppendMembers(readings, counts.members);
-  readings.push_back(
-      {Metric::kRevision, "", static_cast<double>(counts.revision)});
+  AppendConfiguration(readings, counts.configuration);
   AppendStoreCalls(readings, counts.store_calls);
   AppendHeld(readings, counts.quarantine);
   if (counts.gate.load.strain)
--- a/src/libs/node/control_readings.h
+++ b/src/libs/node/control_readings.h
@@ -6,6 +6,7 @@
 
 #include "membership/gossip_counters.h"
 #include "membership/member.h"
+#include "node/configuration_keeper.h"
 #include "node/gate_report.h"
 #include "node/request_quarantine.h"
 #include "store/store_call_counts.h"
@@ -15,7 +16,7 @@
 
 struct ControlCounts {
   const std::vector<membership::Member>& members;
-  uint64_t revision = 0;
+  const ConfigurationKeeper& configuration;
   const store::StoreCallCounts& store_calls;
   const GateReport& gate;
   const membership::GossipCounters& gossip;
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -202,7 +202,8 @@
                             .traffic_class = request.traffic_class,
                             .outcome = base::AnswerTo(kError).outcome,
                             .error = kError});
-  LogCallRejected(request.name, request.fingerprint, kError);
+  LogCallRejected(request.name, request.fingerprint, kError,
+                  snapshot_.configuration->revision);
   if (running_.IsNested(request.name))
     running_.OnCallFailed(request.name);
   const base::Duration left =
@@ -216,7 +217,7 @@
                      base::ErrorKind error) {
   recorder_.Record(telemetry::CallRecord{
       .outcome = base::AnswerTo(error).outcome, .error = error});
-  LogCallRejected(request_id, {}, error);
+  LogCallRejected(request_id, {}, error, snapshot_.configuration->revision);
   reply.Send(protocol_.error_answer(
       {error, base::AnswerTo(error).retry_after, request_id}));
 }
--- a/src/libs/node/request_log.cc
+++ b/src/libs/node/request_log.cc
@@ -144,11 +144,13 @@
 
 void LogCallRejected(const std::string& request,
                      base::RequestFingerprint fingerprint,
-                     base::ErrorKind error) {
+                     base::ErrorKind error,
+                     uint64_t revision) {
   LogRequestEvent(Event::kCallRejected,
                   {{"request", request},
                    {"fingerprint", fingerprint.ToString()},
-                   {"error", NameOf(error)}});
+                   {"error", NameOf(error)},
+                   {"revision", absl::StrCat(revision)}});
 }
 
 void LogCallerGone(const ActiveCall& call, base::Instant now) {
--- a/src/libs/node/request_log.h
+++ b/src/libs/node/request_log.h
@@ -29,9 +29,11 @@
 void LogCallEnd(const ActiveCall& call, const CallEnd& end, base::Instant now);
 
 // A request that was not read as a call at all.
+// `revision`: of the configuration that decided it.
 void LogCallRejected(const std::string& request,
                      base::RequestFingerprint fingerprint,
-                     base::ErrorKind error);
+                     base::ErrorKind error,
+                     uint64_t revision);
 
 // The caller went away before its answer.
 void LogCallerGone(const ActiveCall& call, base::Instant now);
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -168,9 +168,11 @@
     EventDescription{Event::kConfigurationConfirmed, "configuration-confirmed",
                      Level::kInfo, "An operator confirmed a configuration.",
                      "None."},
-    EventDescription{Event::kConfigurationInForce, "configuration-in-force",
-                     Level::kInfo, "A configuration is in force on this node.",
-                     "None."},
+    EventDescription{
+        Event::kConfigurationInForce, "configuration-in-force", Level::kInfo,
+        "A configuration is in force on this node: where it came "
+        "from, and for how long a newer one than before was known.",
+        "None."},
     EventDescription{Event::kStoreRepaired, "store-repaired", Level::kWarning,
                      "The store held an older configuration than the nodes; "
                      "the newer one was written back.",
@@ -187,6 +189,10 @@
                      "An entry in the store is not as nodes write it; it is "
                      "passed over, and the others hold.",
                      "See who else writes below the key."},
+    EventDescription{Event::kConfigurationFetchFailed,
+                     "configuration-fetch-failed", Level::kWarning,
+                     "Another node did not hand out its configuration.",
+                     "Check that node, and the way to it; others are asked."},
     EventDescription{Event::kMemberJoined, "member-joined", Level::kInfo,
                      "A node became known.", "None."},
     EventDescription{Event::kMemberGone, "member-gone", Level::kWarning,
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -70,6 +70,7 @@
   kConfigurationUnreadable = 3008,
   kStoreBack = 3009,
   kStoreEntryUnreadable = 3010,
+  kConfigurationFetchFailed = 3011,
   kMemberJoined = 4001,
   kMemberGone = 4002,
   kEvacuated = 4101,
--- a/src/libs/telemetry/metric.cc
+++ b/src/libs/telemetry/metric.cc
@@ -56,6 +56,16 @@
     MetricDescription{Metric::kRevision, "chestnutport_configuration_revision",
                       MetricType::kGauge, "",
                       "Revision in force on this node."},
+    MetricDescription{Metric::kConfigurationBehind,
+                      "chestnutport_configuration_behind_seconds",
+                      MetricType::kGauge, "",
+                      "For how long this node has known of a newer revision "
+                      "than the one in force; zero if it knows of none."},
+    MetricDescription{Metric::kStoreWordAge,
+                      "chestnutport_store_word_age_seconds", MetricType::kGauge,
+                      "",
+                      "Age of the store's last word about the configuration, "
+                      "on nodes that read it for their data centre."},
     MetricDescription{Metric::kStoreCalls, "chestnutport_store_calls_total",
                       MetricType::kCounter, "kind,result",
                       "Calls to the platform's store."},
--- a/src/libs/telemetry/metric.h
+++ b/src/libs/telemetry/metric.h
@@ -25,6 +25,8 @@
   kInFlight,
   kMembers,
   kRevision,
+  kConfigurationBehind,
+  kStoreWordAge,
   kStoreCalls,
   kGossipSentBytes,
   kGossipRejected,
