Test, failing, that a silent node keeps no configuration from another

Cause: ConfigurationFetcher has one question open at a time and waits 2 s for its answer, which is the whole bound within which a change has to be in force.

No product code.

--- /dev/null
+++ b/tests/auto/node/configuration_fetcher_test.cc
@@ -0,0 +1,173 @@
+// How a node gets a configuration from others, some of which never answer.
+#include "node/configuration_fetcher.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "configuration/packed_documents.h"
+#include "net/http_client.h"
+#include "net/listening_socket.h"
+#include "node/control_listener.h"
+
+namespace chestnutport::node {
+namespace {
+
+using configuration::Documents;
+using configuration::Head;
+using configuration::HeldConfiguration;
+using membership::Member;
+
+constexpr uint64_t kOld = 1;
+constexpr uint64_t kNew = 2;
+const PeerKeys kKeys{.current = "key", .previous = ""};
+const base::SocketAddress kAnyPort = *base::SocketAddress::Parse("127.0.0.1:0");
+
+Documents DocumentsOf(uint64_t revision) {
+  return configuration::MakeDocuments({{"a", std::to_string(revision)}});
+}
+
+Head HeadOf(uint64_t revision) {
+  Head head;
+  for (uint64_t i = 1; i <= revision; ++i) {
+    const auto documents = DocumentsOf(i);
+    head = configuration::NextHead(head, {{"a", documents.begin()->first}},
+                                   {.plan_id = std::to_string(i)});
+  }
+  return head;
+}
+
+// Hands out what it holds.
+class Neighbour {
+ public:
+  Neighbour(net::EventLoop& loop, uint64_t revision) : listener_(loop, kKeys) {
+    held_.Offer(HeadOf(revision), DocumentsOf(revision));
+    listener_.Add(configuration::kFetchMethod, [this](const auto& params) {
+      const auto request = configuration::FetchRequest::FromJson(params);
+      return configuration::AnswerFetch(*request, held_, packed_).ToJson();
+    });
+    REQUIRE(listener_.Listen(kAnyPort));
+  }
+
+  const base::SocketAddress& address() const { return listener_.address(); }
+
+ private:
+  ControlListener listener_;
+  HeldConfiguration held_;
+  configuration::PackedDocuments packed_;
+};
+
+// One node that asks, beside neighbours that answer and some that accept
+// connections and say nothing.
+class Scene {
+ public:
+  Scene() : http_(loop_, {}), caller_(http_, kKeys) {
+    held_.Offer(HeadOf(kOld), DocumentsOf(kOld));
+    self_.id = base::NodeId::Draw(random_);
+    fetcher_ = std::make_unique<ConfigurationFetcher>(
+        loop_, caller_, held_, random_,
+        [this](base::NodeId, const Head& head, const Documents& documents) {
+          return OnOffer(head, documents);
+        });
+  }
+
+  Member AddSilent() {
+    auto socket = net::ListeningSocket::Open(kAnyPort);
+    REQUIRE(socket);
+    silent_.push_back(std::move(socket).value());
+    return AddMember(silent_.back().address());
+  }
+  Member AddNeighbour(uint64_t revision) {
+    neighbours_.push_back(std::make_unique<Neighbour>(loop_, revision));
+    return AddMember(neighbours_.back()->address());
+  }
+  void Start() {
+    fetcher_->SetMembers(self_, members_);
+    fetcher_->Start();
+  }
+  void Hear(uint64_t revision, const Member& from) {
+    fetcher_->OnRevisionHeard(revision, from);
+  }
+  // Until the new revision is offered, or nobody is asked any more.
+  void Run() {
+    Look();
+    loop_.Run();
+  }
+
+  uint64_t held() const { return held_.head().revision; }
+  // Questions that were open when the new revision came.
+  std::optional<size_t> open_questions() const { return open_questions_; }
+  size_t most_open() const { return most_open_; }
+
+ private:
+  Member AddMember(const base::SocketAddress& address) {
+    Member member;
+    member.id = base::NodeId::Draw(random_);
+    member.control_address = address;
+    members_.push_back(member);
+    return member;
+  }
+  configuration::Adoption OnOffer(const Head& head,
+                                  const Documents& documents) {
+    const auto adoption = held_.Offer(head, documents);
+    if (adoption == configuration::Adoption::kAdopted) {
+      open_questions_ = http_.transfers();
+      loop_.Stop();
+    }
+    return adoption;
+  }
+  void Look() {
+    most_open_ = std::max(most_open_, http_.transfers());
+    loop_.CallAfter(std::chrono::milliseconds(1), [this] { Look(); });
+  }
+
+  net::EventLoop loop_;
+  net::HttpClient http_;
+  ControlCaller caller_;
+  base::Random random_{1};
+  HeldConfiguration held_;
+  Member self_;
+  std::vector<Member> members_;
+  std::vector<net::ListeningSocket> silent_;
+  std::vector<std::unique_ptr<Neighbour>> neighbours_;
+  std::unique_ptr<ConfigurationFetcher> fetcher_;
+  std::optional<size_t> open_questions_;
+  size_t most_open_ = 0;
+};
+
+TEST_CASE("a node that does not answer keeps no configuration from another") {
+  Scene scene;
+
+  SECTION("when it told of the revision, and went silent") {
+    const Member silent = scene.AddSilent();
+    const Member neighbour = scene.AddNeighbour(kNew);
+    scene.Hear(kNew, silent);
+    scene.Hear(kNew, neighbour);
+    scene.Run();
+    CHECK(scene.held() == kNew);
+    CHECK(scene.open_questions().value_or(0) == 1);
+  }
+  SECTION("when it was asked before there was a new revision") {
+    scene.AddSilent();
+    scene.Start();
+    scene.Hear(kNew, scene.AddNeighbour(kNew));
+    scene.Run();
+    CHECK(scene.held() == kNew);
+    CHECK(scene.open_questions().value_or(0) == 1);
+  }
+  SECTION("when several are silent, and only one of those that told is left") {
+    const std::vector<Member> silent = {scene.AddSilent(), scene.AddSilent()};
+    const Member neighbour = scene.AddNeighbour(kNew);
+    for (const Member& member : silent)
+      scene.Hear(kNew, member);
+    scene.Hear(kNew, neighbour);
+    scene.Run();
+    CHECK(scene.held() == kNew);
+    CHECK(scene.open_questions().value_or(0) >= 1);
+  }
+}
+
+}  // namespace
+}  // namespace chestnutport::node
