Ask other nodes for a configuration while one is silent

What callers saw: a request was handled by an older configuration than the one confirmed more than 2 s before, on nodes that had no trouble of their own.

Cause: a node asked one other node at a time and waited 2 s for it, which is all the time in which a change has to be in force. A node that froze, lost power or was cut off just after it told of a revision, or just after it was picked for the question that goes to any node each 3 s, kept back what all others held and were heard to hold.

Ruled out: a shorter timeout alone (a configuration of a megabyte over a slow link takes most of a second, and every silent node would cost it again).

Change: FetchPlan decides whom to ask, with time and randomness passed in. The question to any node holds nobody up. A failure lets the next be asked at once.

--- a/src/libs/node/configuration_fetcher.cc
+++ b/src/libs/node/configuration_fetcher.cc
@@ -1,7 +1,6 @@
 #include "node/configuration_fetcher.h"
 
 #include <algorithm>
-#include <random>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -17,18 +16,11 @@
 using membership::Member;
 
 constexpr base::Duration kTimeout = std::chrono::seconds(2);
-constexpr base::Duration kRetryWait = std::chrono::milliseconds(200);
 // Between two questions to any node. Short at first, because a node that just
 // started has nothing to go by.
 constexpr base::Duration kFirstInterval = std::chrono::milliseconds(250);
 constexpr base::Duration kInterval = std::chrono::seconds(3);
 
-template <typename T>
-const T& PickAny(const std::vector<T>& from, base::Random& random) {
-  std::uniform_int_distribution<size_t> index(0, from.size() - 1);
-  return from[index(random)];
-}
-
 }  // namespace
 
 ConfigurationFetcher::ConfigurationFetcher(
@@ -46,7 +38,7 @@
 
 ConfigurationFetcher::~ConfigurationFetcher() {
   loop_.Cancel(timer_);
-  loop_.Cancel(retry_timer_);
+  loop_.Cancel(newer_timer_);
 }
 
 void ConfigurationFetcher::Start() {
@@ -55,91 +47,66 @@
 
 void ConfigurationFetcher::SetMembers(const Member& self,
                                       const std::vector<Member>& members) {
-  const bool was_alone = others_.empty();
-  others_.clear();
-  std::ranges::copy_if(members, std::back_inserter(others_), [&](auto& member) {
-    return member.id != self.id &&
-           member.state == membership::MemberState::kAlive;
-  });
-  std::erase_if(heard_, [&](const auto& item) {
-    return std::ranges::none_of(
-        members, [&](auto& member) { return member.id == item.first; });
-  });
-  if (was_alone && !others_.empty() && timer_ != 0) {
+  const bool was_alone = !plan_.HasOthers();
+  plan_.SetMembers(self, members);
+  if (was_alone && plan_.HasOthers() && timer_ != 0) {
     loop_.Cancel(timer_);
     AskAnyone();
   }
+  AskNewer();
 }
 
 void ConfigurationFetcher::OnRevisionHeard(uint64_t revision,
                                            const Member& from) {
-  uint64_t& known = heard_[from.id];
-  known = std::max(known, revision);
-  // The rumour may come before the list of members that names the node.
-  const bool is_known = std::ranges::any_of(
-      others_, [&](const Member& other) { return other.id == from.id; });
-  if (!is_known)
-    others_.push_back(from);
+  plan_.OnHeard(revision, from);
   AskNewer();
 }
 
-uint64_t ConfigurationFetcher::GreatestHeard() const {
-  uint64_t greatest = 0;
-  for (const auto& [node, revision] : heard_)
-    greatest = std::max(greatest, revision);
-  return greatest;
-}
-
 void ConfigurationFetcher::AskAnyone() {
-  if (!others_.empty() && !asking_)
-    Ask(PickAny(others_, random_));
+  if (const Member* member = plan_.AskAny(loop_.now(), random_))
+    Ask(*member);
   timer_ = loop_.CallAfter(interval_, [this] { AskAnyone(); });
-  if (!others_.empty())
+  if (plan_.HasOthers())
     interval_ = std::min(2 * interval_, kInterval);
 }
 
 void ConfigurationFetcher::AskNewer() {
-  if (asking_)
-    return;
-  std::vector<Member> newer;
-  for (const Member& member : others_) {
-    const auto known = heard_.find(member.id);
-    if (known != heard_.end() && known->second > held_.head().revision)
-      newer.push_back(member);
-  }
-  if (!newer.empty())
-    Ask(PickAny(newer, random_));
+  const uint64_t held = held_.head().revision;
+  const base::Instant now = loop_.now();
+  if (const Member* member = plan_.AskNewer(held, now, random_))
+    Ask(*member);
+  loop_.Cancel(newer_timer_);
+  newer_timer_ = 0;
+  const base::Instant next = plan_.NextNewer(held);
+  const bool is_behind = plan_.GreatestHeard() > held;
+  // Nobody is left to ask if it is due already: an event will bring more.
+  if (is_behind && next > now && next < base::Instant::max())
+    newer_timer_ = loop_.CallAt(next, [this] { AskNewer(); });
 }
 
 void ConfigurationFetcher::Ask(const Member& member) {
-  asking_ = true;
   const FetchRequest request{ask_for_all_ ? 0 : held_.head().revision};
-  caller_.Call(member.control_address, configuration::kFetchMethod,
-               request.ToJson(), kTimeout,
-               [this, from = member.id, asked_at = loop_.now()](
-                   const auto& text) { OnAnswer(from, asked_at, text); });
+  caller_.Call(
+      member.control_address, configuration::kFetchMethod, request.ToJson(),
+      kTimeout,
+      [this, from = member.id, asked_at = loop_.now()](const auto& text) {
+        OnAnswer(from, asked_at, text);
+      },
+      [this, from = member.id] { plan_.OnAnswering(from, loop_.now()); });
 }
 
 void ConfigurationFetcher::OnAnswer(base::NodeId from,
                                     base::Instant asked_at,
                                     const base::Result<std::string>& text) {
-  asking_ = false;
-  const uint64_t before = held_.head().revision;
   const auto answer = text ? FetchAnswer::FromJson(text.value()) : std::nullopt;
   if (answer) {
-    heard_[from] = answer->revision;
     Take(from, *answer);
+    plan_.OnAnswer(from, answer->revision, held_.head().revision, loop_.now());
   } else {
     LogFailure(from, asked_at);
-    // Others are asked first; it is asked again once it is heard again.
-    heard_.erase(from);
+    plan_.OnFailed(from);
   }
-  loop_.Cancel(retry_timer_);
-  if (GreatestHeard() <= held_.head().revision)
-    return;
-  const bool moved = held_.head().revision > before;
-  retry_timer_ = loop_.CallAfter(moved ? base::Duration::zero() : kRetryWait,
-                                 [this] { AskNewer(); });
+  AskNewer();
 }
 
 void ConfigurationFetcher::Take(base::NodeId from, const FetchAnswer& answer) {
--- a/src/libs/node/configuration_fetcher.h
+++ b/src/libs/node/configuration_fetcher.h
@@ -4,13 +4,13 @@
 #define NODE_CONFIGURATION_FETCHER_H_
 
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
 #include "base/random.h"
 #include "base/time.h"
 #include "configuration/fetch.h"
+#include "configuration/fetch_plan.h"
 #include "configuration/held_configuration.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
@@ -18,8 +18,9 @@
 
 namespace chestnutport::node {
 
-// Asks the node that was heard to hold a newer revision; and, now and then,
-// any other node, so that an announcement that got lost costs only time.
+// Asks nodes that were heard to hold a newer revision, as FetchPlan says; and,
+// now and then, any other node, so that an announcement that got lost costs
+// only time.
 class ConfigurationFetcher {
  public:
   using OfferHandler =
@@ -41,7 +42,7 @@
   void OnRevisionHeard(uint64_t revision, const membership::Member& from);
 
   // The greatest revision that any member was heard to hold.
-  uint64_t GreatestHeard() const;
+  uint64_t GreatestHeard() const { return plan_.GreatestHeard(); }
 
  private:
   void AskAnyone();
@@ -58,14 +59,11 @@
   const configuration::HeldConfiguration& held_;
   base::Random& random_;
   OfferHandler offer_;
-  std::vector<membership::Member> others_;  // Alive, without this node.
-  // The revisions that members were last heard to hold.
-  std::map<base::NodeId, uint64_t> heard_;
-  bool asking_ = false;
+  configuration::FetchPlan plan_;
   bool ask_for_all_ = false;  // The last answer was not enough.
   base::Duration interval_;
   net::EventLoop::TimerId timer_ = 0;
-  net::EventLoop::TimerId retry_timer_ = 0;
+  net::EventLoop::TimerId newer_timer_ = 0;
 };
 
 }  // namespace chestnutport::node
--- a/src/libs/node/control_caller.cc
+++ b/src/libs/node/control_caller.cc
@@ -16,13 +16,19 @@
                          const std::string& method,
                          const std::string& params,
                          base::Duration timeout,
-                         Handler handler) {
+                         Handler handler,
+                         AnsweringHandler answering) {
   net::HttpRequest request{.method = "POST", .target = kControlPath};
   request.body = rpc::EncodeCall(method, params);
   request.headers = {
       {wire::kSignatureHeader, base::KeyedDigest(keys_.current, request.body)}};
-  http_.Send(
-      node, std::move(request), timeout,
+  const auto on_head = [answering = std::move(answering)](const auto&) {
+    if (answering)
+      answering();
+    return false;
+  };
+  http_.Stream(
+      node, std::move(request), timeout, on_head, nullptr,
       [method,
        handler = std::move(handler)](const net::TransferResult& result) {
         std::string text;
--- a/src/libs/node/control_caller.h
+++ b/src/libs/node/control_caller.h
@@ -16,6 +16,8 @@
  public:
   // The result, JSON as text.
   using Handler = std::function<void(base::Result<std::string>)>;
+  // The first bytes of the answer came.
+  using AnsweringHandler = std::function<void()>;
 
   // `http` must outlive the caller.
   ControlCaller(net::HttpClient& http, PeerKeys keys);
@@ -25,7 +27,8 @@
             const std::string& method,
             const std::string& params,
             base::Duration timeout,
-            Handler handler);
+            Handler handler,
+            AnsweringHandler answering = nullptr);
 
  private:
   net::HttpClient& http_;
