Open a connection for each control call

Cause: control calls went over kept connections. One that has gone silent shows that only by the timeout of 2 s, which is all the time in which a change has to be in force; each neighbour in turn has such a connection, for 10 s after its last use.

Ruled out: a shorter time for which connections are kept: a node that asks often, as in quick changes, would still use silent ones.

Change: ControlCaller owns its client and keeps no connection, as the settler of attempts does already; the options for that stand once, in net.

Measured: the new section of configuration_fetcher_test fails with kept connections (revision 2 held, 3 expected, when a question asked at the same time is given up) and passes without.

--- a/src/libs/configuration/fetch_plan.cc
+++ b/src/libs/configuration/fetch_plan.cc
@@ -51,9 +51,9 @@
   const uint64_t greatest = GreatestHeard();
   if (greatest <= held || now < NextNewer(held))
     return nullptr;
-  const Member* member = Pick(
-      [&](const Member& other) { return IsKnownToHoldAbove(held, other); },
-      random);
+  const Member* member =
+      Pick([&](const Member& other) { return IsKnownToHoldAbove(held, other); },
+           random);
   // Others have it soon after the first that told of it.
   if (!member && CountPromising(held) > 0)
     member = Pick(IsAny, random);
--- a/src/libs/configuration/fetch_plan.h
+++ b/src/libs/configuration/fetch_plan.h
@@ -18,8 +18,8 @@
 // back what others hold.
 class FetchPlan {
  public:
-  // For the first bytes of an answer. Longer than they take between two regions,
-  // and a small part of the time in which a change has to be in force.
+  // For the first bytes of an answer. Longer than they take between two
+  // regions, and a small part of the time in which a change has to be in force.
   static constexpr base::Duration kPatience = std::chrono::milliseconds(200);
   // For the rest of it: a megabyte over a slow link takes most of a second, and
   // a second copy beside it would only slow it down.
@@ -61,7 +61,7 @@
 
  private:
   struct Question {
-    uint64_t expected = 0;  // The revision hoped for; zero: none.
+    uint64_t expected = 0;        // The revision hoped for; zero: none.
     base::Instant patient_until;  // Nobody is asked beside it before.
   };
 
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -46,6 +46,12 @@
 
 }  // namespace
 
+HttpClientOptions HttpClientOptions::Fresh() {
+  HttpClientOptions options;
+  options.longest_idle = std::chrono::seconds(0);
+  return options;
+}
+
 HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
     : loop_(loop), options_(options) {}
 
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -48,6 +48,9 @@
   // differs is another request's, and is skipped. Empty: none.
   std::string answer_tag;
   TcpOptions tcp;
+
+  // Each request opens a connection, so that none can have gone silent before.
+  static HttpClientOptions Fresh();
 };
 
 struct HttpTransfer;
--- a/src/libs/node/attempt_settler.cc
+++ b/src/libs/node/attempt_settler.cc
@@ -40,16 +40,10 @@
   return SettleAnswer::kNoAnswer;
 }
 
-net::HttpClientOptions FreshConnections() {
-  net::HttpClientOptions options;
-  options.longest_idle = std::chrono::seconds(0);
-  return options;
-}
-
 }  // namespace
 
 AttemptSettler::AttemptSettler(net::EventLoop& loop, PeerKeys keys)
-    : keys_(std::move(keys)), client_(loop, FreshConnections()) {}
+    : keys_(std::move(keys)), client_(loop, net::HttpClientOptions::Fresh()) {}
 
 void AttemptSettler::Settle(const routing::ServerCandidate& server,
                             const base::AttemptId& attempt,
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -38,11 +38,10 @@
       settings_(settings),
       self_(std::move(self)),
       outputs_(std::move(outputs)),
-      http_(loop, net::HttpClientOptions{}),
       store_http_(loop, StoreConnections()),
       store_(store_http_, settings.store, kStoreTimeout, adapters.store),
       control_listener_(loop, keys),
-      control_caller_(http_, keys),
+      control_caller_(loop, keys),
       quarantine_(loop,
                   [this](const quarantine::SharedVerdicts& verdicts) {
                     outputs_.publish_verdicts(verdicts);
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -124,7 +124,6 @@
   const settings::NodeSettings& settings_;
   membership::Member self_;
   Outputs outputs_;
-  net::HttpClient http_;
   net::HttpClient store_http_;
   store::StoreClient store_;
   ControlListener control_listener_;
--- a/src/libs/node/control_caller.cc
+++ b/src/libs/node/control_caller.cc
@@ -9,8 +9,8 @@
 
 namespace chestnutport::node {
 
-ControlCaller::ControlCaller(net::HttpClient& http, PeerKeys keys)
-    : http_(http), keys_(std::move(keys)) {}
+ControlCaller::ControlCaller(net::EventLoop& loop, PeerKeys keys)
+    : http_(loop, net::HttpClientOptions::Fresh()), keys_(std::move(keys)) {}
 
 void ControlCaller::Call(const base::SocketAddress& node,
                          const std::string& method,
--- a/src/libs/node/control_caller.h
+++ b/src/libs/node/control_caller.h
@@ -7,11 +7,14 @@
 
 #include "base/result.h"
 #include "base/socket_address.h"
+#include "net/event_loop.h"
 #include "net/http_client.h"
 #include "node/peer_keys.h"
 
 namespace chestnutport::node {
 
+// Each call opens a connection: a kept one may have gone silent, which takes
+// the whole timeout to show, and calls are too few for the handshake to count.
 class ControlCaller {
  public:
   // The result, JSON as text.
@@ -19,8 +22,8 @@
   // The first bytes of the answer came.
   using AnsweringHandler = std::function<void()>;
 
-  // `http` must outlive the caller.
-  ControlCaller(net::HttpClient& http, PeerKeys keys);
+  // `loop` must outlive the caller.
+  ControlCaller(net::EventLoop& loop, PeerKeys keys);
 
   // `params` is a JSON object as text.
   void Call(const base::SocketAddress& node,
@@ -30,8 +33,11 @@
             Handler handler,
             AnsweringHandler answering = nullptr);
 
+  // Calls without an answer yet.
+  size_t open_calls() const { return http_.transfers(); }
+
  private:
-  net::HttpClient& http_;
+  net::HttpClient http_;
   PeerKeys keys_;
 };
 
--- a/tests/auto/configuration/fetch_plan_test.cc
+++ b/tests/auto/configuration/fetch_plan_test.cc
@@ -42,7 +42,8 @@
       plan_.OnHeard(kNew, members_[i]);
     base::Duration passed{};
     while (passed < kGivenUp) {
-      const auto* asked = plan_.AskNewer(kHeld, base::Instant() + passed, random_);
+      const auto* asked =
+          plan_.AskNewer(kHeld, base::Instant() + passed, random_);
       if (asked && !silent_.contains(asked->id))
         return passed;
       passed += milliseconds(1);
--- a/tests/auto/node/configuration_fetcher_test.cc
+++ b/tests/auto/node/configuration_fetcher_test.cc
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "configuration/packed_documents.h"
-#include "net/http_client.h"
 #include "net/listening_socket.h"
 #include "node/control_listener.h"
+#include "support/relay.h"
 
 namespace chestnutport::node {
 namespace {
@@ -21,6 +21,9 @@
 
 constexpr uint64_t kOld = 1;
 constexpr uint64_t kNew = 2;
+constexpr uint64_t kNewer = 3;
+// As long as the fetcher waits for an answer.
+constexpr base::Duration kGivenUp = std::chrono::seconds(2);
 const PeerKeys kKeys{.current = "key", .previous = ""};
 const base::SocketAddress kAnyPort = *base::SocketAddress::Parse("127.0.0.1:0");
 
@@ -42,7 +45,7 @@
 class Neighbour {
  public:
   Neighbour(net::EventLoop& loop, uint64_t revision) : listener_(loop, kKeys) {
-    held_.Offer(HeadOf(revision), DocumentsOf(revision));
+    Take(revision);
     listener_.Add(configuration::kFetchMethod, [this](const auto& params) {
       const auto request = configuration::FetchRequest::FromJson(params);
       return configuration::AnswerFetch(*request, held_, packed_).ToJson();
@@ -51,6 +54,9 @@
   }
 
   const base::SocketAddress& address() const { return listener_.address(); }
+  void Take(uint64_t revision) {
+    held_.Offer(HeadOf(revision), DocumentsOf(revision));
+  }
 
  private:
   ControlListener listener_;
@@ -62,7 +68,7 @@
 // connections and say nothing.
 class Scene {
  public:
-  Scene() : http_(loop_, {}), caller_(http_, kKeys) {
+  Scene() : caller_(loop_, kKeys) {
     held_.Offer(HeadOf(kOld), DocumentsOf(kOld));
     self_.id = base::NodeId::Draw(random_);
     fetcher_ = std::make_unique<ConfigurationFetcher>(
@@ -78,6 +84,23 @@
     silent_.push_back(std::move(socket).value());
     return AddMember(silent_.back().address());
   }
+  // Behind a relay that is silenced before the next revision.
+  Member AddRelayedNeighbour(uint64_t revision) {
+    neighbours_.push_back(std::make_unique<Neighbour>(loop_, revision));
+    relay_ = std::make_unique<test::Relay>(neighbours_.back()->address());
+    return AddMember(relay_->address());
+  }
+  void SilenceOpenConnections() { relay_->SilenceOpenConnections(); }
+  void TakeAtNeighbour(uint64_t revision) {
+    neighbours_.back()->Take(revision);
+  }
+  // Ends the run when a question to a silent node, asked now, is given up.
+  void RunUntilGivenUp() {
+    const Member silent = AddSilent();
+    caller_.Call(silent.control_address, configuration::kFetchMethod, "{}",
+                 kGivenUp, [this](const auto&) { loop_.Stop(); });
+    Run();
+  }
   Member AddNeighbour(uint64_t revision) {
     neighbours_.push_back(std::make_unique<Neighbour>(loop_, revision));
     return AddMember(neighbours_.back()->address());
@@ -108,13 +131,13 @@
                                   const Documents& documents) {
     const auto adoption = held_.Offer(head, documents);
     if (adoption == configuration::Adoption::kAdopted) {
-      open_questions_ = http_.transfers();
+      // The one that brought it is done.
+      open_questions_ = caller_.open_calls();
       loop_.Stop();
     }
     return adoption;
   }
   net::EventLoop loop_;
-  net::HttpClient http_;
   ControlCaller caller_;
   base::Random random_{1};
   HeldConfiguration held_;
@@ -122,6 +145,7 @@
   std::vector<Member> members_;
   std::vector<net::ListeningSocket> silent_;
   std::vector<std::unique_ptr<Neighbour>> neighbours_;
+  std::unique_ptr<test::Relay> relay_;
   std::unique_ptr<ConfigurationFetcher> fetcher_;
   std::optional<size_t> open_questions_;
 };
@@ -158,5 +182,19 @@
   }
 }
 
+TEST_CASE("a kept connection that went silent delays no configuration") {
+  Scene scene;
+  const Member neighbour = scene.AddRelayedNeighbour(kNew);
+  scene.Hear(kNew, neighbour);
+  scene.Run();
+  REQUIRE(scene.held() == kNew);
+
+  scene.SilenceOpenConnections();
+  scene.TakeAtNeighbour(kNewer);
+  scene.Hear(kNewer, neighbour);
+  scene.RunUntilGivenUp();
+  CHECK(scene.held() == kNewer);
+}
+
 }  // namespace
 }  // namespace chestnutport::node
