Let readers find out soon that the store lost their watches

What callers would see: a change that no node takes for up to 12 s.

Cause: all readers of the store begin a watch of 10 s with each change. If the store, or something on the way, loses these without an end, each reader hears nothing until 10 s and another 2 s are over, and all of them at about the same time. The same holds for the readers of evacuations.

--- a/src/libs/configuration/read_pace.cc
+++ b/src/libs/configuration/read_pace.cc
@@ -40,6 +40,11 @@
   return Draw(interval_ / 2, interval_, random);
 }
 
+std::chrono::milliseconds ReadPace::WatchWait(base::Random& random) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      Draw(kShortestWatch, kLongestWatch, random));
+}
+
 base::Duration ReadPace::Again(base::Random& random) {
   return Draw({}, kReadAgainSpread, random);
 }
--- a/src/libs/configuration/read_pace.h
+++ b/src/libs/configuration/read_pace.h
@@ -18,9 +18,10 @@
 inline constexpr base::Duration kFirstReadSpread =
     std::chrono::milliseconds(500);
 
-// How long one watch waits: short enough that a connection that went silent is
-// left soon, long enough that a fleet's watches are few calls.
-inline constexpr std::chrono::seconds kWatchWait(10);
+// How long a watch waits, drawn anew for each: all readers begin one with each
+// change, and if these are lost together, the first to end finds out for all.
+inline constexpr std::chrono::milliseconds kShortestWatch(2000);
+inline constexpr std::chrono::milliseconds kLongestWatch(10000);
 // Readers whose watches were cut together read again spread over this time.
 inline constexpr base::Duration kReadAgainSpread =
     std::chrono::milliseconds(200);
@@ -39,6 +40,7 @@
   // configuration from a neighbour after some 70 ms, and seldom reads before.
   base::Duration First(base::Random& random) const;
   base::Duration Next(bool read_failed, bool is_alone, base::Random& random);
+  static std::chrono::milliseconds WatchWait(base::Random& random);
   // A wait after a watch that was cut.
   static base::Duration Again(base::Random& random);
 
--- a/src/libs/evacuation_store/evacuation_reader.cc
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -97,7 +97,7 @@
 }
 
 void EvacuationReader::Watch(int64_t after) {
-  store_.Watch(form_.prefix, after, configuration::kWatchWait,
+  store_.Watch(form_.prefix, after, configuration::ReadPace::WatchWait(random_),
                [this, after](const auto& news) {
                  const bool is_quiet = news && !news.value().history_lost &&
                                        news.value().changed.empty() &&
--- a/src/libs/node/configuration_reader.cc
+++ b/src/libs/node/configuration_reader.cc
@@ -86,7 +86,7 @@
 }
 
 void ConfigurationReader::Watch() {
-  store_.WatchHead(as_of_, configuration::kWatchWait,
+  store_.WatchHead(as_of_, configuration::ReadPace::WatchWait(random_),
                    [this](const auto& watched) { OnWatched(watched); });
 }
 
--- a/tests/auto/configuration/reader_test.cc
+++ b/tests/auto/configuration/reader_test.cc
@@ -1,4 +1,5 @@
 // Which nodes read the store, and how often.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <set>
 
@@ -52,6 +53,23 @@
   CHECK(early <= 15);
 }
 
+TEST_CASE("of readers whose watches began together one soon asks again") {
+  constexpr int kPlays = 1000;
+  constexpr int kReaders = 8;  // Of four data centres.
+  base::Random random(1);
+  std::vector<std::chrono::milliseconds> first_ends;
+  for (int play = 0; play < kPlays; ++play) {
+    auto first = kLongestWatch;
+    for (int reader = 0; reader < kReaders; ++reader)
+      first = std::min(first, ReadPace::WatchWait(random));
+    first_ends.push_back(first);
+  }
+  std::ranges::sort(first_ends);
+  CHECK(first_ends.front() >= kShortestWatch);
+  CHECK(first_ends[kPlays / 2] <= std::chrono::seconds(3));
+  CHECK(first_ends[kPlays * 99 / 100] <= std::chrono::seconds(6));
+}
+
 TEST_CASE("the fleet's readings do not grow with the fleet") {
   base::Random random(1);
   for (const size_t nodes : {28, 100, 3000}) {
--- a/tests/auto/store/store_client_test.cc
+++ b/tests/auto/store/store_client_test.cc
@@ -6,6 +6,7 @@
 
 #include "net/event_loop.h"
 #include "net/http_server.h"
+#include "net/listening_socket.h"
 
 namespace chestnutport::store {
 namespace {
@@ -90,5 +91,23 @@
   CHECK(FixedStore(200, R"({"succeeded": true})").Swap().value());
 }
 
+TEST_CASE("a watch that the store lost ends soon after its time") {
+  net::EventLoop loop;
+  auto silent =
+      net::ListeningSocket::Open(*base::SocketAddress::Parse("127.0.0.1:0"));
+  REQUIRE(silent);
+  net::HttpClient http(loop, {});
+  StoreClient client(http, {silent.value().address()}, std::chrono::seconds(2));
+  bool watch_ended = false;
+  client.Watch("key", 1, std::chrono::milliseconds(10), [&](const auto& news) {
+    watch_ended = true;
+    CHECK_FALSE(news);
+  });
+  // Begun at the same time, and given up after the two seconds of any call.
+  client.Read("key", [&](const auto&) { loop.Stop(); });
+  loop.Run();
+  CHECK(watch_ended);
+}
+
 }  // namespace
 }  // namespace chestnutport::store
