Use no connection to the store that was idle for more than a second

What callers would see: a change that is in force some 2 s late after open connections to the store went silent.

Cause: a reader whose watch was lost reads the head over a connection that was kept idle for up to 10 s. If that one has gone silent too, the reading takes the whole timeout of 2 s, and the next one may meet another.

Change: connections to the store are kept idle for 1 s; their options have a file of their own.

Ruled out: a connection for each call, as for control calls: in quick changes each event would cost a handshake before the next watch.

--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -7,6 +7,7 @@
 #include "node/control_readings.h"
 #include "node/drain_order.h"
 #include "node/operator_api.h"
+#include "store/store_connections.h"
 #include "telemetry/log.h"
 
 namespace chestnutport::node {
@@ -16,14 +17,6 @@
 // Bytes of all declarations together, as an operator sends them.
 constexpr size_t kLargestConfiguration = 16 * 1024 * 1024;
 
-// A watch waits for seconds on a connection on which nothing comes: whether the
-// other end is still there is asked each second.
-net::HttpClientOptions StoreConnections() {
-  net::HttpClientOptions options;
-  options.tcp.keepalive_idle = std::chrono::seconds(1);
-  return options;
-}
-
 }  // namespace
 
 Control::Control(net::EventLoop& loop,
@@ -38,7 +31,7 @@
       settings_(settings),
       self_(std::move(self)),
       outputs_(std::move(outputs)),
-      store_http_(loop, StoreConnections()),
+      store_http_(loop, store::StoreConnections()),
       store_(store_http_, settings.store, kStoreTimeout, adapters.store),
       control_listener_(loop, keys),
       control_caller_(loop, keys),
--- a/tests/auto/store/store_client_test.cc
+++ b/tests/auto/store/store_client_test.cc
@@ -7,6 +7,8 @@
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "net/listening_socket.h"
+#include "store/store_connections.h"
+#include "support/relay.h"
 
 namespace chestnutport::store {
 namespace {
@@ -91,6 +93,29 @@
   CHECK(FixedStore(200, R"({"succeeded": true})").Swap().value());
 }
 
+TEST_CASE("a connection to the store that went silent is not used for long") {
+  net::EventLoop loop;
+  const auto store =
+      net::HttpServer::Open(loop, *base::SocketAddress::Parse("127.0.0.1:0"),
+                            {}, [](const net::HttpRequest&, net::Reply reply) {
+                              reply.Send({.status = 200, .body = "{}"});
+                            });
+  REQUIRE(store);
+  test::Relay relay(store.value()->address());
+  net::HttpClient http(loop, StoreConnections());
+  StoreClient client(http, {relay.address()}, std::chrono::seconds(20));
+  const auto read = [&] {
+    client.Read("key", [&](const auto&) { loop.Stop(); });
+    loop.Run();
+  };
+  read();
+  relay.SilenceOpenConnections();
+  loop.CallAfter(std::chrono::milliseconds(1100), [&loop] { loop.Stop(); });
+  loop.Run();
+  read();
+  CHECK(client.calls().Of(CallKind::kRead, CallResult::kAnswered) == 2);
+}
+
 TEST_CASE("a watch that the store lost ends soon after its time") {
   net::EventLoop loop;
   auto silent =
