Give control calls and the node's configuration rooms of their own

Change: control_calls (caller, listener, keys between nodes) and fleet_configuration (keeper, reader, fetcher, store, confirmer) are libraries; node depends on them, they on nothing in node. Files are moved and namespaces follow; no behaviour changes. The test of the fetcher moves along.

--- a/src/libs/node/control_caller.cc
+++ b/src/libs/control_calls/control_caller.cc
@@ -1,13 +1,13 @@
-#include "node/control_caller.h"
+#include "control_calls/control_caller.h"
 
 #include <utility>
 
 #include "base/encoding.h"
-#include "node/control_listener.h"
+#include "control_calls/control_listener.h"
 #include "rpc/call_codec.h"
 #include "wire/header_names.h"
 
-namespace chestnutport::node {
+namespace chestnutport::control_calls {
 
 ControlCaller::ControlCaller(net::EventLoop& loop, PeerKeys keys)
     : http_(loop, net::HttpClientOptions::Fresh()), keys_(std::move(keys)) {}
@@ -43,4 +43,4 @@
       });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::control_calls
--- a/src/libs/node/control_caller.h
+++ b/src/libs/control_calls/control_caller.h
@@ -1,17 +1,17 @@
 // Makes control calls to other nodes. Runs on the control thread.
-#ifndef NODE_CONTROL_CALLER_H_
-#define NODE_CONTROL_CALLER_H_
+#ifndef CONTROL_CALLS_CONTROL_CALLER_H_
+#define CONTROL_CALLS_CONTROL_CALLER_H_
 
 #include <functional>
 #include <string>
 
 #include "base/result.h"
 #include "base/socket_address.h"
+#include "control_calls/peer_keys.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
-#include "node/peer_keys.h"
 
-namespace chestnutport::node {
+namespace chestnutport::control_calls {
 
 // Each call opens a connection: a kept one may have gone silent, which takes
 // the whole timeout to show, and calls are too few for the handshake to count.
@@ -41,6 +41,6 @@
   PeerKeys keys_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::control_calls
 
-#endif  // NODE_CONTROL_CALLER_H_
+#endif  // CONTROL_CALLS_CONTROL_CALLER_H_
--- a/src/libs/node/control_listener.cc
+++ b/src/libs/control_calls/control_listener.cc
@@ -1,4 +1,4 @@
-#include "node/control_listener.h"
+#include "control_calls/control_listener.h"
 
 #include <utility>
 
@@ -6,7 +6,7 @@
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::control_calls {
 namespace {
 
 using base::ErrorKind;
@@ -55,4 +55,4 @@
               .body = dispatcher_.Handle(request.body)});
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::control_calls
--- a/src/libs/node/control_listener.h
+++ b/src/libs/control_calls/control_listener.h
@@ -1,18 +1,18 @@
 // The listener for control calls of other nodes: JSON-RPC, signed with the
 // fleet's key. Runs on the control thread.
-#ifndef NODE_CONTROL_LISTENER_H_
-#define NODE_CONTROL_LISTENER_H_
+#ifndef CONTROL_CALLS_CONTROL_LISTENER_H_
+#define CONTROL_CALLS_CONTROL_LISTENER_H_
 
 #include <memory>
 #include <string>
 
 #include "base/result.h"
+#include "control_calls/peer_keys.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
-#include "node/peer_keys.h"
 #include "rpc/dispatcher.h"
 
-namespace chestnutport::node {
+namespace chestnutport::control_calls {
 
 // The path of control calls.
 inline constexpr char kControlPath[] = "/chestnutport/control";
@@ -36,6 +36,6 @@
   std::unique_ptr<net::HttpServer> listener_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::control_calls
 
-#endif  // NODE_CONTROL_LISTENER_H_
+#endif  // CONTROL_CALLS_CONTROL_LISTENER_H_
--- a/src/libs/node/peer_keys.h
+++ b/src/libs/control_calls/peer_keys.h
@@ -1,16 +1,16 @@
 // The keys that show a node to belong to the fleet.
-#ifndef NODE_PEER_KEYS_H_
-#define NODE_PEER_KEYS_H_
+#ifndef CONTROL_CALLS_PEER_KEYS_H_
+#define CONTROL_CALLS_PEER_KEYS_H_
 
 #include <string>
 
-namespace chestnutport::node {
+namespace chestnutport::control_calls {
 
 struct PeerKeys {
   std::string current;   // Signs, and is accepted.
   std::string previous;  // Only accepted; empty: none.
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::control_calls
 
-#endif  // NODE_PEER_KEYS_H_
+#endif  // CONTROL_CALLS_PEER_KEYS_H_
--- a/src/libs/node/configuration_confirmer.cc
+++ b/src/libs/fleet_configuration/configuration_confirmer.cc
@@ -1,8 +1,8 @@
-#include "node/configuration_confirmer.h"
+#include "fleet_configuration/configuration_confirmer.h"
 
 #include <utility>
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 
 using configuration::ConfirmStep;
 
@@ -70,4 +70,4 @@
   done(step);
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
--- a/src/libs/node/configuration_confirmer.h
+++ b/src/libs/fleet_configuration/configuration_confirmer.h
@@ -1,7 +1,7 @@
 // Takes the steps of confirmations against the store. Runs on the control
 // thread.
-#ifndef NODE_CONFIGURATION_CONFIRMER_H_
-#define NODE_CONFIGURATION_CONFIRMER_H_
+#ifndef FLEET_CONFIGURATION_CONFIGURATION_CONFIRMER_H_
+#define FLEET_CONFIGURATION_CONFIGURATION_CONFIRMER_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,10 +9,10 @@
 
 #include "configuration/confirm_procedure.h"
 #include "configuration/held_configuration.h"
+#include "fleet_configuration/configuration_store.h"
 #include "net/event_loop.h"
-#include "node/configuration_store.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 
 class ConfigurationConfirmer {
  public:
@@ -51,6 +51,6 @@
 // How long a confirmation goes on trying.
 inline constexpr base::Duration kConfirmBudget = std::chrono::seconds(8);
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
 
-#endif  // NODE_CONFIGURATION_CONFIRMER_H_
+#endif  // FLEET_CONFIGURATION_CONFIGURATION_CONFIRMER_H_
--- a/src/libs/node/configuration_fetcher.cc
+++ b/src/libs/fleet_configuration/configuration_fetcher.cc
@@ -1,4 +1,4 @@
-#include "node/configuration_fetcher.h"
+#include "fleet_configuration/configuration_fetcher.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,7 +7,7 @@
 #include "base/encoding.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 namespace {
 
 using configuration::Adoption;
@@ -25,7 +25,7 @@
 
 ConfigurationFetcher::ConfigurationFetcher(
     net::EventLoop& loop,
-    ControlCaller& caller,
+    control_calls::ControlCaller& caller,
     const configuration::HeldConfiguration& held,
     base::Random& random,
     OfferHandler offer)
@@ -125,4 +125,4 @@
                        {"heard", absl::StrCat(GreatestHeard())}});
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
--- a/src/libs/node/configuration_fetcher.h
+++ b/src/libs/fleet_configuration/configuration_fetcher.h
@@ -1,7 +1,7 @@
 // Gets newer configurations from other nodes, by the control call
 // configuration.fetch. Runs on the control thread.
-#ifndef NODE_CONFIGURATION_FETCHER_H_
-#define NODE_CONFIGURATION_FETCHER_H_
+#ifndef FLEET_CONFIGURATION_CONFIGURATION_FETCHER_H_
+#define FLEET_CONFIGURATION_CONFIGURATION_FETCHER_H_
 
 #include <functional>
 #include <string>
@@ -12,11 +12,11 @@
 #include "configuration/fetch.h"
 #include "configuration/fetch_plan.h"
 #include "configuration/held_configuration.h"
+#include "control_calls/control_caller.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
-#include "node/control_caller.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 
 // Asks nodes that were heard to hold a newer revision, as FetchPlan says; and,
 // now and then, any other node, so that an announcement that got lost costs
@@ -30,7 +30,7 @@
 
   // All must outlive the fetcher.
   ConfigurationFetcher(net::EventLoop& loop,
-                       ControlCaller& caller,
+                       control_calls::ControlCaller& caller,
                        const configuration::HeldConfiguration& held,
                        base::Random& random,
                        OfferHandler offer);
@@ -55,7 +55,7 @@
   void LogFailure(base::NodeId from, base::Instant asked_at) const;
 
   net::EventLoop& loop_;
-  ControlCaller& caller_;
+  control_calls::ControlCaller& caller_;
   const configuration::HeldConfiguration& held_;
   base::Random& random_;
   OfferHandler offer_;
@@ -66,6 +66,6 @@
   net::EventLoop::TimerId newer_timer_ = 0;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
 
-#endif  // NODE_CONFIGURATION_FETCHER_H_
+#endif  // FLEET_CONFIGURATION_CONFIGURATION_FETCHER_H_
--- a/src/libs/node/configuration_form.h
+++ b/src/libs/fleet_configuration/configuration_form.h
@@ -1,6 +1,6 @@
 // The form in which the store holds what operators confirmed.
-#ifndef NODE_CONFIGURATION_FORM_H_
-#define NODE_CONFIGURATION_FORM_H_
+#ifndef FLEET_CONFIGURATION_CONFIGURATION_FORM_H_
+#define FLEET_CONFIGURATION_CONFIGURATION_FORM_H_
 
 #include <concepts>
 #include <functional>
@@ -12,7 +12,7 @@
 #include "configuration/head.h"
 #include "declarations/configuration.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 
 // What one entry of the store says: a head, and those of its documents that
 // came along.
@@ -59,6 +59,6 @@
   bool is_written = true;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
 
-#endif  // NODE_CONFIGURATION_FORM_H_
+#endif  // FLEET_CONFIGURATION_CONFIGURATION_FORM_H_
--- a/src/libs/node/configuration_keeper.cc
+++ b/src/libs/fleet_configuration/configuration_keeper.cc
@@ -1,4 +1,4 @@
-#include "node/configuration_keeper.h"
+#include "fleet_configuration/configuration_keeper.h"
 
 #include <utility>
 
@@ -7,7 +7,7 @@
 #include "configuration/fetch.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 namespace {
 
 using configuration::Adoption;
@@ -24,13 +24,14 @@
 
 }  // namespace
 
-ConfigurationKeeper::ConfigurationKeeper(net::EventLoop& loop,
-                                         store::StoreClient& store,
-                                         ControlListener& listener,
-                                         ControlCaller& caller,
-                                         const AnyConfigurationForm& form,
-                                         const settings::NodeSettings& settings,
-                                         base::Random random)
+ConfigurationKeeper::ConfigurationKeeper(
+    net::EventLoop& loop,
+    store::StoreClient& store,
+    control_calls::ControlListener& listener,
+    control_calls::ControlCaller& caller,
+    const AnyConfigurationForm& form,
+    const settings::NodeSettings& settings,
+    base::Random random)
     : loop_(loop),
       random_(random),
       store_(store, form, settings.fleet),
@@ -134,7 +135,8 @@
   return loop_.now() - *heard_at;
 }
 
-void ConfigurationKeeper::AddControlCalls(ControlListener& listener) {
+void ConfigurationKeeper::AddControlCalls(
+    control_calls::ControlListener& listener) {
   listener.Add(configuration::kFetchMethod, [this](const std::string& params) {
     const auto request = configuration::FetchRequest::FromJson(params);
     if (!request)
@@ -143,4 +145,4 @@
   });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
--- a/src/libs/node/configuration_keeper.h
+++ b/src/libs/fleet_configuration/configuration_keeper.h
@@ -1,7 +1,7 @@
 // Keeps this node's configuration: takes newer ones from the store and from
 // peers, and confirms what operators ask for. Runs on the control thread.
-#ifndef NODE_CONFIGURATION_KEEPER_H_
-#define NODE_CONFIGURATION_KEEPER_H_
+#ifndef FLEET_CONFIGURATION_CONFIGURATION_KEEPER_H_
+#define FLEET_CONFIGURATION_CONFIGURATION_KEEPER_H_
 
 #include <functional>
 #include <optional>
@@ -13,19 +13,19 @@
 #include "configuration/held_configuration.h"
 #include "configuration/packed_documents.h"
 #include "configuration/revision_lag.h"
+#include "control_calls/control_caller.h"
+#include "control_calls/control_listener.h"
 #include "declarations/configuration.h"
+#include "fleet_configuration/configuration_confirmer.h"
+#include "fleet_configuration/configuration_fetcher.h"
+#include "fleet_configuration/configuration_reader.h"
+#include "fleet_configuration/configuration_store.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
-#include "node/configuration_confirmer.h"
-#include "node/configuration_fetcher.h"
-#include "node/configuration_reader.h"
-#include "node/configuration_store.h"
-#include "node/control_caller.h"
-#include "node/control_listener.h"
 #include "settings/node_settings.h"
 #include "store/store_client.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 
 class ConfigurationKeeper {
  public:
@@ -36,8 +36,8 @@
   // All but `form` and `random` must outlive the keeper.
   ConfigurationKeeper(net::EventLoop& loop,
                       store::StoreClient& store,
-                      ControlListener& listener,
-                      ControlCaller& caller,
+                      control_calls::ControlListener& listener,
+                      control_calls::ControlCaller& caller,
                       const AnyConfigurationForm& form,
                       const settings::NodeSettings& settings,
                       base::Random random);
@@ -74,7 +74,7 @@
                                 const std::string& source);
   void OnConfirmed(const configuration::ConfirmRequest& request,
                    const configuration::Finish& finish);
-  void AddControlCalls(ControlListener& listener);
+  void AddControlCalls(control_calls::ControlListener& listener);
 
   net::EventLoop& loop_;
   base::Random random_;
@@ -91,6 +91,6 @@
   ConfigurationConfirmer confirmer_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
 
-#endif  // NODE_CONFIGURATION_KEEPER_H_
+#endif  // FLEET_CONFIGURATION_CONFIGURATION_KEEPER_H_
--- a/src/libs/node/configuration_reader.cc
+++ b/src/libs/fleet_configuration/configuration_reader.cc
@@ -1,4 +1,4 @@
-#include "node/configuration_reader.h"
+#include "fleet_configuration/configuration_reader.h"
 
 #include <algorithm>
 #include <utility>
@@ -7,7 +7,7 @@
 #include "configuration/repair.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 namespace {
 
 using configuration::Documents;
@@ -159,4 +159,4 @@
   Schedule(pace_.Next(failed, role_.is_alone(), random_));
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
--- a/src/libs/node/configuration_reader.h
+++ b/src/libs/fleet_configuration/configuration_reader.h
@@ -1,7 +1,7 @@
 // Reads the head from the store while this node is one of its data centre's
 // readers, and writes a newer one back. Runs on the control thread.
-#ifndef NODE_CONFIGURATION_READER_H_
-#define NODE_CONFIGURATION_READER_H_
+#ifndef FLEET_CONFIGURATION_CONFIGURATION_READER_H_
+#define FLEET_CONFIGURATION_CONFIGURATION_READER_H_
 
 #include <functional>
 #include <optional>
@@ -11,11 +11,11 @@
 #include "configuration/held_configuration.h"
 #include "configuration/read_pace.h"
 #include "configuration/reader_role.h"
+#include "fleet_configuration/configuration_store.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
-#include "node/configuration_store.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 
 class ConfigurationReader {
  public:
@@ -72,6 +72,6 @@
   bool store_failed_ = false;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
 
-#endif  // NODE_CONFIGURATION_READER_H_
+#endif  // FLEET_CONFIGURATION_CONFIGURATION_READER_H_
--- a/src/libs/node/configuration_store.cc
+++ b/src/libs/fleet_configuration/configuration_store.cc
@@ -1,11 +1,11 @@
-#include "node/configuration_store.h"
+#include "fleet_configuration/configuration_store.h"
 
 #include <memory>
 #include <utility>
 
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 namespace {
 
 using base::ErrorKind;
@@ -161,4 +161,4 @@
                         swap.head.ToJson(), kNoLease, std::move(handler));
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
--- a/src/libs/node/configuration_store.h
+++ b/src/libs/fleet_configuration/configuration_store.h
@@ -1,7 +1,7 @@
 // The configuration in the platform's store: one head, and documents under
 // their hash. Runs on the control thread.
-#ifndef NODE_CONFIGURATION_STORE_H_
-#define NODE_CONFIGURATION_STORE_H_
+#ifndef FLEET_CONFIGURATION_CONFIGURATION_STORE_H_
+#define FLEET_CONFIGURATION_CONFIGURATION_STORE_H_
 
 #include <chrono>
 #include <functional>
@@ -13,10 +13,10 @@
 #include "configuration/confirm_procedure.h"
 #include "configuration/documents.h"
 #include "configuration/head.h"
-#include "node/configuration_form.h"
+#include "fleet_configuration/configuration_form.h"
 #include "store/store_client.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 
 class ConfigurationStore {
  public:
@@ -72,6 +72,6 @@
   configuration::Documents came_along_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
 
-#endif  // NODE_CONFIGURATION_STORE_H_
+#endif  // FLEET_CONFIGURATION_CONFIGURATION_STORE_H_
--- a/src/libs/node/adapters.cc
+++ b/src/libs/node/adapters.cc
@@ -9,13 +9,13 @@
 namespace chestnutport::node {
 
 Adapters OwnAdapters(const std::string& fleet) {
-  return {
-      .callers = AnyCallerProtocol::Of(OwnCallerProtocol()),
-      .servers = AnyServerProtocol::Of(OwnServerProtocol()),
-      .store = store::AnyStoreForm::Of(store::EtcdForm()),
-      .configuration = AnyConfigurationForm::Of(OwnConfigurationForm(fleet)),
-      .evacuation = evacuation_store::AnyEvacuationForm::Of(
-          evacuation_store::OwnEvacuationForm(fleet))};
+  return {.callers = AnyCallerProtocol::Of(OwnCallerProtocol()),
+          .servers = AnyServerProtocol::Of(OwnServerProtocol()),
+          .store = store::AnyStoreForm::Of(store::EtcdForm()),
+          .configuration = fleet_configuration::AnyConfigurationForm::Of(
+              OwnConfigurationForm(fleet)),
+          .evacuation = evacuation_store::AnyEvacuationForm::Of(
+              evacuation_store::OwnEvacuationForm(fleet))};
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/node/adapters.h
+++ b/src/libs/node/adapters.h
@@ -4,8 +4,8 @@
 #define NODE_ADAPTERS_H_
 
 #include "evacuation_store/evacuation_form.h"
+#include "fleet_configuration/configuration_form.h"
 #include "node/caller_protocol.h"
-#include "node/configuration_form.h"
 #include "node/server_protocol.h"
 #include "store/store_form.h"
 
@@ -15,7 +15,7 @@
   AnyCallerProtocol callers;
   AnyServerProtocol servers;
   store::AnyStoreForm store;
-  AnyConfigurationForm configuration;
+  fleet_configuration::AnyConfigurationForm configuration;
   evacuation_store::AnyEvacuationForm evacuation;
 };
 
--- a/src/libs/node/attempt_sender.cc
+++ b/src/libs/node/attempt_sender.cc
@@ -82,7 +82,7 @@
 
 }  // namespace
 
-AttemptSender::AttemptSender(net::EventLoop& loop, PeerKeys keys)
+AttemptSender::AttemptSender(net::EventLoop& loop, control_calls::PeerKeys keys)
     : loop_(loop), keys_(std::move(keys)), client_(loop, PeerConnections()) {}
 
 void AttemptSender::Send(ServiceTraffic& service,
--- a/src/libs/node/attempt_sender.h
+++ b/src/libs/node/attempt_sender.h
@@ -11,11 +11,11 @@
 #include "absl/container/flat_hash_map.h"
 #include "base/attempt_id.h"
 #include "calls/attempt_end.h"
+#include "control_calls/peer_keys.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/reply.h"
 #include "node/answer_relay.h"
-#include "node/peer_keys.h"
 #include "node/service_traffic.h"
 #include "routing/server_candidate.h"
 #include "wire/peer_request_head.h"
@@ -30,7 +30,7 @@
       std::function<void(const calls::AttemptEnd& end, net::HttpAnswer answer)>;
 
   // `loop` must outlive the sender.
-  AttemptSender(net::EventLoop& loop, PeerKeys keys);
+  AttemptSender(net::EventLoop& loop, control_calls::PeerKeys keys);
 
   // `handler` is called once, never from inside, unless the attempt is dropped
   // or abandoned first. `service` must outlive the attempt.
@@ -82,7 +82,7 @@
   void OnDone(const base::AttemptId& attempt, net::TransferResult result);
 
   net::EventLoop& loop_;
-  PeerKeys keys_;
+  control_calls::PeerKeys keys_;
   net::HttpClient client_;
   absl::flat_hash_map<base::AttemptId, InFlight> in_flight_;
 };
--- a/src/libs/node/attempt_settler.cc
+++ b/src/libs/node/attempt_settler.cc
@@ -42,7 +42,8 @@
 
 }  // namespace
 
-AttemptSettler::AttemptSettler(net::EventLoop& loop, PeerKeys keys)
+AttemptSettler::AttemptSettler(net::EventLoop& loop,
+                               control_calls::PeerKeys keys)
     : keys_(std::move(keys)), client_(loop, net::HttpClientOptions::Fresh()) {}
 
 void AttemptSettler::Settle(const routing::ServerCandidate& server,
--- a/src/libs/node/attempt_settler.h
+++ b/src/libs/node/attempt_settler.h
@@ -7,8 +7,8 @@
 
 #include "base/attempt_id.h"
 #include "calls/settle_answer.h"
+#include "control_calls/peer_keys.h"
 #include "net/http_client.h"
-#include "node/peer_keys.h"
 #include "routing/server_candidate.h"
 
 namespace chestnutport::node {
@@ -25,7 +25,7 @@
 
   // A client of its own, so that a question never waits behind, nor travels
   // on, a connection that went silent.
-  AttemptSettler(net::EventLoop& loop, PeerKeys keys);
+  AttemptSettler(net::EventLoop& loop, control_calls::PeerKeys keys);
 
   void Settle(const routing::ServerCandidate& server,
               const base::AttemptId& attempt,
@@ -34,7 +34,7 @@
               Handler handler);
 
  private:
-  PeerKeys keys_;
+  control_calls::PeerKeys keys_;
   net::HttpClient client_;
 };
 
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -22,7 +22,7 @@
 Control::Control(net::EventLoop& loop,
                  const settings::NodeSettings& settings,
                  membership::Member self,
-                 const PeerKeys& keys,
+                 const control_calls::PeerKeys& keys,
                  MetricsCollector& metrics,
                  const Adapters& adapters,
                  Outputs outputs,
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -9,23 +9,23 @@
 
 #include "base/random.h"
 #include "base/result.h"
+#include "control_calls/control_caller.h"
+#include "control_calls/control_listener.h"
+#include "control_calls/peer_keys.h"
 #include "evacuation_store/evacuation_reader.h"
 #include "evacuation_store/evacuation_writer.h"
+#include "fleet_configuration/configuration_keeper.h"
 #include "keys/key_ownership.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "node/adapters.h"
-#include "node/configuration_keeper.h"
-#include "node/control_caller.h"
-#include "node/control_listener.h"
 #include "node/evidence_store.h"
 #include "node/fleet_membership.h"
 #include "node/gate_report.h"
 #include "node/metrics_api.h"
 #include "node/own_server.h"
-#include "node/peer_keys.h"
 #include "node/request_quarantine.h"
 #include "node/server_finder.h"
 #include "node/traffic_snapshot.h"
@@ -53,7 +53,7 @@
   Control(net::EventLoop& loop,
           const settings::NodeSettings& settings,
           membership::Member self,
-          const PeerKeys& keys,
+          const control_calls::PeerKeys& keys,
           MetricsCollector& metrics,
           const Adapters& adapters,
           Outputs outputs,
@@ -84,9 +84,13 @@
   bool IsReady() const;
 
   // For the operators' API.
-  ConfigurationKeeper& configuration() { return configuration_; }
-  const ConfigurationKeeper& configuration() const { return configuration_; }
-  ControlCaller& caller() { return control_caller_; }
+  fleet_configuration::ConfigurationKeeper& configuration() {
+    return configuration_;
+  }
+  const fleet_configuration::ConfigurationKeeper& configuration() const {
+    return configuration_;
+  }
+  control_calls::ControlCaller& caller() { return control_caller_; }
   const std::vector<membership::Member>& members() const { return members_; }
   const membership::Member& self() const { return self_; }
   const GateReport& gate_report() const { return gate_report_; }
@@ -126,12 +130,12 @@
   Outputs outputs_;
   net::HttpClient store_http_;
   store::StoreClient store_;
-  ControlListener control_listener_;
-  ControlCaller control_caller_;
+  control_calls::ControlListener control_listener_;
+  control_calls::ControlCaller control_caller_;
   RequestQuarantine quarantine_;
   FleetMembership membership_;
   EvidenceStore evidence_store_;
-  ConfigurationKeeper configuration_;
+  fleet_configuration::ConfigurationKeeper configuration_;
   evacuation_store::EvacuationReader evacuation_reader_;
   evacuation_store::EvacuationWriter evacuation_writer_;
   evacuation::Evacuations evacuations_;
--- a/src/libs/node/control_readings.cc
+++ b/src/libs/node/control_readings.cc
@@ -59,8 +59,9 @@
   }
 }
 
-void AppendConfiguration(std::vector<Reading>& readings,
-                         const ConfigurationKeeper& configuration) {
+void AppendConfiguration(
+    std::vector<Reading>& readings,
+    const fleet_configuration::ConfigurationKeeper& configuration) {
   readings.push_back(
       {Metric::kRevision, "",
        static_cast<double>(configuration.configuration().revision)});
--- a/src/libs/node/control_readings.h
+++ b/src/libs/node/control_readings.h
@@ -4,9 +4,9 @@
 
 #include <vector>
 
+#include "fleet_configuration/configuration_keeper.h"
 #include "membership/gossip_counters.h"
 #include "membership/member.h"
-#include "node/configuration_keeper.h"
 #include "node/gate_report.h"
 #include "node/request_quarantine.h"
 #include "store/store_call_counts.h"
@@ -16,7 +16,7 @@
 
 struct ControlCounts {
   const std::vector<membership::Member>& members;
-  const ConfigurationKeeper& configuration;
+  const fleet_configuration::ConfigurationKeeper& configuration;
   const store::StoreCallCounts& store_calls;
   const GateReport& gate;
   const membership::GossipCounters& gossip;
--- a/src/libs/node/fleet_membership.cc
+++ b/src/libs/node/fleet_membership.cc
@@ -40,8 +40,8 @@
 
 FleetMembership::FleetMembership(net::EventLoop& loop,
                                  store::StoreClient& store,
-                                 ControlListener& listener,
-                                 ControlCaller& caller,
+                                 control_calls::ControlListener& listener,
+                                 control_calls::ControlCaller& caller,
                                  quarantine::CrashLedger& ledger,
                                  const settings::NodeSettings& settings,
                                  const base::Random& random)
--- a/src/libs/node/fleet_membership.h
+++ b/src/libs/node/fleet_membership.h
@@ -11,14 +11,14 @@
 #include <vector>
 
 #include "base/random.h"
+#include "control_calls/control_caller.h"
+#include "control_calls/control_listener.h"
+#include "control_calls/peer_keys.h"
 #include "membership/gossip.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
 #include "net/udp_socket.h"
-#include "node/control_caller.h"
-#include "node/control_listener.h"
 #include "node/membership_log.h"
-#include "node/peer_keys.h"
 #include "node/seed_keeper.h"
 #include "settings/node_settings.h"
 #include "store/store_client.h"
@@ -40,8 +40,8 @@
   // The references must outlive this object.
   FleetMembership(net::EventLoop& loop,
                   store::StoreClient& store,
-                  ControlListener& listener,
-                  ControlCaller& caller,
+                  control_calls::ControlListener& listener,
+                  control_calls::ControlCaller& caller,
                   quarantine::CrashLedger& ledger,
                   const settings::NodeSettings& settings,
                   const base::Random& random);
@@ -102,8 +102,8 @@
   void Publish();
 
   net::EventLoop& loop_;
-  ControlListener& listener_;
-  ControlCaller& caller_;
+  control_calls::ControlListener& listener_;
+  control_calls::ControlCaller& caller_;
   membership::DatagramSeal seal_;
   quarantine::CrashLedger& ledger_;
   base::Random random_;
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -42,7 +42,7 @@
 
 Gate::Gate(net::EventLoop& loop,
            NodeIdentity identity,
-           PeerKeys keys,
+           control_calls::PeerKeys keys,
            AnyServerProtocol protocol,
            RunningRequests& running,
            Outputs outputs)
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -12,6 +12,7 @@
 #include "admission/admission_controller.h"
 #include "admission/freeze_watch.h"
 #include "base/result.h"
+#include "control_calls/peer_keys.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -20,7 +21,6 @@
 #include "node/gate_report.h"
 #include "node/keyed_requests.h"
 #include "node/node_identity.h"
-#include "node/peer_keys.h"
 #include "node/request_log.h"
 #include "node/running_requests.h"
 #include "node/server_observer.h"
@@ -48,7 +48,7 @@
   // `loop` and `running` must outlive the gate.
   Gate(net::EventLoop& loop,
        NodeIdentity identity,
-       PeerKeys keys,
+       control_calls::PeerKeys keys,
        AnyServerProtocol protocol,
        RunningRequests& running,
        Outputs outputs);
@@ -144,7 +144,7 @@
 
   net::EventLoop& loop_;
   NodeIdentity identity_;
-  PeerKeys keys_;
+  control_calls::PeerKeys keys_;
   ServerState server_;
   admission::AdmissionController admission_;
   admission::FreezeWatch freeze_watch_;
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -81,7 +81,7 @@
 
 Ingress::Ingress(net::EventLoop& loop,
                  NodeIdentity identity,
-                 PeerKeys keys,
+                 control_calls::PeerKeys keys,
                  AnyCallerProtocol protocol,
                  RunningRequests& running,
                  base::Random random)
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -13,6 +13,7 @@
 #include "base/result.h"
 #include "calls/next_step.h"
 #include "calls/retry_budget.h"
+#include "control_calls/peer_keys.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "node/active_call.h"
@@ -21,7 +22,6 @@
 #include "node/attempt_settler.h"
 #include "node/caller_protocol.h"
 #include "node/node_identity.h"
-#include "node/peer_keys.h"
 #include "node/running_requests.h"
 #include "node/service_traffic.h"
 #include "node/traffic_recorder.h"
@@ -36,7 +36,7 @@
   // `loop` and `running` must outlive the ingress.
   Ingress(net::EventLoop& loop,
           NodeIdentity identity,
-          PeerKeys keys,
+          control_calls::PeerKeys keys,
           AnyCallerProtocol protocol,
           RunningRequests& running,
           base::Random random);
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -151,7 +151,7 @@
 
   base::Random random;
   membership::Member self;
-  PeerKeys keys;
+  control_calls::PeerKeys keys;
   net::EventLoop control_loop;
   net::EventLoop gate_loop;
   net::EventLoop ingress_loop;
--- a/src/libs/node/operator_revisions.cc
+++ b/src/libs/node/operator_revisions.cc
@@ -23,7 +23,9 @@
 // have answered or were given up. Lives until then.
 class RevisionSurvey : public std::enable_shared_from_this<RevisionSurvey> {
  public:
-  RevisionSurvey(ControlCaller& caller, uint64_t own, net::Reply reply)
+  RevisionSurvey(control_calls::ControlCaller& caller,
+                 uint64_t own,
+                 net::Reply reply)
       : caller_(caller), own_(own), reply_(std::move(reply)) {}
 
   void Run(const Member& self, const std::vector<Member>& members) {
@@ -84,7 +86,7 @@
                       {"silent", silent}});
   }
 
-  ControlCaller& caller_;
+  control_calls::ControlCaller& caller_;
   uint64_t own_;
   net::Reply reply_;
   std::vector<Member> waiting_;
--- a/src/libs/node/own_configuration_form.cc
+++ b/src/libs/node/own_configuration_form.cc
@@ -7,12 +7,12 @@
 OwnConfigurationForm::OwnConfigurationForm(const std::string& fleet)
     : head_key_(configuration::HeadKey(fleet)) {}
 
-std::optional<PublishedHead> OwnConfigurationForm::ReadHead(
-    std::string_view text) const {
+std::optional<fleet_configuration::PublishedHead>
+OwnConfigurationForm::ReadHead(std::string_view text) const {
   auto head = configuration::Head::FromJson(text);
   if (!head)
     return std::nullopt;
-  return PublishedHead{*std::move(head), {}};
+  return fleet_configuration::PublishedHead{*std::move(head), {}};
 }
 
 declarations::Configuration OwnConfigurationForm::Parse(
--- a/src/libs/node/own_configuration_form.h
+++ b/src/libs/node/own_configuration_form.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-#include "node/configuration_form.h"
+#include "fleet_configuration/configuration_form.h"
 
 namespace chestnutport::node {
 
@@ -13,7 +13,8 @@
   explicit OwnConfigurationForm(const std::string& fleet);
 
   std::string HeadKey() const { return head_key_; }
-  std::optional<PublishedHead> ReadHead(std::string_view text) const;
+  std::optional<fleet_configuration::PublishedHead> ReadHead(
+      std::string_view text) const;
   declarations::Configuration Parse(uint64_t revision,
                                     declarations::DeclarationTexts texts) const;
   bool IsWritten() const { return true; }
--- a/src/libs/store/store_connections.h
+++ b/src/libs/store/store_connections.h
@@ -7,8 +7,8 @@
 namespace chestnutport::store {
 
 // A watch waits for seconds on a connection on which nothing comes: whether the
-// other end is still there is asked each second. One that was idle for longer is
-// not used again, as it may have gone silent since.
+// other end is still there is asked each second. One that was idle for longer
+// is not used again, as it may have gone silent since.
 net::HttpClientOptions StoreConnections();
 
 }  // namespace chestnutport::store
--- a/tests/auto/node/configuration_fetcher_test.cc
+++ b/tests/auto/fleet_configuration/configuration_fetcher_test.cc
@@ -1,5 +1,5 @@
 // How a node gets a configuration from others, some of which never answer.
-#include "node/configuration_fetcher.h"
+#include "fleet_configuration/configuration_fetcher.h"
 
 #include <catch2/catch.hpp>
 #include <memory>
@@ -7,11 +7,11 @@
 #include <vector>
 
 #include "configuration/packed_documents.h"
+#include "control_calls/control_listener.h"
 #include "net/listening_socket.h"
-#include "node/control_listener.h"
 #include "support/relay.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet_configuration {
 namespace {
 
 using configuration::Documents;
@@ -24,7 +24,7 @@
 constexpr uint64_t kNewer = 3;
 // As long as the fetcher waits for an answer.
 constexpr base::Duration kGivenUp = std::chrono::seconds(2);
-const PeerKeys kKeys{.current = "key", .previous = ""};
+const control_calls::PeerKeys kKeys{.current = "key", .previous = ""};
 const base::SocketAddress kAnyPort = *base::SocketAddress::Parse("127.0.0.1:0");
 
 Documents DocumentsOf(uint64_t revision) {
@@ -59,7 +59,7 @@
   }
 
  private:
-  ControlListener listener_;
+  control_calls::ControlListener listener_;
   HeldConfiguration held_;
   configuration::PackedDocuments packed_;
 };
@@ -138,7 +138,7 @@
     return adoption;
   }
   net::EventLoop loop_;
-  ControlCaller caller_;
+  control_calls::ControlCaller caller_;
   base::Random random_{1};
   HeldConfiguration held_;
   Member self_;
@@ -197,4 +197,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet_configuration
--- a/tests/support/gate_scene.cc
+++ b/tests/support/gate_scene.cc
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const node::PeerKeys kKeys{"0123456789abcdef0123456789abcdef", ""};
+const control_calls::PeerKeys kKeys{"0123456789abcdef0123456789abcdef", ""};
 constexpr base::NodeId kGateId{7};
 
 base::SocketAddress AnyPort() {
