Show only our own help, and no line of a file where there is none

Cause: the library looks for flags by the name of a source file; a problem of the file as a whole has no line.

Change: both programs print their help themselves; such a problem names the file only.

--- a/src/app/chestnutport/main.cc
+++ b/src/app/chestnutport/main.cc
@@ -49,6 +49,11 @@
 
 int main(int argc, char** argv) {
   for (int i = 1; i < argc; ++i) {
+    // The flag library adds a text of its own, on flags that are not ours.
+    if (std::string_view(argv[i]) == "--help") {
+      std::cout << cli::HelpText("");
+      return cli::kExitDone;
+    }
     if (!IsKnownFlag(argv[i]))
       return Refuse(std::string(argv[i]) + ": accepted: --NAME=VALUE");
   }
--- a/src/app/chestnutportd/main.cc
+++ b/src/app/chestnutportd/main.cc
@@ -1,6 +1,8 @@
 // The node that runs beside each server.
 #include <csignal>
 #include <iostream>
+#include <string>
+#include <string_view>
 
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
@@ -18,6 +20,7 @@
 namespace settings = chestnutport::settings;
 namespace telemetry = chestnutport::telemetry;
 
+constexpr int kExitDone = 0;
 constexpr int kExitSettings = 2;
 constexpr int kExitListen = 3;
 
@@ -31,10 +34,16 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
+  const std::string help =
       "runs one chestnutport node\n\n  chestnutportd --settings=node.ini\n\n"
       "The file's settings:\n" +
-      settings::SettingsHelp());
+      settings::SettingsHelp();
+  // The flag library adds a text of its own, on flags that are not ours.
+  if (argc > 1 && std::string_view(argv[1]) == "--help") {
+    std::cout << help;
+    return kExitDone;
+  }
+  absl::SetProgramUsageMessage(help);
   absl::ParseCommandLine(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   const std::string path = absl::GetFlag(FLAGS_settings);
--- a/src/libs/settings/problem.cc
+++ b/src/libs/settings/problem.cc
@@ -5,7 +5,9 @@
 namespace chestnutport::settings {
 
 std::string Problem::ToString() const {
-  std::string text = absl::StrCat(file, ":", line, ":");
+  std::string text = absl::StrCat(file, ":");
+  if (line > 0)
+    absl::StrAppend(&text, line, ":");
   if (!section.empty())
     absl::StrAppend(&text, " [", section, "]");
   if (!key.empty())
--- a/src/libs/settings/problem.h
+++ b/src/libs/settings/problem.h
@@ -15,7 +15,8 @@
   std::string value;
   std::string accepted;  // What would be accepted instead.
 
-  // "file:line: [section] key = value: accepted: ..."
+  // "file:line: [section] key = value: accepted: ...", without the line if it
+  // is zero.
   std::string ToString() const;
 };
 
--- a/tests/auto/operators/command_test.cc
+++ b/tests/auto/operators/command_test.cc
@@ -88,6 +88,25 @@
   CHECK(Run({"drain", "--node=127.0.0.1:1"}).exit_code == 3);
 }
 
+TEST_CASE("help is the program's own text and nothing else") {
+  const std::string program = GENERATE("chestnutport", "chestnutportd");
+  Process command(program, {"--help"});
+  CHECK(command.WaitForExit(std::chrono::seconds(60)) == 0);
+  const std::string text = command.Output();
+  CHECK(Contains(text, "chestnutport"));
+  CHECK_FALSE(Contains(text, "--helpfull"));
+}
+
+TEST_CASE("a missing setting is told without a line that does not exist") {
+  const Folder folder("settings");
+  const std::string path = folder.path() + "/node.ini";
+  std::ofstream(path) << "[node]\n";
+  Process node("chestnutportd", {"--settings=" + path});
+  CHECK(node.WaitForExit(std::chrono::seconds(60)).value_or(0) != 0);
+  CHECK(Contains(node.Output(), path + ": "));
+  CHECK_FALSE(Contains(node.Output(), path + ":0"));
+}
+
 TEST_CASE("each command has its help") {
   for (const char* command :
        {"check", "plan", "confirm", "history", "status", "servers", "drain",
