Prove ten more cells of the promises under failure

Cause: docs/PROOF.md said "not proved" where nobody had written the test.

Change: one section of a failure test for each of these: a server that sheds (at most once, own whole answer), a server frozen and back (not run), a node frozen and back (own answer), silent connections (not run, own answer), requests that arrive late (not run), two faults at once (own answer), the store down (not run, own answer). No product code.

--- a/tests/auto/failures/at_most_once_test.cc
+++ b/tests/auto/failures/at_most_once_test.cc
@@ -42,6 +42,10 @@
     audit = small.RunThrough(kWrites,
                              [&] { Freeze(*small.b.server, kPastDeadline); });
   }
+  SECTION("when a server sheds") {
+    audit = small.RunThrough(
+        kWrites, [&] { fleet.CommandServer(small.b, R"({"shed": true})"); });
+  }
   SECTION("when open connections between nodes go silent") {
     audit = small.RunThrough(
         kWrites, [&] { small.b.peer_relay->SilenceOpenConnections(); });
--- a/tests/auto/failures/not_run_test.cc
+++ b/tests/auto/failures/not_run_test.cc
@@ -7,6 +7,9 @@
 namespace chestnutport::test {
 namespace {
 
+// Longer than the deadline of the declaration.
+constexpr std::chrono::milliseconds kPastDeadline(3500);
+
 const LoadOptions kMixed{.work = std::chrono::milliseconds(20)};
 // More than three servers of 12 slots and 24 places take.
 const LoadOptions kOverload{.callers = 200,
@@ -60,6 +63,30 @@
       small.b.node->Signal(SIGCONT);
     });
   }
+  SECTION("when a server is frozen past every deadline and comes back") {
+    audit = small.RunThrough(kMixed, [&] {
+      small.b.server->Signal(SIGSTOP);
+      std::this_thread::sleep_for(kPastDeadline);
+      small.b.server->Signal(SIGCONT);
+    });
+  }
+  SECTION("when open connections between nodes go silent") {
+    audit = small.RunThrough(
+        kMixed, [&] { small.b.peer_relay->SilenceOpenConnections(); });
+  }
+  SECTION("when requests arrive late, behind their cancellation") {
+    audit = small.RunThrough(kMixed, [&] {
+      small.b.peer_relay->SetDelay(std::chrono::seconds(2));
+      std::this_thread::sleep_for(kPastDeadline);
+      small.b.peer_relay->SetDelay(std::chrono::milliseconds(0));
+    });
+  }
+  SECTION("when the store is down and a server is killed") {
+    audit = small.RunThrough(kMixed, [&] {
+      fleet.CommandStore(R"({"mode": "down"})");
+      small.b.server.reset();
+    });
+  }
   SECTION("when the answers of a server are lost") {
     audit = small.RunThrough(kMixed, [&] {
       small.b.server_relay->LoseAnswers(true);
--- a/tests/auto/failures/own_answer_test.cc
+++ b/tests/auto/failures/own_answer_test.cc
@@ -1,6 +1,7 @@
 // Promise: every caller gets the whole answer to its own request, also when
 // answers come late or out of order.
 #include <catch2/catch.hpp>
+#include <csignal>
 
 #include "support/small_fleet.h"
 
@@ -10,6 +11,8 @@
 // Answers larger than a socket's buffer takes at once.
 const LoadOptions kLarge{.callers = 48, .answer_bytes = 300000};
 const LoadOptions kPlain{.callers = 48};
+// Shorter than the deadline of the declaration.
+constexpr std::chrono::milliseconds kShortFreeze(1000);
 
 TEST_CASE("every caller gets the whole answer to its own request") {
   SmallFleet small;
@@ -26,6 +29,36 @@
     });
     CHECK(audit.answered + audit.not_run == audit.calls);
   }
+  SECTION("when a server sheds") {
+    audit = small.RunThrough(
+        kPlain, [&] { fleet.CommandServer(small.b, R"({"shed": true})"); });
+    CHECK(audit.answered + audit.not_run == audit.calls);
+  }
+  SECTION("when a node is frozen for a while, and comes back") {
+    audit = small.RunThrough(kPlain, [&] {
+      small.b.node->Signal(SIGSTOP);
+      std::this_thread::sleep_for(kShortFreeze);
+      small.b.node->Signal(SIGCONT);
+    });
+  }
+  SECTION("when open connections between nodes go silent") {
+    audit = small.RunThrough(
+        kPlain, [&] { small.b.peer_relay->SilenceOpenConnections(); });
+  }
+  SECTION("when a server straggles while the path to another one is slow") {
+    audit = small.RunThrough(kPlain, [&] {
+      fleet.CommandServer(small.b, R"({"straggle_ms": 700})");
+      small.c.peer_relay->SetDelay(std::chrono::milliseconds(300));
+      std::this_thread::sleep_for(std::chrono::seconds(1));
+      small.c.peer_relay->SetDelay(std::chrono::milliseconds(0));
+    });
+  }
+  SECTION("when the store is down and a server straggles") {
+    audit = small.RunThrough(kPlain, [&] {
+      fleet.CommandStore(R"({"mode": "down"})");
+      fleet.CommandServer(small.b, R"({"straggle_ms": 700})");
+    });
+  }
   SECTION("when the path to a node is slow for a while") {
     audit = small.RunThrough(kPlain, [&] {
       small.b.peer_relay->SetDelay(std::chrono::milliseconds(300));
