Ask another node if the one that told of a revision is still being asked

Cause: a question that goes to any node may be open, unanswered, when that node tells of a newer revision. Nobody else was asked then until it was given up (2 s); and its late answer, of before, took back what the node had told since, until it told again (0.5 s).

Ruled out: to ask the same node twice at once: if it is silent the second is too.

Change: FetchPlan asks any other node when all that told are being asked; an answer takes back what was heard only if it was asked for that.

Measured: the new section of fetch_plan_test failed before (nobody to ask) and passes; configuration_fetcher_test passes.

--- a/src/libs/configuration/fetch_plan.cc
+++ b/src/libs/configuration/fetch_plan.cc
@@ -55,7 +55,7 @@
       Pick([&](const Member& other) { return IsKnownToHoldAbove(held, other); },
            random);
   // Others have it soon after the first that told of it.
-  if (!member && CountPromising(held) > 0)
+  if (!member)
     member = Pick(IsAny, random);
   if (member)
     asked_[member->id] = {greatest, now + kPatience};
@@ -90,8 +90,13 @@
                          uint64_t revision,
                          uint64_t held,
                          base::Instant now) {
-  asked_.erase(from);
-  heard_[from] = revision;
+  const auto question = asked_.extract(from);
+  uint64_t& known = heard_[from];
+  // It may have told of a newer one since it was asked.
+  if (question.empty() || question.mapped().expected < known)
+    known = std::max(known, revision);
+  else
+    known = revision;
   if (revision > held)
     not_before_ = now + kRetryWait;
 }
--- a/tests/auto/configuration/fetch_plan_test.cc
+++ b/tests/auto/configuration/fetch_plan_test.cc
@@ -115,6 +115,25 @@
     plan.OnHeard(kNew + 1, members[2]);
     CHECK(plan.AskNewer(kNew, start + milliseconds(220), random));
   }
+  SECTION("at once, if the one that told is being asked since before") {
+    const base::NodeId asked = plan.AskAny(start, random)->id;
+    const auto teller = std::ranges::find(members, asked, &Member::id);
+    plan.OnHeard(kNew, *teller);
+    const Member* next = ask(milliseconds(1));
+    REQUIRE(next);
+    CHECK(next->id != asked);
+
+    SECTION("and its late answer of before does not undo what it told") {
+      plan.OnAnswer(asked, kHeld, kHeld, start + milliseconds(2));
+      CHECK(plan.GreatestHeard() == kNew);
+    }
+  }
+  SECTION("nobody for what an answer has denied") {
+    plan.OnHeard(kNew, members[0]);
+    REQUIRE(ask({}));
+    plan.OnAnswer(members[0].id, kHeld, kHeld, start);
+    CHECK(ask(std::chrono::hours(1)) == nullptr);
+  }
   SECTION("again in a while, if an answer lacked a part") {
     plan.OnHeard(kNew, members[0]);
     REQUIRE(ask({}));
