Say in the test of own answers what became of all calls

The check's output did not say what the last one was told.

Change: the audit is printed with the check. The check is as it was.

--- a/tests/auto/failures/own_answer_test.cc
+++ b/tests/auto/failures/own_answer_test.cc
@@ -27,11 +27,13 @@
     audit = small.RunThrough(kPlain, [&] {
       fleet.CommandServer(small.b, R"({"straggle_ms": 700})");
     });
+    INFO(audit.ToString());
     CHECK(audit.answered + audit.not_run == audit.calls);
   }
   SECTION("when a server sheds") {
     audit = small.RunThrough(
         kPlain, [&] { fleet.CommandServer(small.b, R"({"shed": true})"); });
+    INFO(audit.ToString());
     CHECK(audit.answered + audit.not_run == audit.calls);
   }
   SECTION("when a node is frozen for a while, and comes back") {
