Hand no request to another server once it is in quarantine

With the nodes' lines beside it, a run shows why: a gate stops the attempt that runs when the verdict comes, and answers "connection-lost". Its sender takes that for a lost connection and sends the request to the next server, whose gate has not heard of the verdict yet, and to a third. Two faults of one kind: what is under way is not judged by the verdict. - An ingress asks its own verdicts once, when a request arrives, not before each attempt. - A gate that stops an attempt does not say why; one that waits is refused as "cancelled", which is sent elsewhere too.

Ruled out: late news alone (the sender is the node beside the first server, and knows the verdict when it sends on); a refuted verdict (no such line).

Change: verdicts are asked before each attempt; a stopped attempt is told as request-stopped (may have run, sent nowhere else), one that waits as request-quarantined. The time until it is tried again goes with both.

Shown failing first: five checks of ingress_test, two of gate_test. The check itself is unchanged; it prints what nodes wrote if it fails.

--- a/src/libs/base/error_kind.h
+++ b/src/libs/base/error_kind.h
@@ -39,6 +39,7 @@
   kServerReplaced,
   kRequestSuspected,
   kRequestQuarantined,
+  kRequestStopped,
   kAnswerUnusable,
   kKeyInUse,
   kKeyUncertain,
--- a/src/libs/calls/call.cc
+++ b/src/libs/calls/call.cc
@@ -63,6 +63,14 @@
   return steps;
 }
 
+NextSteps Call::OnQuarantined(int attempt,
+                              base::Duration retry_after,
+                              Instant now) {
+  last_refusal_ = ErrorKind::kRequestQuarantined;
+  retry_after_ = retry_after;
+  return OnNoServer(attempt, now);
+}
+
 NextSteps Call::OnAttemptEnd(int attempt, const AttemptEnd& end, Instant now) {
   NextSteps steps;
   if (is_over_ || attempts_[attempt].phase != Phase::kInFlight)
--- a/src/libs/calls/call.h
+++ b/src/libs/calls/call.h
@@ -30,6 +30,10 @@
   NextSteps Start(base::Instant now);
   // There was no server to send `attempt` to.
   NextSteps OnNoServer(int attempt, base::Instant now);
+  // The request may be handed to no server from now on, for `retry_after`.
+  NextSteps OnQuarantined(int attempt,
+                          base::Duration retry_after,
+                          base::Instant now);
   NextSteps OnAttemptEnd(int attempt, const AttemptEnd& end, base::Instant now);
   // The answer to kAsk or kCancel; `cancelled` says to which.
   NextSteps OnSettled(int attempt,
--- a/src/libs/node/attempt_sender.cc
+++ b/src/libs/node/attempt_sender.cc
@@ -33,9 +33,11 @@
   return options;
 }
 
-// Said by the owner of the key: nobody else knows better.
-bool IsAboutKey(ErrorKind error) {
-  return error == ErrorKind::kKeyInUse || error == ErrorKind::kKeyUncertain ||
+// Said by the owner of the key, who alone knows, or of what no other server
+// may be handed.
+bool IsFinal(ErrorKind error) {
+  return error == ErrorKind::kRequestStopped || error == ErrorKind::kKeyInUse ||
+         error == ErrorKind::kKeyUncertain ||
          error == ErrorKind::kKeyMismatch ||
          error == ErrorKind::kAnsweredBefore ||
          error == ErrorKind::kKeyRecordUnavailable;
@@ -54,7 +56,7 @@
       break;
   }
   const ErrorKind error = head.error.value_or(ErrorKind::kConnectionLost);
-  if (IsAboutKey(error))
+  if (IsFinal(error))
     return {AttemptVerdict::kEnded, error, head.retry_after};
   if (head.outcome == base::Outcome::kNotRun)
     return {AttemptVerdict::kRefused, error, head.retry_after};
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -298,8 +298,9 @@
 }
 
 AttemptState Gate::Settle(const SettleRequest& request) {
-  return request.cancel ? CancelAttempt(request.attempt, request.stop_running)
-                        : admission_.State(request.attempt);
+  return request.cancel
+             ? CancelAttempt(request.attempt, request.stop_running, {})
+             : admission_.State(request.attempt);
 }
 
 void Gate::Perform(AdmissionActions actions) {
--- a/src/libs/node/gate.h
+++ b/src/libs/node/gate.h
@@ -135,11 +135,20 @@
   // Refuses what waits, and stops what may be stopped, of requests that were
   // put in quarantine meanwhile.
   void DropQuarantined();
+  // What the sender of an attempt that is cancelled is told.
+  struct CancelReason {
+    base::ErrorKind unrun = base::ErrorKind::kCancelled;
+    base::ErrorKind stopped = base::ErrorKind::kConnectionLost;
+    base::Duration retry_after{};
+  };
   admission::AttemptState CancelAttempt(const base::AttemptId& id,
-                                        bool stop_running);
+                                        bool stop_running,
+                                        const CancelReason& reason);
   // Whether the attempt was admitted, but waited for a connection to the
   // server: then it never runs.
-  bool CancelUnsent(const base::AttemptId& id, base::Instant now);
+  bool CancelUnsent(const base::AttemptId& id,
+                    const CancelReason& reason,
+                    base::Instant now);
   void OnPeerGone(const base::AttemptId& id);
 
   net::EventLoop& loop_;
--- a/src/libs/node/gate_serving.cc
+++ b/src/libs/node/gate_serving.cc
@@ -167,31 +167,36 @@
 
 void Gate::DropQuarantined() {
   const base::Instant now = base::Clock::now();
-  std::vector<AttemptId> dropped;
+  std::vector<std::pair<AttemptId, base::Duration>> dropped;
   for (const auto& [id, attempt] : attempts_) {
     const auto refusal = guard_.Judge(attempt->guarded, now);
     if (refusal && refusal->error == ErrorKind::kRequestQuarantined)
-      dropped.push_back(id);
+      dropped.emplace_back(id, refusal->retry_after);
   }
-  for (const AttemptId& id : dropped) {
+  for (const auto& [id, retry_after] : dropped) {
     const auto found = attempts_.find(id);
-    if (found != attempts_.end())
-      CancelAttempt(id, found->second->may_stop);
+    if (found == attempts_.end())
+      continue;
+    CancelAttempt(id, found->second->may_stop,
+                  {ErrorKind::kRequestQuarantined, ErrorKind::kRequestStopped,
+                   retry_after});
   }
 }
 
 // Returns the state after it; kRunning: it runs on or, if stopped, ran until
 // now and may have taken effect.
-AttemptState Gate::CancelAttempt(const AttemptId& id, bool stop_running) {
+AttemptState Gate::CancelAttempt(const AttemptId& id,
+                                 bool stop_running,
+                                 const CancelReason& reason) {
   const base::Instant now = base::Clock::now();
   const AttemptState before = admission_.Cancel(id, now);
   if (before == AttemptState::kQueued) {
-    Refuse(id, ErrorKind::kCancelled, {});
+    Refuse(id, reason.unrun, reason.retry_after);
     return AttemptState::kNeverRuns;
   }
   if (before != AttemptState::kRunning)
     return before;
-  if (CancelUnsent(id, now))
+  if (CancelUnsent(id, reason, now))
     return AttemptState::kNeverRuns;
   if (!stop_running)
     return before;
@@ -200,22 +205,25 @@
     client_.Cancel(node.mapped()->transfer);
     running_.OnEnded(node.mapped()->name);
     guard_.OnEnded(id, node.mapped()->guarded.fingerprint, std::nullopt, now);
-    Record(*node.mapped(), ErrorKind::kConnectionLost, now);
-    Answer(*node.mapped(), wire::MakeErrorAnswer(ErrorKind::kConnectionLost));
+    Record(*node.mapped(), reason.stopped, now);
+    Answer(*node.mapped(),
+           wire::MakePeerErrorAnswer(reason.stopped, reason.retry_after));
   }
   Perform(admission_.Finish(id, now, ServerResult::kUncertain));
   CheckEmpty();
   return before;
 }
 
-bool Gate::CancelUnsent(const AttemptId& id, base::Instant now) {
+bool Gate::CancelUnsent(const AttemptId& id,
+                        const CancelReason& reason,
+                        base::Instant now) {
   const auto found = attempts_.find(id);
   if (found == attempts_.end() || client_.IsSent(found->second->transfer))
     return false;
   client_.Cancel(found->second->transfer);
   running_.OnEnded(found->second->name);
   guard_.OnEnded(id, found->second->guarded.fingerprint, std::nullopt, now);
-  Refuse(id, ErrorKind::kCancelled, {});
+  Refuse(id, reason.unrun, reason.retry_after);
   Perform(admission_.Finish(id, now, ServerResult::kNotSent));
   CheckEmpty();
   return true;
@@ -225,7 +233,7 @@
   const auto found = attempts_.find(id);
   if (found == attempts_.end())
     return;
-  CancelAttempt(id, found->second->may_stop);
+  CancelAttempt(id, found->second->may_stop, {});
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -188,12 +188,21 @@
   return own && of_above && *of_above > *own ? above : call.traffic_class;
 }
 
-bool Ingress::RefuseQuarantined(const CallerRequest& request,
-                                net::Reply& reply) {
+std::optional<base::Duration> Ingress::QuarantineLeft(
+    const CallerRequest& request) const {
   const quarantine::VerdictUntil verdict = verdicts_->Of(request.fingerprint);
   // What became of a key is for its owner to say.
   const bool has_key = !request.idempotency_key.empty();
   if (has_key || verdict.verdict != quarantine::Verdict::kQuarantined)
+    return std::nullopt;
+  return std::max<base::Duration>(verdict.until - loop_.now(),
+                                  kLeastRetryAfter);
+}
+
+bool Ingress::RefuseQuarantined(const CallerRequest& request,
+                                net::Reply& reply) {
+  const auto left = QuarantineLeft(request);
+  if (!left)
     return false;
   constexpr auto kError = base::ErrorKind::kRequestQuarantined;
   recorder_.Record(
@@ -206,9 +215,7 @@
                   snapshot_.configuration->revision);
   if (running_.IsNested(request.name))
     running_.OnCallFailed(request.name);
-  const base::Duration left =
-      std::max<base::Duration>(verdict.until - loop_.now(), kLeastRetryAfter);
-  reply.Send(protocol_.error_answer({kError, left, request.name}));
+  reply.Send(protocol_.error_answer({kError, *left, request.name}));
   return true;
 }
 
@@ -227,7 +234,8 @@
   Record(call, error, {});
   base::Duration retry_after = step.retry_after;
   // A quarantine lasts longer than any deadline: it is told as long as it is.
-  const bool is_held = error == base::ErrorKind::kRequestQuarantined;
+  const bool is_held = error == base::ErrorKind::kRequestQuarantined ||
+                       error == base::ErrorKind::kRequestStopped;
   if (protocol_.tells_return_time && !is_held) {
     retry_after = calls::ReturnTime(
         retry_after, call.decision.deadline() - loop_.now(), random_);
@@ -283,12 +291,8 @@
                       calls::NextSteps& steps) {
   switch (step.step) {
     case calls::Step::kSend:
-      if (!SendAttempt(call, step.attempt)) {
-        for (const auto& next :
-             call.decision.OnNoServer(step.attempt, loop_.now())) {
-          steps.push_back(next);
-        }
-      }
+      for (const auto& next : SendOrSkip(call, step.attempt))
+        steps.push_back(next);
       return;
     case calls::Step::kAsk:
       Settle(call, step.attempt, false);
@@ -318,6 +322,16 @@
   }
 }
 
+calls::NextSteps Ingress::SendOrSkip(ActiveCall& call, int attempt) {
+  // A verdict may have passed since the request came or was last sent.
+  const auto left = QuarantineLeft(call.request);
+  if (!left && SendAttempt(call, attempt))
+    return {};
+  call.attempts.resize(attempt + 1);
+  return left ? call.decision.OnQuarantined(attempt, *left, loop_.now())
+              : call.decision.OnNoServer(attempt, loop_.now());
+}
+
 void Ingress::SetTimer(ActiveCall& call) {
   const base::Instant next = call.decision.next_timer();
   // A timer that is too early costs less than one that is set anew each time.
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -67,6 +67,9 @@
                           const std::string& above) const;
   // Answers a request that servers ended with each time. Returns whether it was
   // one.
+  // For how long the request may be handed to no server; nothing: it may.
+  std::optional<base::Duration> QuarantineLeft(
+      const CallerRequest& request) const;
   bool RefuseQuarantined(const CallerRequest& request, net::Reply& reply);
   // Answers a request that no attempt is made for.
   void Reject(const std::string& request_id,
@@ -104,6 +107,9 @@
                                base::Instant now) const;
   // False if there was no server to send to.
   bool SendAttempt(ActiveCall& call, int attempt);
+  // The same, unless the request is in quarantine; what follows if it was not
+  // sent.
+  calls::NextSteps SendOrSkip(ActiveCall& call, int attempt);
   void Settle(const ActiveCall& call, int attempt, bool cancel);
   void Abandon(const ActiveCall& call, int attempt);
   void SetTimer(ActiveCall& call);
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -96,6 +96,10 @@
                      "A request that ends its servers was refused.",
                      "Look for verdict-passed with its fingerprint; see "
                      "chestnutport quarantine."},
+    EventDescription{Event::kRequestStopped, "request-stopped", Level::kWarning,
+                     "A request that ends its servers was stopped while one "
+                     "ran it.",
+                     "The same as for request-quarantined."},
     EventDescription{Event::kCallEnded, "call-ended", Level::kInfo,
                      "A request ended in another way than a success in time at "
                      "the first server; the line has what decided it.",
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -45,6 +45,7 @@
   kServerLost = 2020,
   kRequestSuspected = 2021,
   kRequestQuarantined = 2022,
+  kRequestStopped = 2023,
   kCallEnded = 2031,
   kCallRejected = 2032,
   kCallerGone = 2033,
--- a/tests/auto/admission/gate_quarantine_test.cc
+++ b/tests/auto/admission/gate_quarantine_test.cc
@@ -168,7 +168,9 @@
     REQUIRE(scene.Until([&] { return scene.results.size() == 2; }));
     CHECK(scene.Until([&] { return scene.gone == 1; }));
     CHECK(Outcome(scene.results[running.sequence]) == "unknown");
+    CHECK(Error(scene.results[running.sequence]) == "request-stopped");
     CHECK(Outcome(scene.results[waiting.sequence]) == "not-run");
+    CHECK(Error(scene.results[waiting.sequence]) == "request-quarantined");
     CHECK(scene.served.size() == 1);
   }
 }
--- a/tests/auto/failures/request_ends_servers_test.cc
+++ b/tests/auto/failures/request_ends_servers_test.cc
@@ -23,11 +23,13 @@
 #include <filesystem>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "base/time.h"
 #include "quarantine/evidence_codec.h"
 #include "support/hosted_node.h"
@@ -189,6 +191,18 @@
     return ends;
   }
 
+  // What all nodes wrote, in the order of time.
+  std::string Lines() {
+    std::vector<std::string> lines;
+    for (const auto& node : nodes_) {
+      std::istringstream output(node->process().Output());
+      for (std::string line; std::getline(output, line);)
+        lines.push_back(line);
+    }
+    std::ranges::sort(lines);
+    return absl::StrJoin(lines, "\n");
+  }
+
   // Whether other requests are served through every node.
   bool ServesOthers() {
     return WaitUntil([&] {
@@ -347,6 +361,7 @@
     }));
     for (int i = 0; i < kReturns; ++i)
       CHECK(scene.Return(kOuterPath) == 200);
+    INFO(scene.Lines());
     CHECK(scene.Arrivals() - told <= kMoreAllowed);
     CHECK(scene.IsHeldForLongEverywhere());
   }
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/node/ingress_test.cc
@@ -22,7 +22,7 @@
 
 constexpr std::chrono::seconds kHold(300);
 
-enum class Behaviour { kAnswers, kSilent, kRefuses, kFails, kLoses };
+enum class Behaviour { kAnswers, kSilent, kRefuses, kFails, kLoses, kStops };
 
 // A peer listener that takes attempts and questions.
 class Peer {
@@ -55,6 +55,7 @@
   bool answers_questions = true;
   int gone = 0;  // Attempts whose connection the ingress closed.
   std::vector<net::HttpRequest> attempts;
+  std::function<void()> on_attempt = [] {};  // Before it is answered.
 
  private:
   void OnRequest(net::HttpRequest request, net::Reply reply) {
@@ -75,6 +76,7 @@
       return;
     }
     attempts.push_back(std::move(request));
+    on_attempt();
     switch (behaviour_) {
       case Behaviour::kAnswers:
         reply.Send({.headers = {{wire::kOutcomeHeader, "answered"}},
@@ -90,6 +92,9 @@
       case Behaviour::kLoses:
         reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kServerLost));
         return;
+      case Behaviour::kStops:
+        reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kRequestStopped));
+        return;
       case Behaviour::kSilent:
         reply.OnGone([this] { ++gone; });
         held_.push_back(std::move(reply));
@@ -365,6 +370,51 @@
     CHECK(suspected == 1);
   }
 
+  SECTION("hands on nothing that is put in quarantine under way") {
+    const auto asked = [](const std::vector<Peer*>& peers) {
+      size_t attempts = 0;
+      for (const Peer* peer : peers)
+        attempts += peer->attempts.size();
+      return attempts;
+    };
+    std::vector<Peer*> peers;
+
+    SECTION("as this node knows it by then") {
+      for (int i = 0; i < 3; ++i) {
+        peers.push_back(&scene.Add(Behaviour::kLoses));
+        peers.back()->on_attempt = [&scene] {
+          scene.SetVerdict(FingerprintOfAsk(scene.host()),
+                           quarantine::Verdict::kQuarantined);
+        };
+      }
+      CHECK(Outcome(scene.Ask("GET", {})) == "unknown");
+      CHECK(asked(peers) == 1);
+    }
+    SECTION("nor tells that it may have run, if it did not") {
+      for (int i = 0; i < 3; ++i) {
+        peers.push_back(&scene.Add(Behaviour::kRefuses));
+        peers.back()->on_attempt = [&scene] {
+          scene.SetVerdict(FingerprintOfAsk(scene.host()),
+                           quarantine::Verdict::kQuarantined);
+        };
+      }
+      const auto answer = scene.Ask("GET", {});
+      CHECK(FindHeader(answer.headers, wire::kErrorHeader) ==
+            "request-quarantined");
+      CHECK(FindHeader(answer.headers, "Retry-After") == "300");
+      CHECK(asked(peers) == 1);
+    }
+    SECTION("as the node that stopped it says") {
+      for (int i = 0; i < 3; ++i)
+        peers.push_back(&scene.Add(Behaviour::kStops));
+      const auto answer = scene.Ask("GET", {});
+      CHECK(FindHeader(answer.headers, wire::kErrorHeader) ==
+            "request-stopped");
+      CHECK(Outcome(answer) == "unknown");
+      CHECK(asked(peers) == 1);
+    }
+  }
+
   SECTION("repeats what failed only if it may be repeated") {
     Peer& failing = scene.Add(Behaviour::kFails);
     scene.Add(Behaviour::kAnswers);
