Find out within the bound when all readers have lost their watches

Cause: a watch of the store waits 2 to 10 s, and one whose connection goes silent without an end is given up a second later. If a device between the nodes and the store forgets all connections at once, nobody reads until the first of these ends: 3 to 4 s as a rule, 11 s at worst, with a bound of 2 s for configurations (5 s for evacuations).

Ruled out: keepalives alone (seconds by construction, and answered by a proxy); short watches of all readers (eight calls a second more on four data centres, two are enough).

Change: - Two readers, of different data centres, are alert: their watches wait 0.6 to 0.8 s, with 0.5 s of patience (evacuations: 1.5 to 2 s). They tell all others. Who becomes one gives up a longer watch. - A node that heard nothing for 0.5 s at two checks 0.25 s apart reads the store itself.

--- a/src/libs/configuration/read_pace.cc
+++ b/src/libs/configuration/read_pace.cc
@@ -40,9 +40,14 @@
   return Draw(interval_ / 2, interval_, random);
 }
 
-std::chrono::milliseconds ReadPace::WatchWait(base::Random& random) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      Draw(kShortestWatch, kLongestWatch, random));
+WatchTimes ReadPace::Watch(bool is_alert, base::Random& random) const {
+  const auto draw = [&random](base::Duration least, base::Duration most) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        Draw(least, most, random));
+  };
+  if (is_alert)
+    return {draw(alert_watch_ * 3 / 4, alert_watch_), kAlertPatience};
+  return {draw(kShortestWatch, kLongestWatch), kWatchPatience};
 }
 
 base::Duration ReadPace::Again(base::Random& random) {
--- a/src/libs/configuration/read_pace.h
+++ b/src/libs/configuration/read_pace.h
@@ -18,21 +18,38 @@
 inline constexpr base::Duration kFirstReadSpread =
     std::chrono::milliseconds(500);
 
-// How long a watch waits, drawn anew for each: all readers begin one with each
-// change, and if these are lost together, the first to end finds out for all.
+// How long a watch waits at the store, drawn anew for each, as all readers
+// begin one with each change. A connection that goes silent is found out when
+// the watch ends, so it is short for the alert readers: what these find out
+// they tell all others, and a change has to be in force within two seconds.
+inline constexpr std::chrono::milliseconds kAlertWatch(800);
 inline constexpr std::chrono::milliseconds kShortestWatch(2000);
 inline constexpr std::chrono::milliseconds kLongestWatch(10000);
+// The same where there are five seconds.
+inline constexpr std::chrono::milliseconds kAlertEvacuationWatch(2000);
+// How much later its answer may come before the connection counts as lost. A
+// store that takes longer than the alert readers' has to be asked more often.
+inline constexpr std::chrono::milliseconds kAlertPatience(500);
+inline constexpr std::chrono::milliseconds kWatchPatience(1000);
 // Readers whose watches were cut together read again spread over this time.
 inline constexpr base::Duration kReadAgainSpread =
     std::chrono::milliseconds(200);
 
+// How long a watch waits at the store, and how much longer for its answer.
+struct WatchTimes {
+  std::chrono::milliseconds wait;
+  std::chrono::milliseconds patience;
+};
+
 // Draws each wait between half and the whole of an interval that doubles after
 // a failure, and while the node is alone.
 class ReadPace {
  public:
-  // `longest`: the longest wait after failures.
-  explicit ReadPace(base::Duration longest = kLongestReadInterval)
-      : longest_(longest) {}
+  // `longest`: the longest wait after failures. `alert_watch`: the longest
+  // watch of an alert reader.
+  explicit ReadPace(base::Duration longest = kLongestReadInterval,
+                    std::chrono::milliseconds alert_watch = kAlertWatch)
+      : longest_(longest), alert_watch_(alert_watch) {}
 
   // A wait before the first reading, up to the spread: short for a few of the
   // nodes that start together, whose news the others hear before they would
@@ -40,12 +57,13 @@
   // configuration from a neighbour after some 70 ms, and seldom reads before.
   base::Duration First(base::Random& random) const;
   base::Duration Next(bool read_failed, bool is_alone, base::Random& random);
-  static std::chrono::milliseconds WatchWait(base::Random& random);
+  WatchTimes Watch(bool is_alert, base::Random& random) const;
   // A wait after a watch that was cut.
   static base::Duration Again(base::Random& random);
 
  private:
   base::Duration longest_;
+  std::chrono::milliseconds alert_watch_;
   base::Duration interval_ = kReadInterval;
 };
 
--- a/src/libs/configuration/reader_choice.cc
+++ b/src/libs/configuration/reader_choice.cc
@@ -3,8 +3,11 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 
+#include "absl/container/flat_hash_set.h"
+
 namespace chestnutport::configuration {
 namespace {
 
@@ -28,4 +31,17 @@
   return static_cast<size_t>(ahead) < kReadersPerDataCentre;
 }
 
+bool IsAlertReader(const Member& self, std::span<const Member> members) {
+  // Data centres with a member that goes before this node; its own among them
+  // means that it is not the first there.
+  absl::flat_hash_set<std::string_view> ahead;
+  for (const Member& other : members) {
+    if (other.id != self.id && other.state == MemberState::kAlive &&
+        Score(other) < Score(self)) {
+      ahead.insert(other.data_centre);
+    }
+  }
+  return !ahead.contains(self.data_centre) && ahead.size() < kAlertReaders;
+}
+
 }  // namespace chestnutport::configuration
--- a/src/libs/configuration/reader_choice.h
+++ b/src/libs/configuration/reader_choice.h
@@ -17,6 +17,15 @@
 bool IsReader(const membership::Member& self,
               std::span<const membership::Member> members);
 
+// Readers whose watches are short. Two: one may be lost at the same time.
+inline constexpr size_t kAlertReaders = 2;
+
+// True if `self` is one of the fleet's alert readers: the first reader of its
+// data centre, which is one of the first kAlertReaders that have such. If all
+// readers lose their watches at once, these find out soon.
+bool IsAlertReader(const membership::Member& self,
+                   std::span<const membership::Member> members);
+
 }  // namespace chestnutport::configuration
 
 #endif  // CONFIGURATION_READER_CHOICE_H_
--- a/src/libs/configuration/reader_role.h
+++ b/src/libs/configuration/reader_role.h
@@ -10,16 +10,21 @@
 
 class ReaderRole {
  public:
-  void SetMembers(const membership::Member& self,
-                  std::span<const membership::Member> members);
+  // Returns whether this node has become an alert reader, so that a watch
+  // which may wait for long is to be given up.
+  [[nodiscard]] bool SetMembers(const membership::Member& self,
+                                std::span<const membership::Member> members);
 
   // True until other members are known.
   bool is_reader() const { return is_reader_; }
+  // Whether its watches are short; see IsAlertReader().
+  bool is_alert() const { return is_alert_; }
   // Whether no other node is known to be alive.
   bool is_alone() const { return is_alone_; }
 
  private:
   bool is_reader_ = true;
+  bool is_alert_ = true;
   bool is_alone_ = true;
 };
 
--- a/src/libs/evacuation_store/evacuation_reader.cc
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -35,7 +35,7 @@
       form_(std::move(form)),
       random_(random),
       read_(std::move(read)),
-      pace_(longest_wait) {}
+      pace_(longest_wait, configuration::kAlertEvacuationWatch) {}
 
 EvacuationReader::~EvacuationReader() {
   loop_.Cancel(timer_);
@@ -45,6 +45,16 @@
   Schedule(kFirstWait + pace_.First(random_));
 }
 
+void EvacuationReader::SetMembers(
+    const membership::Member& self,
+    const std::vector<membership::Member>& members) {
+  if (!role_.SetMembers(self, members) || !is_watching_)
+    return;
+  is_watching_ = false;
+  ++watch_;
+  ScheduleSoon();
+}
+
 void EvacuationReader::ReadNow() {
   store_.ListPage(form_.prefix, [this](const auto& page) {
     if (page)
@@ -97,20 +107,30 @@
 }
 
 void EvacuationReader::Watch(int64_t after) {
-  store_.Watch(form_.prefix, after, configuration::ReadPace::WatchWait(random_),
-               [this, after](const auto& news) {
-                 const bool is_quiet = news && !news.value().history_lost &&
-                                       news.value().changed.empty() &&
-                                       news.value().removed == 0;
-                 if (is_quiet && role_.is_reader())
-                   Watch(std::max(after, news.value().as_of));
-                 else if (news && !news.value().history_lost)
-                   Read();
-                 else
-                   ScheduleSoon();
+  const auto times = pace_.Watch(role_.is_alert(), random_);
+  is_watching_ = true;
+  store_.Watch(form_.prefix, after, times.wait, times.patience,
+               [this, after, watch = ++watch_](const auto& news) {
+                 if (watch == watch_)
+                   OnWatched(after, news);
                });
 }
 
+void EvacuationReader::OnWatched(int64_t after,
+                                 const base::Result<store::StoreNews>& news) {
+  is_watching_ = false;
+  if (!news || news.value().history_lost) {
+    ScheduleSoon();
+    return;
+  }
+  const bool is_quiet =
+      news.value().changed.empty() && news.value().removed == 0;
+  if (is_quiet && role_.is_reader())
+    Watch(std::max(after, news.value().as_of));
+  else
+    Read();
+}
+
 void EvacuationReader::EndRound(bool failed) {
   Schedule(pace_.Next(failed, role_.is_alone(), random_));
 }
--- a/src/libs/evacuation_store/evacuation_reader.h
+++ b/src/libs/evacuation_store/evacuation_reader.h
@@ -3,6 +3,7 @@
 #ifndef EVACUATION_STORE_EVACUATION_READER_H_
 #define EVACUATION_STORE_EVACUATION_READER_H_
 
+#include <cstdint>
 #include <functional>
 #include <vector>
 
@@ -34,9 +35,7 @@
 
   void Start();
   void SetMembers(const membership::Member& self,
-                  const std::vector<membership::Member>& members) {
-    role_.SetMembers(self, members);
-  }
+                  const std::vector<membership::Member>& members);
   // Reads at once, as this node changed something.
   void ReadNow();
 
@@ -47,6 +46,7 @@
   void Read();
   void OnPage(const base::Result<store::StorePage>& page);
   void Watch(int64_t after);
+  void OnWatched(int64_t after, const base::Result<store::StoreNews>& news);
   void EndRound(bool failed);
 
   net::EventLoop& loop_;
@@ -57,6 +57,8 @@
   configuration::ReadPace pace_;
   configuration::ReaderRole role_;
   net::EventLoop::TimerId timer_ = 0;
+  uint64_t watch_ = 0;  // The last one; earlier ones are not heard any more.
+  bool is_watching_ = false;
   bool has_read_ = false;       // Since the start.
   bool is_unreadable_ = false;  // By the last reading; logged once in a row.
 };
--- a/src/libs/fleet_configuration/configuration_keeper.h
+++ b/src/libs/fleet_configuration/configuration_keeper.h
@@ -40,6 +40,7 @@
                       control_calls::ControlCaller& caller,
                       const AnyConfigurationForm& form,
                       const settings::NodeSettings& settings,
+                      ConfigurationReader::HeardAt heard_at,
                       base::Random random);
   ~ConfigurationKeeper();
 
--- a/src/libs/fleet_configuration/configuration_reader.cc
+++ b/src/libs/fleet_configuration/configuration_reader.cc
@@ -24,11 +24,13 @@
     const configuration::HeldConfiguration& held,
     base::Random& random,
     base::Duration longest_wait,
+    HeardAt heard_at,
     OfferHandler offer)
     : loop_(loop),
       store_(store),
       held_(held),
       random_(random),
+      fleet_heard_at_(std::move(heard_at)),
       offer_(std::move(offer)),
       pace_(longest_wait) {}
 
@@ -40,15 +42,30 @@
   Schedule(pace_.First(random_));
 }
 
+void ConfigurationReader::SetMembers(
+    const membership::Member& self,
+    const std::vector<membership::Member>& members) {
+  if (!role_.SetMembers(self, members) || !is_watching_)
+    return;
+  is_watching_ = false;
+  ++watch_;
+  Schedule(configuration::ReadPace::Again(random_));
+}
+
 void ConfigurationReader::Schedule(base::Duration wait) {
-  timer_ = loop_.CallAfter(wait, [this] { Read(); });
+  loop_.Cancel(timer_);
+  timer_ = loop_.CallAfter(wait, [this] { CheckRole(); });
 }
 
-void ConfigurationReader::Read() {
-  if (!role_.is_reader()) {
+void ConfigurationReader::CheckRole() {
+  contact_.Check(fleet_heard_at_(), loop_.now());
+  if (Reads())
+    Read();
+  else
     EndRound(false);
-    return;
-  }
+}
+
+void ConfigurationReader::Read() {
   store_.ReadHead([this](const auto& stored) { OnHead(stored); });
 }
 
@@ -77,7 +94,7 @@
 void ConfigurationReader::GoOn() {
   // After a start each node takes itself for a reader until it knows the fleet.
   const bool is_settled = std::exchange(has_read_, true);
-  if (is_settled && role_.is_reader() && as_of_ > 0 && store_.CanWatch()) {
+  if (is_settled && Reads() && as_of_ > 0 && store_.CanWatch()) {
     NoteStore(false);
     Watch();
     return;
@@ -86,12 +103,17 @@
 }
 
 void ConfigurationReader::Watch() {
-  store_.WatchHead(as_of_, configuration::ReadPace::WatchWait(random_),
-                   [this](const auto& watched) { OnWatched(watched); });
+  is_watching_ = true;
+  store_.WatchHead(as_of_, pace_.Watch(role_.is_alert(), random_),
+                   [this, watch = ++watch_](const auto& watched) {
+                     if (watch == watch_)
+                       OnWatched(watched);
+                   });
 }
 
 void ConfigurationReader::OnWatched(
     const base::Result<ConfigurationStore::Watched>& watched) {
+  is_watching_ = false;
   if (!watched) {
     // Changes may have been missed: what lies there is read.
     Schedule(configuration::ReadPace::Again(random_));
@@ -156,7 +178,8 @@
 
 void ConfigurationReader::EndRound(bool failed) {
   NoteStore(failed);
-  Schedule(pace_.Next(failed, role_.is_alone(), random_));
+  const base::Duration wait = pace_.Next(failed, role_.is_alone(), random_);
+  Schedule(Reads() ? wait : configuration::FleetContact::kCheckInterval);
 }
 
 }  // namespace chestnutport::fleet_configuration
--- a/src/libs/fleet_configuration/configuration_reader.h
+++ b/src/libs/fleet_configuration/configuration_reader.h
@@ -1,13 +1,16 @@
 // Reads the head from the store while this node is one of its data centre's
-// readers, and writes a newer one back. Runs on the control thread.
+// readers or hears of no other node, and writes a newer one back. Runs on the
+// control thread.
 #ifndef FLEET_CONFIGURATION_CONFIGURATION_READER_H_
 #define FLEET_CONFIGURATION_CONFIGURATION_READER_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <vector>
 
 #include "base/random.h"
+#include "configuration/fleet_contact.h"
 #include "configuration/held_configuration.h"
 #include "configuration/read_pace.h"
 #include "configuration/reader_role.h"
@@ -23,6 +26,9 @@
   using OfferHandler = std::function<void(const configuration::Head& head,
                                           const configuration::Documents&)>;
 
+  // When another node was last heard; nothing: never.
+  using HeardAt = std::function<std::optional<base::Instant>()>;
+
   // The references must outlive the reader. `longest_wait`: between two tries
   // while the store fails.
   ConfigurationReader(net::EventLoop& loop,
@@ -30,21 +36,24 @@
                       const configuration::HeldConfiguration& held,
                       base::Random& random,
                       base::Duration longest_wait,
+                      HeardAt heard_at,
                       OfferHandler offer);
   ~ConfigurationReader();
 
   void Start();
   void SetMembers(const membership::Member& self,
-                  const std::vector<membership::Member>& members) {
-    role_.SetMembers(self, members);
-  }
+                  const std::vector<membership::Member>& members);
 
   bool is_reader() const { return role_.is_reader(); }
   // When the store last said which head it holds; nothing if it never did.
   std::optional<base::Instant> heard_at() const { return heard_at_; }
 
  private:
+  // Whether the store is to be read by this node.
+  bool Reads() const { return role_.is_reader() || contact_.is_cut_off(); }
   void Schedule(base::Duration wait);
+  // Reads if this node is to; else finds out soon whether it is by then.
+  void CheckRole();
   void Watch();
   void OnWatched(const base::Result<ConfigurationStore::Watched>& watched);
   // After a head that is held: waits for the next one, or reads in a while.
@@ -62,11 +71,15 @@
   ConfigurationStore& store_;
   const configuration::HeldConfiguration& held_;
   base::Random& random_;
+  HeardAt fleet_heard_at_;
   OfferHandler offer_;
   configuration::ReadPace pace_;
+  configuration::FleetContact contact_;
   configuration::ReaderRole role_;
   int64_t as_of_ = 0;  // The store's revision as of which it was read.
   net::EventLoop::TimerId timer_ = 0;
+  uint64_t watch_ = 0;  // The last one; earlier ones are not heard any more.
+  bool is_watching_ = false;
   std::optional<base::Instant> heard_at_;
   bool has_read_ = false;  // Since the start.
   bool store_failed_ = false;
--- a/src/libs/fleet_configuration/configuration_store.cc
+++ b/src/libs/fleet_configuration/configuration_store.cc
@@ -53,9 +53,9 @@
 }
 
 void ConfigurationStore::WatchHead(int64_t after,
-                                   std::chrono::milliseconds wait,
+                                   const configuration::WatchTimes& times,
                                    WatchHandler handler) {
-  store_.Watch(form_.head_key, after, wait,
+  store_.Watch(form_.head_key, after, times.wait, times.patience,
                [this, handler = std::move(handler)](
                    const base::Result<store::StoreNews>& news) {
                  if (!news || news.value().history_lost) {
--- a/src/libs/fleet_configuration/configuration_store.h
+++ b/src/libs/fleet_configuration/configuration_store.h
@@ -13,6 +13,7 @@
 #include "configuration/confirm_procedure.h"
 #include "configuration/documents.h"
 #include "configuration/head.h"
+#include "configuration/read_pace.h"
 #include "fleet_configuration/configuration_form.h"
 #include "store/store_client.h"
 
@@ -40,11 +41,11 @@
   const AnyConfigurationForm& form() const { return form_; }
   // Whether WatchHead() can be used.
   bool CanWatch() const { return store_.CanWatch(); }
-  // Waits up to `wait` for a head newer than the one that was read as of the
-  // store's revision `after`; nothing if there was none. The error
+  // Waits as long as `times` says for a head newer than the one that was read
+  // as of the store's revision `after`; nothing if there was none. The error
   // kStoreUnavailable also says that changes may have been missed.
   void WatchHead(int64_t after,
-                 std::chrono::milliseconds wait,
+                 const configuration::WatchTimes& times,
                  WatchHandler handler);
 
   // No head is revision zero; something that is no head is an error, so that
--- a/src/libs/membership/gossip.cc
+++ b/src/libs/membership/gossip.cc
@@ -98,6 +98,7 @@
   }
   if (message->sender == self_)
     return;
+  heard_at_ = now;
   const bool was_unknown = table_.Find(message->sender) == nullptr;
   Learn(now,
         {message->sender, message->incarnation, MemberState::kAlive,
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -6,6 +6,7 @@
 #ifndef MEMBERSHIP_GOSSIP_H_
 #define MEMBERSHIP_GOSSIP_H_
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -86,6 +87,8 @@
   std::vector<Member> Members() const;
   const MemberTable& table() const { return table_; }
   const GossipCounters& counters() const { return counters_; }
+  // When a member was last heard; nothing: never.
+  std::optional<base::Instant> heard_at() const { return heard_at_; }
   const evacuation::Evacuations& evacuations() const {
     return evacuations_.held();
   }
@@ -217,6 +220,7 @@
   ByteBudget budget_;
   ByteBudget acks_;
   GossipCounters counters_;
+  std::optional<base::Instant> heard_at_;
   bool left_ = false;
 
   uint32_t last_sequence_;
--- a/src/libs/node/fleet_membership.h
+++ b/src/libs/node/fleet_membership.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -87,6 +88,10 @@
 
   // All live members as of now, this node included.
   std::vector<membership::Member> Members() const;
+  // When another node was last heard; nothing: never.
+  std::optional<base::Instant> heard_at() const {
+    return gossip_ ? gossip_->heard_at() : std::nullopt;
+  }
   const membership::GossipCounters& counters() const {
     return gossip_->counters();
   }
--- a/src/libs/store/store_client.cc
+++ b/src/libs/store/store_client.cc
@@ -13,9 +13,6 @@
 using base::make_error_code;
 
 constexpr int kTooManyRequests = 429;
-// A store that has nothing to tell says so when a watch's time is up; one that
-// does not has lost the watch.
-constexpr std::chrono::milliseconds kWatchSlack(1000);
 
 }  // namespace
 
@@ -131,8 +128,9 @@
 void StoreClient::Watch(const std::string& prefix,
                         int64_t after,
                         std::chrono::milliseconds wait,
+                        std::chrono::milliseconds patience,
                         NewsHandler handler) {
-  Call(form_.watch(prefix, after, wait), wait + kWatchSlack, CallKind::kWatch,
+  Call(form_.watch(prefix, after, wait), wait + patience, CallKind::kWatch,
        [this, handler = std::move(handler)](
            const base::Result<net::HttpAnswer>& answer) {
          handler(answer ? form_.read_news(answer.value()) : answer.error());
--- a/src/libs/store/store_client.h
+++ b/src/libs/store/store_client.h
@@ -63,10 +63,12 @@
   // any number of nodes may ask for them at once.
   bool CountsOldListings() const { return form_.counts_old_listings; }
   // Changes of keys that begin with `prefix` after the revision `after`, as
-  // soon as there are any; none after `wait`.
+  // soon as there are any; none after `wait`. An error if no answer came
+  // `patience` later.
   void Watch(const std::string& prefix,
              int64_t after,
              std::chrono::milliseconds wait,
+             std::chrono::milliseconds patience,
              NewsHandler handler);
 
   // Calls that have ended.
--- a/tests/auto/configuration/reader_test.cc
+++ b/tests/auto/configuration/reader_test.cc
@@ -5,6 +5,7 @@
 
 #include "configuration/read_pace.h"
 #include "configuration/reader_choice.h"
+#include "configuration/reader_role.h"
 
 namespace chestnutport::configuration {
 namespace {
@@ -53,21 +54,81 @@
   CHECK(early <= 15);
 }
 
-TEST_CASE("of readers whose watches began together one soon asks again") {
-  constexpr int kPlays = 1000;
-  constexpr int kReaders = 8;  // Of four data centres.
+// How long it takes at most until one of a fleet's readers reads again, if all
+// lose their watches just after these began.
+base::Duration FoundOutAfter(const std::vector<Member>& members,
+                             const ReadPace& pace,
+                             base::Random& random) {
+  base::Duration first = std::chrono::hours(1);
+  for (const Member& member : members) {
+    ReaderRole role;
+    (void)role.SetMembers(member, members);
+    if (!role.is_reader() || member.state != membership::MemberState::kAlive)
+      continue;
+    const WatchTimes times = pace.Watch(role.is_alert(), random);
+    const base::Duration ends =
+        times.wait + times.patience + ReadPace::Again(random);
+    first = std::min(first, ends);
+  }
+  return first;
+}
+
+TEST_CASE("watches that all readers lose at once are found out in time") {
+  constexpr int kPlays = 100;
+  // Of the two seconds in which a change has to be in force; the rest is for
+  // the reading, and to tell the others.
+  constexpr std::chrono::milliseconds kForConfigurations(1500);
+  // Of five seconds.
+  constexpr std::chrono::milliseconds kForEvacuations(3000);
   base::Random random(1);
-  std::vector<std::chrono::milliseconds> first_ends;
-  for (int play = 0; play < kPlays; ++play) {
-    auto first = kLongestWatch;
-    for (int reader = 0; reader < kReaders; ++reader)
-      first = std::min(first, ReadPace::WatchWait(random));
-    first_ends.push_back(first);
+  for (const size_t nodes : {1, 2, 3, 11, 28, 300}) {
+    for (const size_t data_centres : {1, 2, 4}) {
+      for (int play = 0; play < kPlays; ++play) {
+        auto fleet = MakeFleet(nodes, data_centres, random);
+        CHECK(FoundOutAfter(fleet, ReadPace(), random) <= kForConfigurations);
+        const ReadPace pace(kLongestReadInterval, kAlertEvacuationWatch);
+        CHECK(FoundOutAfter(fleet, pace, random) <= kForEvacuations);
+        if (nodes < 3)
+          continue;
+        // Also beside the loss of a node, whichever it is.
+        fleet[play % nodes].state = membership::MemberState::kSuspected;
+        CHECK(FoundOutAfter(fleet, ReadPace(), random) <= kForConfigurations);
+      }
+    }
+  }
+}
+
+TEST_CASE("two readers are alert, of different data centres") {
+  base::Random random(2);
+  for (const size_t data_centres : {1, 2, 3, 14}) {
+    auto fleet = MakeFleet(30, data_centres, random);
+    std::set<std::string> alert;
+    for (const Member& member : fleet) {
+      if (!IsAlertReader(member, fleet))
+        continue;
+      CHECK(IsReader(member, fleet));
+      CHECK(alert.insert(member.data_centre).second);
+    }
+    CHECK(alert.size() == std::min(data_centres, kAlertReaders));
+  }
+  SECTION("and who becomes one is told so, once") {
+    auto fleet = MakeFleet(5, 1, random);
+    const auto first = std::ranges::find_if(fleet, [&](const Member& member) {
+      return IsAlertReader(member, fleet);
+    });
+    REQUIRE(first != fleet.end());
+    std::vector<ReaderRole> roles(fleet.size());
+    const auto count_new = [&] {
+      int count = 0;
+      for (size_t i = 0; i < fleet.size(); ++i)
+        count += roles[i].SetMembers(fleet[i], fleet) ? 1 : 0;
+      return count;
+    };
+    CHECK(count_new() == 0);  // Each took itself for one at its start.
+    first->state = membership::MemberState::kSuspected;
+    CHECK(count_new() == 1);
+    CHECK(count_new() == 0);
   }
-  std::ranges::sort(first_ends);
-  CHECK(first_ends.front() >= kShortestWatch);
-  CHECK(first_ends[kPlays / 2] <= std::chrono::seconds(3));
-  CHECK(first_ends[kPlays * 99 / 100] <= std::chrono::seconds(6));
 }
 
 TEST_CASE("the fleet's readings do not grow with the fleet") {
--- a/tests/auto/failures/request_ends_servers_test.cc
+++ b/tests/auto/failures/request_ends_servers_test.cc
@@ -191,6 +191,14 @@
     return ends;
   }
 
+  // What operators are shown of each node.
+  std::string Statuses() const {
+    std::string text;
+    for (const auto& node : nodes_)
+      absl::StrAppend(&text, node->Operate("GET", "/v1/status").body, "\n");
+    return text;
+  }
+
   // What all nodes wrote, in the order of time.
   std::string Lines() {
     std::vector<std::string> lines;
@@ -236,7 +244,10 @@
     REQUIRE(WaitUntil([&] { return AreAllReady(); }));
     for (size_t i = 0; i < kNodes; ++i)
       nodes_[i]->Announce(*servers_[i], "ready", 1);
-    REQUIRE(WaitUntil([&] { return KnowAllServers(); }));
+    const bool are_known = WaitUntil([&] { return KnowAllServers(); });
+    INFO(Statuses());
+    INFO(Lines());
+    REQUIRE(are_known);
   }
 
   bool AreAllReady() const {
@@ -311,7 +322,11 @@
       scene.Return();
       return scene.Ends() > kServersToTell;
     }));
-    REQUIRE(WaitUntil([&] { return scene.IsHeldForLongEverywhere(); }));
+    const bool is_held =
+        WaitUntil([&] { return scene.IsHeldForLongEverywhere(); });
+    INFO(scene.Statuses());
+    INFO(scene.Lines());
+    REQUIRE(is_held);
     const int held = scene.Arrivals();
 
     SECTION("which its callers are told at once, as it did not run") {
@@ -359,9 +374,12 @@
       scene.Return(kOuterPath);
       return scene.IsHeldForLongEverywhere();
     }));
+    std::vector<int> statuses;
     for (int i = 0; i < kReturns; ++i)
-      CHECK(scene.Return(kOuterPath) == 200);
+      statuses.push_back(scene.Return(kOuterPath));
+    INFO(scene.Statuses());
     INFO(scene.Lines());
+    CHECK(std::ranges::count(statuses, 200) == kReturns);
     CHECK(scene.Arrivals() - told <= kMoreAllowed);
     CHECK(scene.IsHeldForLongEverywhere());
   }
--- /dev/null
+++ b/tests/auto/fleet_configuration/configuration_reader_test.cc
@@ -0,0 +1,172 @@
+// Which nodes ask the store for the configuration, and when. Counts calls; a
+// limit is a timer of the same loop, set together with what it is compared to.
+#include "fleet_configuration/configuration_reader.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
+
+#include "configuration/reader_choice.h"
+#include "platform/hosted_store_form.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "node/own_configuration_form.h"
+
+namespace chestnutport::fleet_configuration {
+namespace {
+
+using membership::Member;
+using membership::MemberState;
+
+constexpr size_t kNodes = 6;
+constexpr std::chrono::seconds kTimeout(2);
+
+// A store without any entry, which holds watches.
+class EmptyStore {
+ public:
+  explicit EmptyStore(net::EventLoop& loop)
+      : server_(net::HttpServer::Open(
+                    loop,
+                    *base::SocketAddress::Parse("127.0.0.1:0"),
+                    {},
+                    [this](const net::HttpRequest& request, net::Reply reply) {
+                      OnRequest(request, std::move(reply));
+                    })
+                    .value()) {}
+
+  const base::SocketAddress& address() const { return server_->address(); }
+
+  int reads = 0;
+  int watches = 0;
+
+ private:
+  void OnRequest(const net::HttpRequest& request, net::Reply reply) {
+    if (request.target.find("kv-watch") != std::string::npos) {
+      ++watches;
+      held_.push_back(std::move(reply));
+      return;
+    }
+    ++reads;
+    reply.Send({.status = 404, .body = R"({"asOf": 7})"});
+  }
+
+  std::unique_ptr<net::HttpServer> server_;
+  std::vector<net::Reply> held_;
+};
+
+class Scene {
+ public:
+  Scene()
+      : store_(loop_),
+        http_(loop_, {}),
+        client_(http_,
+                {store_.address()},
+                kTimeout,
+                store::AnyStoreForm::Of(platform::HostedStoreForm())),
+        configuration_(
+            client_,
+            AnyConfigurationForm::Of(node::OwnConfigurationForm("fleet")),
+            "fleet"),
+        reader_(
+            loop_,
+            configuration_,
+            held_,
+            random_,
+            std::chrono::seconds(1),
+            [this] { return heard_at ? heard_at : loop_.now(); },
+            [](const auto&, const auto&) {}) {
+    for (size_t i = 0; i < kNodes; ++i) {
+      Member member;
+      member.id = base::NodeId::Draw(random_);
+      member.data_centre = "one";
+      members.push_back(member);
+    }
+  }
+
+  // Starts the reader as the first member of which `holds` is true.
+  template <typename Condition>
+  void StartAs(Condition holds) {
+    for (const Member& member : members) {
+      if (holds(member))
+        self_ = member;
+    }
+    SetMembers();
+    reader_.Start();
+  }
+  void SetMembers() { reader_.SetMembers(self_, members); }
+
+  template <typename Condition>
+  bool HoldsWithin(base::Duration limit, Condition holds) {
+    bool is_over = false;
+    const auto timer = loop_.CallAfter(limit, [&] { is_over = true; });
+    while (!is_over && !holds()) {
+      loop_.CallAfter(std::chrono::milliseconds(10), [this] { loop_.Stop(); });
+      loop_.Run();
+    }
+    loop_.Cancel(timer);
+    return holds();
+  }
+
+  const EmptyStore& store() const { return store_; }
+
+  std::vector<Member> members;
+  std::optional<base::Instant> heard_at;  // Nothing: all the time.
+
+ private:
+  net::EventLoop loop_;
+  EmptyStore store_;
+  net::HttpClient http_;
+  store::StoreClient client_;
+  ConfigurationStore configuration_;
+  configuration::HeldConfiguration held_;
+  base::Random random_{1};
+  Member self_;
+  ConfigurationReader reader_;
+};
+
+TEST_CASE("a node that is no reader of its data centre") {
+  Scene scene;
+  scene.StartAs([&](const Member& member) {
+    return !configuration::IsReader(member, scene.members);
+  });
+
+  SECTION("does not ask the store while it hears from others") {
+    CHECK_FALSE(scene.HoldsWithin(std::chrono::seconds(3),
+                                  [&] { return scene.store().reads > 0; }));
+  }
+  SECTION("asks when it hears from nobody, though none counts as lost yet") {
+    scene.heard_at = base::Clock::now();
+    CHECK(scene.HoldsWithin(std::chrono::seconds(2),
+                            [&] { return scene.store().reads > 0; }));
+    CHECK(scene.HoldsWithin(std::chrono::seconds(2),
+                            [&] { return scene.store().watches > 0; }));
+  }
+}
+
+TEST_CASE("a reader that becomes an alert one") {
+  Scene scene;
+  scene.StartAs([&](const Member& member) {
+    return configuration::IsReader(member, scene.members) &&
+           !configuration::IsAlertReader(member, scene.members);
+  });
+  REQUIRE(scene.HoldsWithin(std::chrono::seconds(30),
+                            [&] { return scene.store().watches == 1; }));
+  const int reads = scene.store().reads;
+  for (Member& member : scene.members) {
+    if (configuration::IsAlertReader(member, scene.members)) {
+      member.state = MemberState::kSuspected;
+      break;
+    }
+  }
+  scene.SetMembers();
+
+  SECTION("reads at once, and does not wait for its long watch to end") {
+    CHECK(scene.HoldsWithin(configuration::kShortestWatch,
+                            [&] { return scene.store().reads > reads; }));
+    CHECK(scene.HoldsWithin(configuration::kShortestWatch,
+                            [&] { return scene.store().watches > 1; }));
+  }
+}
+
+}  // namespace
+}  // namespace chestnutport::fleet_configuration
--- a/tests/auto/store/store_client_test.cc
+++ b/tests/auto/store/store_client_test.cc
@@ -124,10 +124,11 @@
   net::HttpClient http(loop, {});
   StoreClient client(http, {silent.value().address()}, std::chrono::seconds(2));
   bool watch_ended = false;
-  client.Watch("key", 1, std::chrono::milliseconds(10), [&](const auto& news) {
-    watch_ended = true;
-    CHECK_FALSE(news);
-  });
+  client.Watch("key", 1, std::chrono::milliseconds(10),
+               std::chrono::milliseconds(1000), [&](const auto& news) {
+                 watch_ended = true;
+                 CHECK_FALSE(news);
+               });
   // Begun at the same time, and given up after the two seconds of any call.
   client.Read("key", [&](const auto&) { loop.Stop(); });
   loop.Run();
