--- a/tests/auto/fleet_configuration/configuration_reader_test.cc
+++ b/tests/auto/fleet_configuration/configuration_reader_test.cc
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "configuration/reader_choice.h"
-#include "platform/hosted_store_form.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "node/own_configuration_form.h"
+#include "platform/hosted_store_form.h"
 
 namespace chestnutport::fleet_configuration {
 namespace {
