Ask for the time that its work takes only of what may not be stopped halfway

A request that may run again and is begun with too little time loses nothing by it but a slot; refused late, it loses its chance, too.

Change: the rule holds for what may not run again, whose caller would be told "unknown"; an attempt says so to the queue. The tests of the rule are unchanged.

--- a/src/libs/admission/admission_controller.cc
+++ b/src/libs/admission/admission_controller.cc
@@ -53,7 +53,7 @@
     return {{ActionKind::kRefuse, attempt, ErrorKind::kDuplicateAttempt, {}}};
   const QueuedAttempt waiting{
       attempt, queue_.Flow(arrival.traffic_class, arrival.tenant),
-      arrival.deadline, arrival.target};
+      arrival.deadline, arrival.target, arrival.may_stop};
   if (const auto refusal = RefusalOf(waiting, now))
     return {Refuse(attempt, *refusal, now)};
   if (HasRoomFor(waiting.flow, now))
@@ -66,7 +66,7 @@
     Instant now) {
   const QueuedAttempt waiting{
       arrival.attempt, queue_.Flow(arrival.traffic_class, arrival.tenant),
-      arrival.deadline, arrival.target};
+      arrival.deadline, arrival.target, arrival.may_stop};
   const auto refusal = RefusalOf(waiting, now);
   if (!refusal)
     return std::nullopt;
@@ -258,10 +258,11 @@
 
 bool AdmissionController::HasTimeFor(const QueuedAttempt& attempt,
                                      Instant start) const {
+  if (start >= attempt.deadline || attempt.may_stop)
+    return start < attempt.deadline;
   const Duration work =
       queue_.RecentServiceTime(attempt.flow).value_or(limit_.service_time());
-  return start < attempt.deadline &&
-         start + work + work / kSpreadPart <= attempt.deadline;
+  return start + work + work / kSpreadPart <= attempt.deadline;
 }
 
 bool AdmissionController::KnowsServiceTime() const {
--- a/src/libs/admission/admission_controller.h
+++ b/src/libs/admission/admission_controller.h
@@ -109,10 +109,10 @@
   // What requests of a flow take as a rule. Not the server's mean: short ones
   // would be held for late beside long ones, and refused for it.
   base::Duration UsualWork(FlowId flow) const;
-  // Whether what waited can be done before its deadline if it starts at
-  // `start`, as its flow goes of late: else its caller would hear "unknown" of
-  // what was in vain. What finds room as it arrives is tried in any case, so
-  // that a server which is well again is found out.
+  // Whether what waited may start at `start`. What may not be stopped halfway
+  // has to be done by its deadline, as its flow goes of late: else its caller
+  // would hear "unknown" of what was in vain. What finds room as it arrives is
+  // tried in any case, so that a server which is well again is found out.
   bool HasTimeFor(const QueuedAttempt& attempt, base::Instant start) const;
   // False until the server has answered as many as it runs at a time. Its first
   // answers are those of short requests, and where all servers have just
--- a/src/libs/admission/arrival.h
+++ b/src/libs/admission/arrival.h
@@ -17,6 +17,8 @@
   base::Instant deadline;
   // An answer is worth less from then on; nothing: the same until the deadline.
   std::optional<base::Instant> target;
+  // One that runs may be stopped halfway: to begin it in vain does no harm.
+  bool may_stop = false;
 };
 
 }  // namespace chestnutport::admission
--- a/src/libs/admission/queued_attempt.h
+++ b/src/libs/admission/queued_attempt.h
@@ -17,6 +17,7 @@
   FlowId flow = 0;
   base::Instant deadline;
   std::optional<base::Instant> target;
+  bool may_stop = false;  // One that runs may be stopped halfway.
 };
 
 }  // namespace chestnutport::admission
--- a/src/libs/node/gate.cc
+++ b/src/libs/node/gate.cc
@@ -195,8 +195,9 @@
   if (TurnsAway(arrival, now))
     return;
   const wire::PeerRequestHead& head = arrival.head;
-  const admission::Arrival asked{head.attempt, head.tenant, head.traffic_class,
-                                 arrival.deadline, arrival.target};
+  const admission::Arrival asked{head.attempt,       head.tenant,
+                                 head.traffic_class, arrival.deadline,
+                                 arrival.target,     head.may_stop};
   if (arrival.is_inquiry) {
     AnswerInquiry(asked, arrival.reply);
     return;
