Let callers of a node that has just started wait until it knows where to send them

Cause: scripts/demo, rolling upgrade of four VMs: of 9,359 calls to dossie 461 were answered "not run" (190 configuration-missing, 271 no-server), of 9,446 to laudo 562 (199, 363). A node listens for callers before it has heard of anything, and refuses them for the tenth of a second until a neighbour tells it.

Kept, as a setting (start_wait); a node that is told nothing refuses after it, as before.

What is left is no-server: open. Tests: ingress_test, two sections; the first was 503 without the wait (as the text of the demo shows; the test itself was not run against the old code).

--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -50,7 +50,8 @@
 }
 
 void HttpServer::WatchListener() {
-  const bool accepts = !quiescing_ && connections_.size() < limits_.connections;
+  const bool accepts =
+      is_open_ && !quiescing_ && connections_.size() < limits_.connections;
   if (std::exchange(accepts_, accepts) == accepts)
     return;
   if (accepts)
@@ -59,6 +60,11 @@
     loop_.Unwatch(socket_.fd());
 }
 
+void HttpServer::SetAccepting(bool accepting) {
+  is_open_ = accepting;
+  WatchListener();
+}
+
 void HttpServer::AcceptAll() {
   while (connections_.size() < limits_.connections) {
     const int fd =
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -54,6 +54,10 @@
   void Quiesce(std::function<void()> idle);
   bool IsQuiescing() const { return quiescing_; }
 
+  // Whether callers are let in, as they are at first; if not, they wait to be
+  // accepted.
+  void SetAccepting(bool accepting);
+
   // For the requests that begin from now on.
   void set_limits(const HttpServerLimits& limits) { limits_ = limits; }
   const HttpServerLimits& limits() const { return limits_; }
@@ -88,6 +92,7 @@
   ListeningSocket socket_;
   HttpServerLimits limits_;
   Handler handler_;
+  bool is_open_ = true;
   bool accepts_ = false;
   EventLoop::TimerId sweep_timer_ = 0;
   absl::flat_hash_map<HttpConnection*, std::unique_ptr<HttpConnection>>
--- a/src/libs/node/ingress.cc
+++ b/src/libs/node/ingress.cc
@@ -99,10 +99,22 @@
 Ingress::~Ingress() {
   for (const auto& [id, call] : calls_)
     loop_.Cancel(call->timer);
+  loop_.Cancel(start_timer_);
+}
+
+bool Ingress::IsInformed() const {
+  return snapshot_.configuration->revision > 0 &&
+         std::ranges::all_of(
+             snapshot_.configuration->services, [this](const auto& service) {
+               const auto found = snapshot_.servers.find(service.name);
+               return found != snapshot_.servers.end() &&
+                      !found->second.empty();
+             });
 }
 
 base::Result<base::SocketAddress> Ingress::Listen(
-    const base::SocketAddress& address) {
+    const base::SocketAddress& address,
+    base::Duration start_wait) {
   auto opened =
       net::HttpServer::Open(loop_, address, net::HttpServerLimits{},
                             [this](net::HttpRequest request, net::Reply reply) {
@@ -111,6 +123,11 @@
   if (!opened)
     return opened.error();
   listener_ = std::move(opened).value();
+  if (start_wait <= base::Duration::zero())
+    return listener_->address();
+  listener_->SetAccepting(IsInformed());
+  start_timer_ =
+      loop_.CallAfter(start_wait, [this] { listener_->SetAccepting(true); });
   return listener_->address();
 }
 
@@ -118,8 +135,11 @@
   snapshot_ = std::move(snapshot);
   recorder_.SetConfiguration(*snapshot_.configuration);
   const declarations::CallerLimits& limits = snapshot_.configuration->limits;
-  if (listener_)
+  if (listener_) {
     listener_->set_limits(ListenerLimits(limits));
+    if (IsInformed())
+      listener_->SetAccepting(true);
+  }
   for (const auto& declaration : snapshot_.configuration->services) {
     ServiceTraffic& service = Traffic(declaration.name);
     service.SetDeclaration(declaration);
--- a/src/libs/node/ingress.h
+++ b/src/libs/node/ingress.h
@@ -42,8 +42,11 @@
           base::Random random);
   ~Ingress();
 
-  // Binds the callers' listener. Call before the loop runs.
-  base::Result<base::SocketAddress> Listen(const base::SocketAddress& address);
+  // Binds the callers' listener. Call before the loop runs. Callers wait to be
+  // accepted until this node holds the configuration and knows a server of each
+  // service, for `start_wait` at most: meanwhile it could only refuse them.
+  base::Result<base::SocketAddress> Listen(const base::SocketAddress& address,
+                                           base::Duration start_wait);
 
   // Called on the ingress thread.
   void SetSnapshot(TrafficSnapshot snapshot);
@@ -60,6 +63,8 @@
   size_t in_flight() const { return calls_.size(); }
 
  private:
+  // Whether it holds a configuration, and knows a server of each service.
+  bool IsInformed() const;
   void OnRequest(net::HttpRequest request, net::Reply reply);
   // A call that a server makes is no more urgent than the request `above` it,
   // which it is made for: the class that it is given.
@@ -140,6 +145,7 @@
   AttemptCanceller canceller_;
   TrafficRecorder recorder_;
   std::unique_ptr<net::HttpServer> listener_;
+  net::EventLoop::TimerId start_timer_ = 0;
   // After the listener, so that replies end before it does.
   absl::flat_hash_map<CallId, std::unique_ptr<ActiveCall>> calls_;
 };
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -189,7 +189,8 @@
   auto peer = threads_->gate.Listen(settings_.peer_listen);
   if (!peer)
     return peer.error();
-  auto caller = threads_->ingress.Listen(settings_.caller_listen);
+  auto caller =
+      threads_->ingress.Listen(settings_.caller_listen, settings_.start_wait);
   if (!caller)
     return caller.error();
   auto control = threads_->control.Listen();
--- a/src/libs/settings/node_settings.cc
+++ b/src/libs/settings/node_settings.cc
@@ -75,6 +75,14 @@
   return true;
 }
 
+bool ReadStartWait(NodeSettings& settings, std::string_view text) {
+  const auto duration = base::ParseDuration(text);
+  if (!duration || *duration > std::chrono::minutes(1))
+    return false;
+  settings.start_wait = *duration;
+  return true;
+}
+
 bool ReadAdapter(NodeSettings& settings, std::string_view text) {
   settings.adapter =
       text == "hosted" ? AdapterKind::kHosted : AdapterKind::kOwn;
@@ -154,6 +162,10 @@
       {{"node", "leave_notice", "duration", "1500ms", "up to 1h",
         "How long a node that is stopped still takes requests."},
        ReadLeaveNotice},
+      {{"node", "start_wait", "duration", "1s", "up to 1m",
+        "Longest wait of callers to be accepted by a node that has just "
+        "started, until it knows the configuration and the servers."},
+       ReadStartWait},
       {{"node", "adapter", "", "own", "own or hosted",
         "Which forms callers, servers and the store have."},
        ReadAdapter},
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/node/ingress_test.cc
@@ -21,6 +21,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::chrono::seconds kHold(300);
+constexpr milliseconds kStartWait(250);
 
 enum class Behaviour { kAnswers, kSilent, kRefuses, kFails, kLoses, kStops };
 
@@ -120,9 +121,10 @@
                  AnyCallerProtocol::Of(OwnCallerProtocol()),
                  running,
                  base::Random(1)) {
-    address_ =
-        ingress_.Listen(base::SocketAddress::Parse("127.0.0.1:0").value())
-            .value();
+    address_ = ingress_
+                   .Listen(base::SocketAddress::Parse("127.0.0.1:0").value(),
+                           kStartWait)
+                   .value();
   }
 
   Peer& Add(Behaviour behaviour) {
@@ -171,6 +173,11 @@
 
   std::string host() const { return address_.ToString(); }
 
+  // Does `what` while the scene runs.
+  void After(base::Duration wait, std::function<void()> what) {
+    loop_.CallAfter(wait, std::move(what));
+  }
+
   void SetVerdict(base::RequestFingerprint fingerprint,
                   quarantine::Verdict verdict) {
     quarantine::Verdicts verdicts;
@@ -436,5 +443,23 @@
   }
 }
 
+TEST_CASE("an ingress node that has just started") {
+  Scene scene;
+
+  SECTION("lets callers wait until it knows where to send them") {
+    scene.After(kStartWait / 4, [&scene] { scene.Add(Behaviour::kAnswers); });
+    CHECK(scene.Ask("GET", {}).status == 200);
+  }
+  SECTION("refuses them soon if nobody tells it") {
+    bool is_late = false;
+    scene.After(kStartWait * 4, [&is_late] { is_late = true; });
+    const auto answer = scene.Ask("GET", {});
+    CHECK_FALSE(is_late);
+    CHECK(FindHeader(answer.headers, wire::kErrorHeader) ==
+          "configuration-missing");
+    CHECK(Outcome(answer) == "not-run");
+  }
+}
+
 }  // namespace
 }  // namespace chestnutport::node
