Prove three more cells, and let a server find a node that was started anew

Tests only: a planned stop while the store is down; a leaving server whose node is killed; health checks that say ill or nothing of a server that serves well.

--- a/tests/auto/failures/leaving_server_test.cc
+++ b/tests/auto/failures/leaving_server_test.cc
@@ -51,6 +51,13 @@
       REQUIRE(is_leaving_everywhere());
     });
   }
+  SECTION("when its node is killed: there is no other way to it") {
+    drain_and_count([&] {
+      REQUIRE(fleet.Operate(small.b, "POST", "/v1/drain", "").status == 200);
+      REQUIRE(is_leaving_everywhere());
+      small.b.node.reset();
+    });
+  }
   SECTION("when the store is down, so that its own gate alone refuses") {
     drain_and_count([&] {
       fleet.CommandStore(R"({"mode": "down"})");
--- a/tests/auto/failures/measuring_budget_test.cc
+++ b/tests/auto/failures/measuring_budget_test.cc
@@ -40,6 +40,16 @@
     fleet.CommandServer(small.b, R"({"fail": true})");
     small.RunThrough({}, [] {});
   }
+  SECTION("when a health check says ill of a server that serves well") {
+    fleet.CommandServer(small.b, R"({"health": "ill"})");
+    const Audit audit = small.RunThrough({}, [] {});
+    CHECK(audit.answered + audit.not_run == audit.calls);
+  }
+  SECTION("when a health check is never answered by one that serves well") {
+    fleet.CommandServer(small.b, R"({"health": "silent"})");
+    const Audit audit = small.RunThrough({}, [] {});
+    CHECK(audit.answered + audit.not_run == audit.calls);
+  }
   SECTION("when a server is silent to its node") {
     small.RunThrough({},
                      [&] { small.b.server_relay->SilenceOpenConnections(); });
--- a/tests/auto/failures/planned_stop_test.cc
+++ b/tests/auto/failures/planned_stop_test.cc
@@ -35,6 +35,13 @@
     REQUIRE(fleet.Replace(small.b, {&callers}));
     REQUIRE(fleet.WaitAllReady(3, small.revision));
   }
+  SECTION("when the store is down") {
+    fleet.CommandStore(R"({"mode": "down"})");
+    REQUIRE(fleet.Replace(small.b, {&callers}));
+    REQUIRE(callers.WaitForMore(small.calls));
+    fleet.CommandStore(R"({"mode": "up"})");
+    REQUIRE(fleet.WaitAllReady(3, small.revision));
+  }
   SECTION("when its server straggles meanwhile") {
     fleet.CommandServer(small.b, R"({"straggle_ms": 1500})");
     REQUIRE(fleet.Replace(small.b, {&callers}));
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -72,7 +72,7 @@
     }
     if (net::FindHeader(request.headers, "X-Request-Id").empty()) {
       ++probes_;  // Nobody else asks without an id.
-      reply.Send({.body = "{\"healthy\": true}"});
+      AnswerProbe(std::move(reply));
       return;
     }
     if (trouble_.value("shed", false)) {
@@ -86,6 +86,18 @@
     RunWaiting();
   }
 
+  // Says that it is well, whatever it does with requests, unless it is told to
+  // lie.
+  void AnswerProbe(net::Reply reply) {
+    const std::string health = trouble_.value("health", "well");
+    if (health == "silent")
+      unanswered_.push_back(std::move(reply));
+    else if (health == "ill")
+      reply.Send({.status = 503, .body = "{\"healthy\": false}"});
+    else
+      reply.Send({.body = "{\"healthy\": true}"});
+  }
+
   void Announce(const base::SocketAddress& node, const std::string& address) {
     const json body = {{"service", absl::GetFlag(FLAGS_service)},
                        {"address", address},
@@ -186,6 +198,7 @@
   std::string last_mark_;  // The request answered last.
   json trouble_ = json::object();
   std::deque<Work> waiting_;
+  std::vector<net::Reply> unanswered_;  // Of health checks.
   int ledger_fd_ = -1;
   int running_ = 0;
   uint64_t started_ = 0;
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -89,6 +89,7 @@
   vm->ledger = folder_ / (name + ".ledger");
   vm->peer_relay = std::make_unique<Relay>(base::SocketAddress{});
   vm->server_relay = std::make_unique<Relay>(base::SocketAddress{});
+  vm->announce_relay = std::make_unique<Relay>(base::SocketAddress{});
   std::ofstream(vm->settings)
       << SettingsText(name, data_centre, store_relay_->address().ToString(),
                       vm->peer_relay->address().ToString(), leave_notice_);
@@ -106,6 +107,7 @@
   vm.caller_address = Address(*vm.node, "caller");
   vm.operator_address = Address(*vm.node, "operator");
   vm.server_side_address = Address(*vm.node, "server");
+  vm.announce_relay->SetTarget(vm.server_side_address);
   vm.peer_relay->SetTarget(Address(*vm.node, "peer"));
 }
 
@@ -114,7 +116,8 @@
   if (vm.service.empty())
     return;
   std::vector<std::string> flags = {
-      "--node=" + vm.server_side_address.ToString(), "--service=" + vm.service,
+      "--node=" + vm.announce_relay->address().ToString(),
+      "--service=" + vm.service,
       "--announce_as=" + vm.server_relay->address().ToString(),
       "--name=" + vm.name, "--ledger=" + vm.ledger.string()};
   flags.insert(flags.end(), vm.server_flags.begin(), vm.server_flags.end());
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -35,6 +35,9 @@
   base::SocketAddress server_side_address;  // Where the server announces.
   base::SocketAddress server_address;       // The server itself.
   std::unique_ptr<Relay> peer_relay;        // Between other nodes and the node.
+  // Before the node's side to its server, which announces itself there: a node
+  // that is started anew listens at another port.
+  std::unique_ptr<Relay> announce_relay;
   std::unique_ptr<Relay> server_relay;      // Between the node and its server.
 };
 
