Let a node that was cut off stop reading the store once it hears from others

Cause, found by reading the diff: a node that reads because it hears of nobody goes from one watch to the next, and looks at whether it is cut off only when it reads. So it went on for as long as its watches were answered; after a cut of a whole fleet each node would have kept a watch, 500 calls a second at 3,000 nodes. Change: asked after each watch as well. configuration_reader_test failed first ("and no more once it hears from one").

--- a/src/libs/fleet_configuration/configuration_reader.cc
+++ b/src/libs/fleet_configuration/configuration_reader.cc
@@ -114,6 +114,7 @@
 void ConfigurationReader::OnWatched(
     const base::Result<ConfigurationStore::Watched>& watched) {
   is_watching_ = false;
+  contact_.Check(fleet_heard_at_(), loop_.now());
   if (!watched) {
     // Changes may have been missed: what lies there is read.
     Schedule(configuration::ReadPace::Again(random_));
--- a/tests/auto/fleet_configuration/configuration_reader_test.cc
+++ b/tests/auto/fleet_configuration/configuration_reader_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "configuration/reader_choice.h"
@@ -36,6 +37,12 @@
 
   const base::SocketAddress& address() const { return server_->address(); }
 
+  // The time of all watches is up, without news.
+  void EndWatches() {
+    for (net::Reply& reply : std::exchange(held_, {}))
+      reply.Send({.body = R"({"events": [], "asOf": 7})"});
+  }
+
   int reads = 0;
   int watches = 0;
 
@@ -107,7 +114,7 @@
     return holds();
   }
 
-  const EmptyStore& store() const { return store_; }
+  EmptyStore& store() { return store_; }
 
   std::vector<Member> members;
   std::optional<base::Instant> heard_at;  // Nothing: all the time.
@@ -140,6 +147,14 @@
                             [&] { return scene.store().reads > 0; }));
     CHECK(scene.HoldsWithin(std::chrono::seconds(2),
                             [&] { return scene.store().watches > 0; }));
+    SECTION("and no more once it hears from one") {
+      scene.heard_at.reset();
+      const int reads = scene.store().reads;
+      scene.store().EndWatches();
+      CHECK_FALSE(scene.HoldsWithin(std::chrono::seconds(2), [&] {
+        return scene.store().watches > 1 || scene.store().reads > reads;
+      }));
+    }
   }
 }
 
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -38,7 +38,7 @@
   // Before the node's side to its server, which announces itself there: a node
   // that is started anew listens at another port.
   std::unique_ptr<Relay> announce_relay;
-  std::unique_ptr<Relay> server_relay;      // Between the node and its server.
+  std::unique_ptr<Relay> server_relay;  // Between the node and its server.
 };
 
 class Fleet {
