Keep in one place which watch of a reader is heard

Cause: the configuration's and the evacuations' reader each counted watches and kept whether one is open, the same lines twice. Change: configuration::WatchRound; no change of behaviour.

--- a/src/libs/evacuation_store/evacuation_reader.cc
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -48,11 +48,8 @@
 void EvacuationReader::SetMembers(
     const membership::Member& self,
     const std::vector<membership::Member>& members) {
-  if (!role_.SetMembers(self, members) || !is_watching_)
-    return;
-  is_watching_ = false;
-  ++watch_;
-  ScheduleSoon();
+  if (role_.SetMembers(self, members) && watch_.GiveUp())
+    ScheduleSoon();
 }
 
 void EvacuationReader::ReadNow() {
@@ -108,17 +105,15 @@
 
 void EvacuationReader::Watch(int64_t after) {
   const auto times = pace_.Watch(role_.is_alert(), random_);
-  is_watching_ = true;
   store_.Watch(form_.prefix, after, times.wait, times.patience,
-               [this, after, watch = ++watch_](const auto& news) {
-                 if (watch == watch_)
+               [this, after, watch = watch_.Begin()](const auto& news) {
+                 if (watch_.End(watch))
                    OnWatched(after, news);
                });
 }
 
 void EvacuationReader::OnWatched(int64_t after,
                                  const base::Result<store::StoreNews>& news) {
-  is_watching_ = false;
   if (!news || news.value().history_lost) {
     ScheduleSoon();
     return;
--- a/src/libs/evacuation_store/evacuation_reader.h
+++ b/src/libs/evacuation_store/evacuation_reader.h
@@ -3,7 +3,6 @@
 #ifndef EVACUATION_STORE_EVACUATION_READER_H_
 #define EVACUATION_STORE_EVACUATION_READER_H_
 
-#include <cstdint>
 #include <functional>
 #include <vector>
 
@@ -11,6 +10,7 @@
 #include "base/time.h"
 #include "configuration/read_pace.h"
 #include "configuration/reader_role.h"
+#include "configuration/watch_round.h"
 #include "evacuation/evacuations.h"
 #include "evacuation_store/evacuation_form.h"
 #include "membership/member.h"
@@ -57,8 +57,7 @@
   configuration::ReadPace pace_;
   configuration::ReaderRole role_;
   net::EventLoop::TimerId timer_ = 0;
-  uint64_t watch_ = 0;  // The last one; earlier ones are not heard any more.
-  bool is_watching_ = false;
+  configuration::WatchRound watch_;
   bool has_read_ = false;       // Since the start.
   bool is_unreadable_ = false;  // By the last reading; logged once in a row.
 };
--- a/src/libs/fleet_configuration/configuration_reader.cc
+++ b/src/libs/fleet_configuration/configuration_reader.cc
@@ -45,11 +45,8 @@
 void ConfigurationReader::SetMembers(
     const membership::Member& self,
     const std::vector<membership::Member>& members) {
-  if (!role_.SetMembers(self, members) || !is_watching_)
-    return;
-  is_watching_ = false;
-  ++watch_;
-  Schedule(configuration::ReadPace::Again(random_));
+  if (role_.SetMembers(self, members) && watch_.GiveUp())
+    Schedule(configuration::ReadPace::Again(random_));
 }
 
 void ConfigurationReader::Schedule(base::Duration wait) {
@@ -103,17 +100,15 @@
 }
 
 void ConfigurationReader::Watch() {
-  is_watching_ = true;
   store_.WatchHead(as_of_, pace_.Watch(role_.is_alert(), random_),
-                   [this, watch = ++watch_](const auto& watched) {
-                     if (watch == watch_)
+                   [this, watch = watch_.Begin()](const auto& watched) {
+                     if (watch_.End(watch))
                        OnWatched(watched);
                    });
 }
 
 void ConfigurationReader::OnWatched(
     const base::Result<ConfigurationStore::Watched>& watched) {
-  is_watching_ = false;
   contact_.Check(fleet_heard_at_(), loop_.now());
   if (!watched) {
     // Changes may have been missed: what lies there is read.
--- a/src/libs/fleet_configuration/configuration_reader.h
+++ b/src/libs/fleet_configuration/configuration_reader.h
@@ -4,7 +4,6 @@
 #ifndef FLEET_CONFIGURATION_CONFIGURATION_READER_H_
 #define FLEET_CONFIGURATION_CONFIGURATION_READER_H_
 
-#include <cstdint>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -14,6 +13,7 @@
 #include "configuration/held_configuration.h"
 #include "configuration/read_pace.h"
 #include "configuration/reader_role.h"
+#include "configuration/watch_round.h"
 #include "fleet_configuration/configuration_store.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
@@ -78,8 +78,7 @@
   configuration::ReaderRole role_;
   int64_t as_of_ = 0;  // The store's revision as of which it was read.
   net::EventLoop::TimerId timer_ = 0;
-  uint64_t watch_ = 0;  // The last one; earlier ones are not heard any more.
-  bool is_watching_ = false;
+  configuration::WatchRound watch_;
   std::optional<base::Instant> heard_at_;
   bool has_read_ = false;  // Since the start.
   bool store_failed_ = false;
