Prove a leaving server whose node is killed by a test that can fail

Nobody but that node can reach the server, so it could not fail. Change: the server goes on saying that it leaves, and the node is started anew; the new node has to believe it from its first word on.

--- a/tests/auto/failures/leaving_server_test.cc
+++ b/tests/auto/failures/leaving_server_test.cc
@@ -51,11 +51,13 @@
       REQUIRE(is_leaving_everywhere());
     });
   }
-  SECTION("when its node is killed: there is no other way to it") {
+  SECTION(
+      "when it goes on saying so, and its node is killed and started anew") {
     drain_and_count([&] {
-      REQUIRE(fleet.Operate(small.b, "POST", "/v1/drain", "").status == 200);
+      fleet.CommandServer(small.b, R"({"draining": true})");
       REQUIRE(is_leaving_everywhere());
-      small.b.node.reset();
+      fleet.StartNode(small.b);
+      REQUIRE(WaitUntil([&] { return fleet.HasServer(small.b); }));
     });
   }
   SECTION("when the store is down, so that its own gate alone refuses") {
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -99,7 +99,9 @@
   }
 
   void Announce(const base::SocketAddress& node, const std::string& address) {
+    const bool is_leaving = trouble_.value("draining", false);
     const json body = {{"service", absl::GetFlag(FLAGS_service)},
+                       {"draining", is_leaving},
                        {"address", address},
                        {"slots", absl::GetFlag(FLAGS_slots)},
                        {"health", "/health"},
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -209,6 +209,15 @@
   });
 }
 
+bool Fleet::HasServer(const Vm& vm) const {
+  const json status = Status(vm);
+  return status.is_object() &&
+         std::ranges::any_of(status["members"], [&](const json& member) {
+           return member.value("name", "") == vm.name &&
+                  member.contains("service");
+         });
+}
+
 bool Fleet::IsLeavingAt(const Vm& observer, const Vm& vm) const {
   const json status = Status(observer);
   if (!status.is_object())
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -92,6 +92,8 @@
   bool IsLeavingEverywhere(const Vm& vm) const;
   // The same as seen by one of them.
   bool IsLeavingAt(const Vm& observer, const Vm& vm) const;
+  // Whether the VM's node has heard of the server beside it.
+  bool HasServer(const Vm& vm) const;
 
   // How often each request id was started, by any server at any time.
   std::map<std::string, int> Executions() const;
