Let failure tests wait for what becomes of the load, not for a time

Cause: 19 sleeps in tests, most of them for as long as a fault lasts; on a busy machine a second may hold nothing of what the fault is to meet. Change: a fault that holds requests up lasts until so many more have ended, and then all that were under way; connections are reset again after ten more requests; the store is down until it was asked twelve times; a server at rest is watched until it was probed four times. Three sleeps are left: a node that stands still holds up its own callers, so that time has to pass. Ruled out: waiting for what is under way alone, which may be nothing that the fault meets.

--- a/tests/auto/failures/at_most_once_test.cc
+++ b/tests/auto/failures/at_most_once_test.cc
@@ -14,12 +14,16 @@
 const LoadOptions kWrites{.work = std::chrono::milliseconds(20),
                           .repeatable_share = 20};
 
-void Freeze(const Process& process, std::chrono::milliseconds time) {
-  process.Signal(SIGSTOP);
+// Callers of the node itself wait until it goes on, so time has to pass.
+void FreezeNode(const Vm& vm, std::chrono::milliseconds time) {
+  vm.node->Signal(SIGSTOP);
   std::this_thread::sleep_for(time);
-  process.Signal(SIGCONT);
+  vm.node->Signal(SIGCONT);
 }
 
+// Requests that end between two resets of connections.
+constexpr size_t kBetweenResets = 10;
+
 TEST_CASE("a request that may not be repeated runs at most once") {
   SmallFleet small;
   Fleet& fleet = small.fleet;
@@ -35,12 +39,15 @@
     audit = small.RunThrough(kWrites, [&] { fleet.StartNode(small.b); });
   }
   SECTION("when a node is frozen past every deadline and comes back") {
-    audit = small.RunThrough(kWrites,
-                             [&] { Freeze(*small.b.node, kPastDeadline); });
+    audit =
+        small.RunThrough(kWrites, [&] { FreezeNode(small.b, kPastDeadline); });
   }
   SECTION("when a server is frozen past every deadline and comes back") {
-    audit = small.RunThrough(kWrites,
-                             [&] { Freeze(*small.b.server, kPastDeadline); });
+    audit = small.RunThrough(kWrites, [&](Load& callers) {
+      small.b.server->Signal(SIGSTOP);
+      CHECK(callers.WaitForMoreAndUnderWay(small.calls));
+      small.b.server->Signal(SIGCONT);
+    });
   }
   SECTION("when a server sheds") {
     audit = small.RunThrough(
@@ -51,39 +58,39 @@
         kWrites, [&] { small.b.peer_relay->SilenceOpenConnections(); });
   }
   SECTION("when open connections to a server go silent, twice") {
-    audit = small.RunThrough(kWrites, [&] {
+    audit = small.RunThrough(kWrites, [&](Load& callers) {
       small.b.server_relay->SilenceOpenConnections();
-      std::this_thread::sleep_for(kPastDeadline);
+      CHECK(callers.WaitForMoreAndUnderWay(small.calls));
       small.b.server_relay->SilenceOpenConnections();
     });
   }
   SECTION("when connections between nodes are reset again and again") {
-    audit = small.RunThrough(kWrites, [&] {
+    audit = small.RunThrough(kWrites, [&](Load& callers) {
       for (int i = 0; i < 20; ++i) {
         small.b.peer_relay->ResetOpenConnections();
         small.c.peer_relay->ResetOpenConnections();
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        CHECK(callers.WaitForMore(kBetweenResets));
       }
     });
   }
   SECTION("when the answers of a node are lost") {
-    audit = small.RunThrough(kWrites, [&] {
+    audit = small.RunThrough(kWrites, [&](Load& callers) {
       small.b.peer_relay->LoseAnswers(true);
-      std::this_thread::sleep_for(kPastDeadline);
+      CHECK(callers.WaitForMoreAndUnderWay(small.calls));
       small.b.peer_relay->LoseAnswers(false);
     });
   }
   SECTION("when requests arrive late, behind their cancellation") {
-    audit = small.RunThrough(kWrites, [&] {
+    audit = small.RunThrough(kWrites, [&](Load& callers) {
       small.b.peer_relay->SetDelay(std::chrono::seconds(2));
-      std::this_thread::sleep_for(kPastDeadline);
+      CHECK(callers.WaitForMoreAndUnderWay(small.calls));
       small.b.peer_relay->SetDelay(std::chrono::milliseconds(0));
     });
   }
   SECTION("when a node is frozen while another one's connections go silent") {
     audit = small.RunThrough(kWrites, [&] {
       small.c.peer_relay->SilenceOpenConnections();
-      Freeze(*small.b.node, kPastDeadline);
+      FreezeNode(small.b, kPastDeadline);
     });
   }
   SECTION("when the store is down and a server is killed") {
--- a/tests/auto/failures/confirmed_configuration_test.cc
+++ b/tests/auto/failures/confirmed_configuration_test.cc
@@ -20,6 +20,9 @@
                                   "[servers]\nqueue = ", queue, "\n")}};
 }
 
+// By then each of the three readers has asked the store, also after a failure.
+constexpr int kStoreCalls = 12;
+
 // The revisions that a node says it put in force, in its order.
 std::vector<uint64_t> History(const Vm& vm) {
   std::vector<uint64_t> revisions;
@@ -115,7 +118,7 @@
   SECTION("when the store goes down after a change and comes back") {
     confirm(small.a, 1);
     fleet.CommandStore(R"({"mode": "down"})");
-    std::this_thread::sleep_for(std::chrono::seconds(2));
+    REQUIRE(fleet.WaitForStoreCalls(kStoreCalls));
     fleet.CommandStore(R"({"mode": "up"})");
     REQUIRE(fleet.WaitAllReady(3, last));
     confirm(small.b, 2);
@@ -144,7 +147,7 @@
     confirm(small.a, 1);
     REQUIRE(fleet.WaitAllReady(3, last));
     fleet.CommandStore(R"({"copy": "restore"})");
-    std::this_thread::sleep_for(std::chrono::seconds(2));
+    REQUIRE(fleet.WaitForStoreCalls(kStoreCalls));
   }
   SECTION("when a node is replaced") {
     confirm(small.a, 1);
--- a/tests/auto/failures/cut_answer_test.cc
+++ b/tests/auto/failures/cut_answer_test.cc
@@ -9,17 +9,20 @@
 // Answers larger than a socket's buffer takes at once.
 const LoadOptions kLarge{.callers = 48, .answer_bytes = 300000};
 
+// Requests that end between two resets of connections.
+constexpr size_t kBetweenResets = 10;
+
 TEST_CASE("a server's own answer is cut") {
   SmallFleet small;
   Fleet& fleet = small.fleet;
   Audit audit;
 
   SECTION("when connections are reset in the middle of answers") {
-    audit = small.RunThrough(kLarge, [&] {
+    audit = small.RunThrough(kLarge, [&](Load& callers) {
       for (int i = 0; i < 20; ++i) {
         small.b.server_relay->ResetOpenConnections();
         small.c.peer_relay->ResetOpenConnections();
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        CHECK(callers.WaitForMore(kBetweenResets));
       }
     });
   }
--- a/tests/auto/failures/measuring_budget_test.cc
+++ b/tests/auto/failures/measuring_budget_test.cc
@@ -1,9 +1,11 @@
 // Promise: measuring never costs more than its budget, also in a rush and in a
 // storm of restarts.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "support/http_caller.h"
 #include "support/small_fleet.h"
+#include "support/wait.h"
 
 namespace chestnutport::test {
 namespace {
@@ -11,6 +13,8 @@
 // What the declaration allows when it says nothing, of a server's time.
 constexpr double kBudget = 0.005;
 constexpr std::chrono::milliseconds kProbeCost(6);
+// Enough to see whether they come too often.
+constexpr int kProbes = 4;
 
 // The server's time for probes since its start, against what its budget gave
 // it until now. One probe may always be under way.
@@ -30,7 +34,11 @@
   Fleet& fleet = small.fleet;
 
   SECTION("at rest") {
-    std::this_thread::sleep_for(std::chrono::seconds(2));
+    REQUIRE(WaitUntil([&] {
+      return std::ranges::all_of(fleet.vms(), [&](const auto& vm) {
+        return fleet.CommandServer(*vm, "{}").value("probes", 0) >= kProbes;
+      });
+    }));
   }
   SECTION("in a rush of callers") {
     small.calls = 3000;
--- a/tests/auto/failures/not_run_test.cc
+++ b/tests/auto/failures/not_run_test.cc
@@ -16,6 +16,9 @@
                             .work = std::chrono::milliseconds(50),
                             .pause = std::chrono::milliseconds(0)};
 
+// Requests that end between two resets of connections.
+constexpr size_t kBetweenResets = 10;
+
 TEST_CASE("a request said not to have run did not run") {
   SmallFleet small;
   Fleet& fleet = small.fleet;
@@ -30,10 +33,10 @@
   SECTION("when servers are overloaded and nodes' connections are reset") {
     small.calls = 2000;
     must_refuse = true;
-    audit = small.RunThrough(kOverload, [&] {
+    audit = small.RunThrough(kOverload, [&](Load& callers) {
       for (int i = 0; i < 20; ++i) {
         small.b.peer_relay->ResetOpenConnections();
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        CHECK(callers.WaitForMore(kBetweenResets));
       }
     });
   }
@@ -64,9 +67,9 @@
     });
   }
   SECTION("when a server is frozen past every deadline and comes back") {
-    audit = small.RunThrough(kMixed, [&] {
+    audit = small.RunThrough(kMixed, [&](Load& callers) {
       small.b.server->Signal(SIGSTOP);
-      std::this_thread::sleep_for(kPastDeadline);
+      CHECK(callers.WaitForMoreAndUnderWay(small.calls));
       small.b.server->Signal(SIGCONT);
     });
   }
@@ -75,9 +78,9 @@
         kMixed, [&] { small.b.peer_relay->SilenceOpenConnections(); });
   }
   SECTION("when requests arrive late, behind their cancellation") {
-    audit = small.RunThrough(kMixed, [&] {
+    audit = small.RunThrough(kMixed, [&](Load& callers) {
       small.b.peer_relay->SetDelay(std::chrono::seconds(2));
-      std::this_thread::sleep_for(kPastDeadline);
+      CHECK(callers.WaitForMoreAndUnderWay(small.calls));
       small.b.peer_relay->SetDelay(std::chrono::milliseconds(0));
     });
   }
@@ -88,17 +91,17 @@
     });
   }
   SECTION("when the answers of a server are lost") {
-    audit = small.RunThrough(kMixed, [&] {
+    audit = small.RunThrough(kMixed, [&](Load& callers) {
       small.b.server_relay->LoseAnswers(true);
-      std::this_thread::sleep_for(std::chrono::seconds(1));
+      CHECK(callers.WaitForMore(small.calls));
       small.b.server_relay->LoseAnswers(false);
     });
   }
   SECTION("when connections to a server are reset while it works") {
-    audit = small.RunThrough(kMixed, [&] {
+    audit = small.RunThrough(kMixed, [&](Load& callers) {
       for (int i = 0; i < 20; ++i) {
         small.b.server_relay->ResetOpenConnections();
-        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        CHECK(callers.WaitForMore(kBetweenResets));
       }
     });
   }
--- a/tests/auto/failures/own_answer_test.cc
+++ b/tests/auto/failures/own_answer_test.cc
@@ -49,10 +49,10 @@
         kPlain, [&] { small.b.peer_relay->SilenceOpenConnections(); });
   }
   SECTION("when a server straggles while the path to another one is slow") {
-    audit = small.RunThrough(kPlain, [&] {
+    audit = small.RunThrough(kPlain, [&](Load& callers) {
       fleet.CommandServer(small.b, R"({"straggle_ms": 700})");
       small.c.peer_relay->SetDelay(std::chrono::milliseconds(300));
-      std::this_thread::sleep_for(std::chrono::seconds(1));
+      CHECK(callers.WaitForMore(small.calls));
       small.c.peer_relay->SetDelay(std::chrono::milliseconds(0));
     });
   }
@@ -63,16 +63,16 @@
     });
   }
   SECTION("when the path to a node is slow for a while") {
-    audit = small.RunThrough(kPlain, [&] {
+    audit = small.RunThrough(kPlain, [&](Load& callers) {
       small.b.peer_relay->SetDelay(std::chrono::milliseconds(300));
-      std::this_thread::sleep_for(std::chrono::seconds(1));
+      CHECK(callers.WaitForMore(small.calls));
       small.b.peer_relay->SetDelay(std::chrono::milliseconds(0));
     });
   }
   SECTION("when answers come after their callers were given up") {
-    audit = small.RunThrough(kPlain, [&] {
+    audit = small.RunThrough(kPlain, [&](Load& callers) {
       fleet.CommandServer(small.b, R"({"straggle_ms": 3200})");
-      std::this_thread::sleep_for(std::chrono::seconds(4));
+      CHECK(callers.WaitForMoreAndUnderWay(small.calls));
       fleet.CommandServer(small.b, R"({"straggle_ms": 0})");
     });
   }
--- a/tests/support/fleet.cc
+++ b/tests/support/fleet.cc
@@ -255,6 +255,12 @@
   return addresses;
 }
 
+bool Fleet::WaitForStoreCalls(int count) const {
+  const auto calls = [this] { return CommandStore("{}").value("calls", 0); };
+  const int before = calls();
+  return WaitUntil([&] { return calls() >= before + count; });
+}
+
 json Fleet::CommandStore(const std::string& command) const {
   const auto result =
       Ask(store_address_,
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -105,6 +105,8 @@
   std::vector<base::SocketAddress> CallerAddresses(
       const Vm* except = nullptr) const;
 
+  // Waits until the store stand-in has had `count` more calls.
+  bool WaitForStoreCalls(int count) const;
   // Gives the store stand-in a command, such as {"mode": "down"}.
   nlohmann::json CommandStore(const std::string& command) const;
 
--- a/tests/support/load.cc
+++ b/tests/support/load.cc
@@ -1,5 +1,6 @@
 #include "support/load.h"
 
+#include <future>
 #include <utility>
 
 #include "absl/strings/match.h"
@@ -42,6 +43,16 @@
   return WaitUntil([&] { return ended_ >= wanted; }, std::chrono::minutes(1));
 }
 
+bool Load::WaitForMoreAndUnderWay(size_t count) {
+  if (!WaitForMore(count))
+    return false;
+  std::promise<uint64_t> newest;
+  loop_.Post([&] { newest.set_value(last_id_); });
+  const uint64_t last = newest.get_future().get();
+  return WaitUntil([&] { return oldest_open_ > last; },
+                   std::chrono::minutes(1));
+}
+
 std::vector<CallRecord> Load::Stop() {
   if (thread_.joinable()) {
     loop_.Post([this] { stopping_ = true; });
@@ -58,10 +69,21 @@
   }
   const bool repeatable =
       random_() % 100 < static_cast<uint64_t>(options_.repeatable_share);
-  Send(absl::StrCat(options_.prefix, "-", ++last_id_), repeatable, 0);
+  open_.insert(++last_id_);
+  NoteOldest();
+  Send(last_id_, repeatable, 0);
+}
+
+std::string Load::NameOf(uint64_t number) const {
+  return absl::StrCat(options_.prefix, "-", number);
+}
+
+void Load::NoteOldest() {
+  oldest_open_ = open_.empty() ? last_id_ + 1 : *open_.begin();
 }
 
-void Load::Send(const std::string& id, bool repeatable, size_t tries) {
+void Load::Send(uint64_t number, bool repeatable, size_t tries) {
+  const std::string id = NameOf(number);
   const base::SocketAddress& node = nodes_[random_() % nodes_.size()];
   net::HttpRequest request;
   request.method = repeatable ? "GET" : "POST";
@@ -72,19 +94,20 @@
   if (!repeatable)
     request.body = id;
   client_.Send(node, std::move(request), options_.patience,
-               [this, id, repeatable, tries](const net::TransferResult& r) {
-                 OnDone(id, repeatable, tries, r);
+               [this, number, repeatable, tries](const net::TransferResult& r) {
+                 OnDone(number, repeatable, tries, r);
                });
 }
 
-void Load::OnDone(const std::string& id,
+void Load::OnDone(uint64_t number,
                   bool repeatable,
                   size_t tries,
                   const net::TransferResult& result) {
   if (result.end == net::TransferEnd::kNotSent && tries < 10 * nodes_.size()) {
-    Send(id, repeatable, tries + 1);
+    Send(number, repeatable, tries + 1);
     return;
   }
+  const std::string id = NameOf(number);
   const net::HttpAnswer& answer = result.answer;
   CallRecord record{.id = id, .repeatable = repeatable, .end = result.end};
   record.status = answer.status;
@@ -93,6 +116,8 @@
   record.is_own_whole_answer = IsOwnWholeAnswer(id, answer.body);
   records_.push_back(std::move(record));
   ++ended_;
+  open_.erase(number);
+  NoteOldest();
   loop_.CallAfter(options_.pause, [this] { Begin(); });
 }
 
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -53,16 +54,22 @@
   void SetNodes(std::vector<base::SocketAddress> nodes);
   // Waits until `count` more requests have come to their end.
   bool WaitForMore(size_t count);
+  // The same, and then for the end of all that are under way by then: those
+  // that a fault holds up end at their deadline.
+  bool WaitForMoreAndUnderWay(size_t count);
   // Waits for all that is in flight, and ends.
   std::vector<CallRecord> Stop();
 
  private:
   void Begin();
-  void Send(const std::string& id, bool repeatable, size_t tries);
-  void OnDone(const std::string& id,
+  void Send(uint64_t number, bool repeatable, size_t tries);
+  void OnDone(uint64_t number,
               bool repeatable,
               size_t tries,
               const net::TransferResult& result);
+  std::string NameOf(uint64_t number) const;
+  // After each change of what is under way.
+  void NoteOldest();
   bool IsOwnWholeAnswer(const std::string& id, const std::string& body) const;
 
   const LoadOptions options_;
@@ -72,6 +79,8 @@
   net::HttpClient client_;
   std::vector<CallRecord> records_;
   uint64_t last_id_ = 0;
+  std::set<uint64_t> open_;  // Requests under way.
+  std::atomic<uint64_t> oldest_open_{0};
   int active_ = 0;
   bool stopping_ = false;
   std::atomic<size_t> ended_{0};
--- a/tests/support/small_fleet.cc
+++ b/tests/support/small_fleet.cc
@@ -15,10 +15,15 @@
 
 Audit SmallFleet::RunThrough(const LoadOptions& load,
                              const std::function<void()>& fault) {
+  return RunThrough(load, [&fault](Load&) { fault(); });
+}
+
+Audit SmallFleet::RunThrough(const LoadOptions& load,
+                             const std::function<void(Load&)>& fault) {
   Load callers(load, fleet.CallerAddresses());
   if (!callers.WaitForMore(calls))
     throw std::runtime_error("no traffic before the fault");
-  fault();
+  fault(callers);
   if (!callers.WaitForMore(calls))
     throw std::runtime_error("no traffic after the fault");
   const auto records = callers.Stop();
