Probe a server that lies of its health before judging what that cost

Cause: the two sections on lying health checks ran a load, under which nobody probes: they could not fail. Change: each waits for three probes first, and then looks at the budget. Shown failing: with the pause between probes taken out, 3 of 4, 3 of 6 and 2 of 6 checks; all pass without that.

--- a/tests/auto/failures/measuring_budget_test.cc
+++ b/tests/auto/failures/measuring_budget_test.cc
@@ -14,30 +14,38 @@
 constexpr double kBudget = 0.005;
 constexpr std::chrono::milliseconds kProbeCost(6);
 // Enough to see whether they come too often.
-constexpr int kProbes = 4;
+constexpr int kProbes = 3;
+
+int ProbesOf(const Fleet& fleet, const Vm& vm) {
+  return fleet.CommandServer(vm, "{}").value("probes", 0);
+}
 
 // The server's time for probes since its start, against what its budget gave
 // it until now. One probe may always be under way.
 bool KeepsBudget(const Fleet& fleet,
                  const Vm& vm,
                  std::chrono::steady_clock::time_point server_start) {
-  const auto counts = fleet.CommandServer(vm, "{}");
-  const auto probes = counts.value("probes", int64_t{0});
+  const int probes = ProbesOf(fleet, vm);
   const auto given =
       kBudget * (std::chrono::steady_clock::now() - server_start);
   return (probes - 1) * kProbeCost <= given;
 }
 
+// A server without requests is probed every few seconds.
+bool WaitForProbes(const Fleet& fleet, const Vm& vm) {
+  const int before = ProbesOf(fleet, vm);
+  return WaitUntil([&] { return ProbesOf(fleet, vm) >= before + kProbes; },
+                   std::chrono::minutes(1));
+}
+
 TEST_CASE("measuring keeps its budget") {
   auto start = std::chrono::steady_clock::now();
   SmallFleet small;
   Fleet& fleet = small.fleet;
 
   SECTION("at rest") {
-    REQUIRE(WaitUntil([&] {
-      return std::ranges::all_of(fleet.vms(), [&](const auto& vm) {
-        return fleet.CommandServer(*vm, "{}").value("probes", 0) >= kProbes;
-      });
+    REQUIRE(std::ranges::all_of(fleet.vms(), [&](const auto& vm) {
+      return WaitForProbes(fleet, *vm);
     }));
   }
   SECTION("in a rush of callers") {
@@ -50,11 +58,15 @@
   }
   SECTION("when a health check says ill of a server that serves well") {
     fleet.CommandServer(small.b, R"({"health": "ill"})");
+    REQUIRE(WaitForProbes(fleet, small.b));
+    CHECK(KeepsBudget(fleet, small.b, start));
     const Audit audit = small.RunThrough({}, [] {});
     CHECK(audit.answered + audit.not_run == audit.calls);
   }
   SECTION("when a health check is never answered by one that serves well") {
     fleet.CommandServer(small.b, R"({"health": "silent"})");
+    REQUIRE(WaitForProbes(fleet, small.b));
+    CHECK(KeepsBudget(fleet, small.b, start));
     const Audit audit = small.RunThrough({}, [] {});
     CHECK(audit.answered + audit.not_run == audit.calls);
   }
