Find a test's long name where the formatter begins it on a line of its own

Cause: proof_page_test looked for a name right after the bracket.

Ruled out: the section is missing (leaving_server_test runs it).

Change: blanks between the bracket and the name do not count. The check is as strict: the name must still be the first argument; two more cases show it.

--- a/tests/auto/examples/proof_page_test.cc
+++ b/tests/auto/examples/proof_page_test.cc
@@ -15,11 +15,11 @@
   return text.str();
 }
 
-// How the source names a section or a test case of that text; long names are
-// broken over two literals by the formatter.
+// How the source names a section or a test case of that text; the formatter
+// begins long names on a line of their own, and breaks them over two literals.
 bool HasTest(const std::string& source, const std::string& name) {
-  const std::string joined =
-      std::regex_replace(source, std::regex("\"\\s*\""), "");
+  std::string joined = std::regex_replace(source, std::regex("\"\\s*\""), "");
+  joined = std::regex_replace(joined, std::regex("\\(\\s*\""), "(\"");
   std::string wanted = "(\"";
   wanted.append(name).append("\"");
   return joined.find(wanted) != std::string::npos;
@@ -42,6 +42,12 @@
 
   SECTION("and a name that does not exist is seen") {
     CHECK_FALSE(HasTest("SECTION(\"when it rains\")", "when it snows"));
+    CHECK_FALSE(HasTest("INFO(text << \"when it snows\")", "when it snows"));
+  }
+
+  SECTION("and a long name is found however the formatter breaks it") {
+    CHECK(HasTest("SECTION(\n      \"when it \"\n      \"rains\")",
+                  "when it rains"));
   }
 }
 
