Test, failing, that one node which reaches the store is enough for a change

Change: lost_store_test runs five real nodes, each with a way of its own to the store, and leaves one way open, in turn.

--- /dev/null
+++ b/tests/auto/platform/lost_store_test.cc
@@ -0,0 +1,104 @@
+// Real nodes of which only one still reaches the store, whichever it is.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "support/hosted_node.h"
+#include "support/hosted_platform.h"
+#include "support/relay.h"
+#include "support/wait.h"
+
+namespace chestnutport::test {
+namespace {
+
+constexpr size_t kNodes = 5;
+
+// A configuration without services, which says only its revision.
+std::string Document(uint64_t revision) {
+  return absl::StrCat(R"({"version":)", revision,
+                      R"(,"routes":{"columns":["name"],"rows":[]},)",
+                      R"("services":{"columns":["name"],"rows":[]},)",
+                      R"("limits":{}})");
+}
+
+// Nodes of one data centre, each with a way to the store of its own.
+class Scene {
+ public:
+  Scene()
+      : folder_(std::filesystem::temp_directory_path() /
+                absl::StrCat("lost-store-", getpid())) {
+    std::filesystem::create_directories(folder_);
+    platform_.Put("op/config", Document(revision_));
+    for (size_t i = 0; i < kNodes; ++i) {
+      ways_.push_back(std::make_unique<Relay>(platform_.store_address()));
+      nodes_.push_back(std::make_unique<HostedNode>(
+          absl::StrCat("node-", i), ways_.back()->address(), folder_));
+    }
+  }
+  ~Scene() {
+    nodes_.clear();
+    std::filesystem::remove_all(folder_);
+  }
+  Scene(const Scene&) = delete;
+  Scene& operator=(const Scene&) = delete;
+
+  bool WaitUntilAllKnowAll() {
+    return WaitUntil([this] {
+      return std::ranges::all_of(nodes_, [](const auto& node) {
+        return StatusOf(*node)["members"].size() == kNodes;
+      });
+    });
+  }
+
+  // Cuts the others off, and opens the way of `index`.
+  void LeaveOnly(size_t index) {
+    ways_[index]->Cut(false);
+    for (size_t i = 0; i < kNodes; ++i) {
+      if (i != index)
+        ways_[i]->Cut(true);
+    }
+  }
+
+  // An operator writes the next revision to the store. Whether all take it.
+  bool ChangeReachesAll() {
+    platform_.Put("op/config", Document(++revision_));
+    return WaitUntil([this] {
+      return std::ranges::all_of(nodes_, [this](const auto& node) {
+        return StatusOf(*node).value("revision", 0U) == revision_;
+      });
+    });
+  }
+
+ private:
+  static nlohmann::json StatusOf(const HostedNode& node) {
+    return nlohmann::json::parse(node.Operate("GET", "/v1/status").body);
+  }
+
+  std::filesystem::path folder_;
+  HostedPlatform platform_;
+  uint64_t revision_ = 7;
+  std::vector<std::unique_ptr<Relay>> ways_;
+  std::vector<std::unique_ptr<HostedNode>> nodes_;
+};
+
+TEST_CASE("a change is in force everywhere while one node reaches the store") {
+  Scene scene;
+  REQUIRE(scene.WaitUntilAllKnowAll());
+  REQUIRE(scene.ChangeReachesAll());
+
+  SECTION("whichever node that is") {
+    for (size_t i = 0; i < kNodes; ++i) {
+      INFO("node " << i);
+      scene.LeaveOnly(i);
+      REQUIRE(scene.ChangeReachesAll());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chestnutport::test
