Let sixteen nodes of a fleet read the store, not only two of each data centre

Cause: a change is heard only while a reader reaches the store. Two readers a data centre are eight of the eleven or twelve nodes of two deployments; where all eight were cut off from the store, the others, which reached it, did not ask.

Ruled out: a lost watch (the node that reached the store had none), a silent node that is asked (nobody had the revision).

Change: readers are two of each data centre, and sixteen in all if there are so many nodes. In a fleet of up to sixteen each node hears of a change by itself.

Ways: as it stands; readers that hand their role on once they have lost the store (1.3 s to find out, half a second more for each round of others that lost it too, of the 2 s allowed); this.

--- a/src/libs/configuration/reader_choice.cc
+++ b/src/libs/configuration/reader_choice.cc
@@ -21,6 +21,18 @@
   return std::tuple(XXH3_64bits_withSeed(&id, sizeof(id), seed), id);
 }
 
+size_t ReadersPerDataCentre(const Member& self,
+                            std::span<const Member> members) {
+  absl::flat_hash_set<std::string_view> data_centres = {self.data_centre};
+  for (const Member& member : members) {
+    if (member.state == MemberState::kAlive)
+      data_centres.insert(member.data_centre);
+  }
+  const size_t share =
+      (kReadersPerFleet + data_centres.size() - 1) / data_centres.size();
+  return std::max(kReadersPerDataCentre, share);
+}
+
 }  // namespace
 
 bool IsReader(const Member& self, std::span<const Member> members) {
@@ -28,7 +40,7 @@
     return other.id != self.id && other.data_centre == self.data_centre &&
            other.state == MemberState::kAlive && Score(other) < Score(self);
   });
-  return static_cast<size_t>(ahead) < kReadersPerDataCentre;
+  return static_cast<size_t>(ahead) < ReadersPerDataCentre(self, members);
 }
 
 bool IsAlertReader(const Member& self, std::span<const Member> members) {
--- a/src/libs/configuration/reader_choice.h
+++ b/src/libs/configuration/reader_choice.h
@@ -9,11 +9,16 @@
 
 namespace chestnutport::configuration {
 
+// At least; one may be lost at the same time as the other data centres.
 inline constexpr size_t kReadersPerDataCentre = 2;
-
-// True if `self` is among the first kReadersPerDataCentre of its data centre
-// by rendezvous hashing over the members that are alive. Nodes whose views
-// differ may choose other readers for a while; that is harmless.
+// At least, if there are so many nodes, spread over the data centres: a change
+// is heard while one of the readers reaches the store, and who reaches it may
+// be a small part of the fleet.
+inline constexpr size_t kReadersPerFleet = 16;
+
+// True if `self` is among the first readers of its data centre by rendezvous
+// hashing over the members that are alive. Nodes whose views differ may choose
+// other readers for a while; that is harmless.
 bool IsReader(const membership::Member& self,
               std::span<const membership::Member> members);
 
--- a/tests/auto/configuration/reader_test.cc
+++ b/tests/auto/configuration/reader_test.cc
@@ -131,6 +131,17 @@
   }
 }
 
+TEST_CASE("a fleet has sixteen readers at least, if it has so many nodes") {
+  base::Random random(3);
+  for (const size_t nodes : {1, 11, 12, 16, 40, 300}) {
+    for (const size_t data_centres : {1, 2, 3, 4, 8}) {
+      const auto fleet = MakeFleet(nodes, data_centres, random);
+      CHECK(CountReaders(fleet) >= std::min(nodes, kReadersPerFleet));
+      CHECK(CountReaders(fleet) < kReadersPerFleet + data_centres);
+    }
+  }
+}
+
 TEST_CASE("the fleet's readings do not grow with the fleet") {
   base::Random random(1);
   for (const size_t nodes : {28, 100, 3000}) {
