Hand the reading of the store on to nodes that reach it, once readers have lost it

Cause: that a node is alive, as its peers see it, made it a reader for all, whether or not it reached the store.

Change: - A reader that is not answered says so in its member record, within half a second of a reading and at the end of a watch; it goes on trying. Others of its data centre read beside it, two that are not known to have lost the store, 32 in all at most. Readers with long watches read at once when another has lost the store. - Each node of a fleet of up to 16 reads; in a larger one two of each data centre. - The seeds' keepers, and with them the writers of what is in quarantine, are chosen by the same order and the same word. - Nodes that have all lost the store try it ten times a second together.

--- a/src/libs/configuration/read_pace.cc
+++ b/src/libs/configuration/read_pace.cc
@@ -28,16 +28,22 @@
 
 base::Duration ReadPace::Next(bool read_failed,
                               bool is_alone,
+                              size_t failing,
                               base::Random& random) {
   if (read_failed || is_alone)
     interval_ = std::min(2 * interval_, longest_);
   else
     interval_ = kReadInterval;
+  const base::Duration interval =
+      read_failed
+          ? std::max<base::Duration>(
+                interval_, static_cast<int64_t>(failing) * kBetweenVainTries)
+          : interval_;
   // Jitter only shortens the wait after a failure, and lengthens none: a
   // healthy reader makes at most one call in kReadInterval.
-  if (interval_ == kReadInterval)
+  if (interval == kReadInterval)
     return Draw(kReadInterval, kReadInterval + kReadInterval / 8, random);
-  return Draw(interval_ / 2, interval_, random);
+  return Draw(interval / 2, interval, random);
 }
 
 WatchTimes ReadPace::Watch(bool is_alert, base::Random& random) const {
--- a/src/libs/configuration/read_pace.h
+++ b/src/libs/configuration/read_pace.h
@@ -13,6 +13,10 @@
 // The longest wait of a reader whose store fails, and of a node that knows of
 // no other: three thousand of those must not be three thousand calls a second.
 inline constexpr base::Duration kLongestReadInterval = std::chrono::seconds(15);
+// All nodes that have lost the store together try it once in this time: it has
+// room for others when it is back, and whoever finds it back tells the rest.
+inline constexpr base::Duration kBetweenVainTries =
+    std::chrono::milliseconds(100);
 // The first reading is spread over this time, or over a part of the longest
 // wait if that is shorter: a node without a configuration serves nobody.
 inline constexpr base::Duration kFirstReadSpread =
@@ -31,6 +35,8 @@
 // store that takes longer than the alert readers' has to be asked more often.
 inline constexpr std::chrono::milliseconds kAlertPatience(500);
 inline constexpr std::chrono::milliseconds kWatchPatience(1000);
+// The same of a reading. The longest that a slow store takes as a rule.
+inline constexpr base::Duration kReadPatience = std::chrono::milliseconds(500);
 // Readers whose watches were cut together read again spread over this time.
 inline constexpr base::Duration kReadAgainSpread =
     std::chrono::milliseconds(200);
@@ -56,7 +62,11 @@
   // read themselves. A node that starts beside a running fleet has its
   // configuration from a neighbour after some 70 ms, and seldom reads before.
   base::Duration First(base::Random& random) const;
-  base::Duration Next(bool read_failed, bool is_alone, base::Random& random);
+  // `failing`: nodes whose readings fail, as far as this one knows.
+  base::Duration Next(bool read_failed,
+                      bool is_alone,
+                      size_t failing,
+                      base::Random& random);
   WatchTimes Watch(bool is_alert, base::Random& random) const;
   // A wait after a watch that was cut.
   static base::Duration Again(base::Random& random);
--- a/src/libs/configuration/reader_choice.cc
+++ b/src/libs/configuration/reader_choice.cc
@@ -1,46 +1,61 @@
 #include "configuration/reader_choice.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <string_view>
-#include <tuple>
 
 #include "absl/container/flat_hash_set.h"
+#include "membership/store_duty.h"
 
 namespace chestnutport::configuration {
 namespace {
 
+using membership::CanDoStoreDuty;
 using membership::Member;
 using membership::MemberState;
 
-auto Score(const Member& member) {
-  const XXH64_hash_t seed =
-      XXH3_64bits(member.data_centre.data(), member.data_centre.size());
-  const uint64_t id = member.id.value;
-  return std::tuple(XXH3_64bits_withSeed(&id, sizeof(id), seed), id);
+bool IsAhead(const Member& other, const Member& self) {
+  return other.id != self.id && other.state == MemberState::kAlive &&
+         StoreDutyOrder(other) < StoreDutyOrder(self);
 }
 
-size_t ReadersPerDataCentre(const Member& self,
-                            std::span<const Member> members) {
+struct FleetSize {
+  size_t nodes = 0;
+  size_t data_centres = 0;
+};
+
+FleetSize SizeOf(const Member& self, std::span<const Member> members) {
   absl::flat_hash_set<std::string_view> data_centres = {self.data_centre};
+  size_t others = 0;
   for (const Member& member : members) {
-    if (member.state == MemberState::kAlive)
-      data_centres.insert(member.data_centre);
+    if (member.id == self.id || member.state != MemberState::kAlive)
+      continue;
+    ++others;
+    data_centres.insert(member.data_centre);
   }
-  const size_t share =
-      (kReadersPerFleet + data_centres.size() - 1) / data_centres.size();
-  return std::max(kReadersPerDataCentre, share);
+  return {1 + others, data_centres.size()};
+}
+
+// Nodes of one data centre that may try at the same time.
+size_t MostTrying(size_t data_centres) {
+  const size_t share = (kMostTryingPerFleet + data_centres - 1) / data_centres;
+  return std::max(kReadersPerDataCentre + 1, share);
 }
 
 }  // namespace
 
 bool IsReader(const Member& self, std::span<const Member> members) {
-  const auto ahead = std::ranges::count_if(members, [&](const Member& other) {
-    return other.id != self.id && other.data_centre == self.data_centre &&
-           other.state == MemberState::kAlive && Score(other) < Score(self);
-  });
-  return static_cast<size_t>(ahead) < ReadersPerDataCentre(self, members);
+  const FleetSize fleet = SizeOf(self, members);
+  if (fleet.nodes <= kSmallFleet)
+    return true;
+  size_t ahead = 0;
+  size_t able = 0;
+  for (const Member& other : members) {
+    if (other.data_centre != self.data_centre || !IsAhead(other, self))
+      continue;
+    ++ahead;
+    able += CanDoStoreDuty(other) ? 1 : 0;
+  }
+  return able < kReadersPerDataCentre && ahead < MostTrying(fleet.data_centres);
 }
 
 bool IsAlertReader(const Member& self, std::span<const Member> members) {
@@ -48,10 +63,8 @@
   // means that it is not the first there.
   absl::flat_hash_set<std::string_view> ahead;
   for (const Member& other : members) {
-    if (other.id != self.id && other.state == MemberState::kAlive &&
-        Score(other) < Score(self)) {
+    if (CanDoStoreDuty(other) && IsAhead(other, self))
       ahead.insert(other.data_centre);
-    }
   }
   return !ahead.contains(self.data_centre) && ahead.size() < kAlertReaders;
 }
--- a/src/libs/configuration/reader_choice.h
+++ b/src/libs/configuration/reader_choice.h
@@ -9,16 +9,23 @@
 
 namespace chestnutport::configuration {
 
-// At least; one may be lost at the same time as the other data centres.
+// One may be lost at the same time as the other data centres.
 inline constexpr size_t kReadersPerDataCentre = 2;
-// At least, if there are so many nodes, spread over the data centres: a change
-// is heard while one of the readers reaches the store, and who reaches it may
-// be a small part of the fleet.
-inline constexpr size_t kReadersPerFleet = 16;
-
-// True if `self` is among the first readers of its data centre by rendezvous
-// hashing over the members that are alive. Nodes whose views differ may choose
-// other readers for a while; that is harmless.
+// A fleet of so many nodes, or fewer, has each of them read: it costs little,
+// and any that reaches the store hears of a change at once. In a larger one,
+// readers that have lost the store hand the duty on, which takes a second or
+// two.
+inline constexpr size_t kSmallFleet = 16;
+// Nodes that try in place of readers that have lost the store, those included;
+// at least one more in each data centre. Bounds what is asked of a store that
+// serves nobody.
+inline constexpr size_t kMostTryingPerFleet = 32;
+
+// True if the fleet is small, or `self` is among the first
+// kReadersPerDataCentre of its data centre by membership::StoreDutyOrder(). A
+// reader that has lost the store goes on trying, and the next one reads beside
+// it. Nodes whose views differ may choose other readers for a while; that is
+// harmless.
 bool IsReader(const membership::Member& self,
               std::span<const membership::Member> members);
 
--- a/src/libs/configuration/reader_role.h
+++ b/src/libs/configuration/reader_role.h
@@ -2,18 +2,25 @@
 #ifndef CONFIGURATION_READER_ROLE_H_
 #define CONFIGURATION_READER_ROLE_H_
 
+#include <cstddef>
 #include <span>
 
 #include "membership/member.h"
 
 namespace chestnutport::configuration {
 
+// Why a reader is not to wait for the end of a long watch.
+enum class ReadSoon {
+  kNo,
+  kNewRole,          // It has become a reader, or an alert one.
+  kOthersLostStore,  // It may be no different here, and others have to read.
+};
+
 class ReaderRole {
  public:
-  // Returns whether this node has become an alert reader, so that a watch
-  // which may wait for long is to be given up.
-  [[nodiscard]] bool SetMembers(const membership::Member& self,
-                                std::span<const membership::Member> members);
+  [[nodiscard]] ReadSoon SetMembers(
+      const membership::Member& self,
+      std::span<const membership::Member> members);
 
   // True until other members are known.
   bool is_reader() const { return is_reader_; }
@@ -21,11 +28,14 @@
   bool is_alert() const { return is_alert_; }
   // Whether no other node is known to be alive.
   bool is_alone() const { return is_alone_; }
+  // Other members that are alive and have lost the store.
+  size_t lost_members() const { return lost_members_; }
 
  private:
   bool is_reader_ = true;
   bool is_alert_ = true;
   bool is_alone_ = true;
+  size_t lost_members_ = 0;
 };
 
 }  // namespace chestnutport::configuration
--- a/src/libs/evacuation_store/evacuation_reader.cc
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -48,7 +48,8 @@
 void EvacuationReader::SetMembers(
     const membership::Member& self,
     const std::vector<membership::Member>& members) {
-  if (role_.SetMembers(self, members) && watch_.GiveUp())
+  const auto reason = role_.SetMembers(self, members);
+  if (reason != configuration::ReadSoon::kNo && watch_.GiveUp())
     ScheduleSoon();
 }
 
@@ -127,7 +128,8 @@
 }
 
 void EvacuationReader::EndRound(bool failed) {
-  Schedule(pace_.Next(failed, role_.is_alone(), random_));
+  Schedule(
+      pace_.Next(failed, role_.is_alone(), role_.lost_members() + 1, random_));
 }
 
 }  // namespace chestnutport::evacuation_store
--- a/src/libs/fleet_configuration/configuration_keeper.cc
+++ b/src/libs/fleet_configuration/configuration_keeper.cc
@@ -31,7 +31,7 @@
     control_calls::ControlCaller& caller,
     const AnyConfigurationForm& form,
     const settings::NodeSettings& settings,
-    ConfigurationReader::HeardAt heard_at,
+    ConfigurationReader::FleetLink fleet,
     base::Random random)
     : loop_(loop),
       random_(random),
@@ -41,7 +41,7 @@
               held_,
               random_,
               settings.longest_store_wait,
-              std::move(heard_at),
+              std::move(fleet),
               [this](const auto& head, const auto& documents) {
                 lag_.OnHeard(head.revision, loop_.now());
                 Offer(head, documents, kFromStore);
--- a/src/libs/fleet_configuration/configuration_keeper.h
+++ b/src/libs/fleet_configuration/configuration_keeper.h
@@ -40,7 +40,7 @@
                       control_calls::ControlCaller& caller,
                       const AnyConfigurationForm& form,
                       const settings::NodeSettings& settings,
-                      ConfigurationReader::HeardAt heard_at,
+                      ConfigurationReader::FleetLink fleet,
                       base::Random random);
   ~ConfigurationKeeper();
 
--- a/src/libs/fleet_configuration/configuration_reader.cc
+++ b/src/libs/fleet_configuration/configuration_reader.cc
@@ -24,18 +24,19 @@
     const configuration::HeldConfiguration& held,
     base::Random& random,
     base::Duration longest_wait,
-    HeardAt heard_at,
+    FleetLink fleet,
     OfferHandler offer)
     : loop_(loop),
       store_(store),
       held_(held),
       random_(random),
-      fleet_heard_at_(std::move(heard_at)),
+      fleet_(std::move(fleet)),
       offer_(std::move(offer)),
       pace_(longest_wait) {}
 
 ConfigurationReader::~ConfigurationReader() {
   loop_.Cancel(timer_);
+  loop_.Cancel(patience_timer_);
 }
 
 void ConfigurationReader::Start() {
@@ -45,8 +46,14 @@
 void ConfigurationReader::SetMembers(
     const membership::Member& self,
     const std::vector<membership::Member>& members) {
-  if (role_.SetMembers(self, members) && watch_.GiveUp())
-    Schedule(configuration::ReadPace::Again(random_));
+  using configuration::ReadSoon;
+  const ReadSoon reason = role_.SetMembers(self, members);
+  // A store that serves nobody is not asked each time that one more finds out.
+  const bool knows = has_lost_store_ && reason == ReadSoon::kOthersLostStore;
+  if (reason == ReadSoon::kNo || knows || is_reading_)
+    return;
+  watch_.GiveUp();
+  Schedule(configuration::ReadPace::Again(random_));
 }
 
 void ConfigurationReader::Schedule(base::Duration wait) {
@@ -55,18 +62,26 @@
 }
 
 void ConfigurationReader::CheckRole() {
-  contact_.Check(fleet_heard_at_(), loop_.now());
-  if (Reads())
+  contact_.Check(fleet_.heard_at(), loop_.now());
+  if (Reads()) {
     Read();
-  else
-    EndRound(false);
+    return;
+  }
+  ForgetStore();
+  Schedule(configuration::FleetContact::kCheckInterval);
 }
 
 void ConfigurationReader::Read() {
+  is_reading_ = true;
+  patience_timer_ = loop_.CallAfter(configuration::kReadPatience, [this] {
+    patience_timer_ = 0;
+    NoteStore(true);
+  });
   store_.ReadHead([this](const auto& stored) { OnHead(stored); });
 }
 
 void ConfigurationReader::OnHead(const base::Result<StoredHead>& stored) {
+  loop_.Cancel(std::exchange(patience_timer_, 0));
   if (!stored) {
     EndRound(true);
     return;
@@ -100,7 +115,10 @@
 }
 
 void ConfigurationReader::Watch() {
-  store_.WatchHead(as_of_, pace_.Watch(role_.is_alert(), random_),
+  is_reading_ = false;
+  const auto times = pace_.Watch(role_.is_alert(), random_);
+  watch_due_ = loop_.now() + times.wait + times.patience;
+  store_.WatchHead(as_of_, times,
                    [this, watch = watch_.Begin()](const auto& watched) {
                      if (watch_.End(watch))
                        OnWatched(watched);
@@ -109,8 +127,11 @@
 
 void ConfigurationReader::OnWatched(
     const base::Result<ConfigurationStore::Watched>& watched) {
-  contact_.Check(fleet_heard_at_(), loop_.now());
+  contact_.Check(fleet_.heard_at(), loop_.now());
   if (!watched) {
+    const bool is_silent = loop_.now() >= watch_due_;
+    if (is_silent)
+      NoteStore(true);
     // Changes may have been missed: what lies there is read.
     Schedule(configuration::ReadPace::Again(random_));
     return;
@@ -126,6 +147,7 @@
 }
 
 void ConfigurationReader::ReadDocuments(const Head& head) {
+  is_reading_ = true;
   const auto missing =
       configuration::MissingDocuments(head.manifest, held_.documents());
   store_.ReadDocuments(missing, [this, head](auto documents) {
@@ -165,16 +187,24 @@
   });
 }
 
-void ConfigurationReader::NoteStore(bool failed) {
-  if (std::exchange(store_failed_, failed) == failed)
+void ConfigurationReader::NoteStore(bool has_lost) {
+  if (std::exchange(has_lost_store_, has_lost) == has_lost)
     return;
-  LogEvent(failed ? Event::kStoreUnavailable : Event::kStoreBack,
+  LogEvent(has_lost ? Event::kStoreUnavailable : Event::kStoreBack,
            {{"for", "configuration"}});
+  fleet_.tell_store_lost(has_lost);
+}
+
+void ConfigurationReader::ForgetStore() {
+  if (std::exchange(has_lost_store_, false))
+    fleet_.tell_store_lost(false);
 }
 
 void ConfigurationReader::EndRound(bool failed) {
+  is_reading_ = false;
   NoteStore(failed);
-  const base::Duration wait = pace_.Next(failed, role_.is_alone(), random_);
+  const base::Duration wait =
+      pace_.Next(failed, role_.is_alone(), role_.lost_members() + 1, random_);
   Schedule(Reads() ? wait : configuration::FleetContact::kCheckInterval);
 }
 
--- a/src/libs/fleet_configuration/configuration_reader.h
+++ b/src/libs/fleet_configuration/configuration_reader.h
@@ -26,8 +26,13 @@
   using OfferHandler = std::function<void(const configuration::Head& head,
                                           const configuration::Documents&)>;
 
-  // When another node was last heard; nothing: never.
-  using HeardAt = std::function<std::optional<base::Instant>()>;
+  // How this node is in touch with the others.
+  struct FleetLink {
+    // When another node was last heard; nothing: never.
+    std::function<std::optional<base::Instant>()> heard_at;
+    // Tells the others that this node has lost the store, or has it again.
+    std::function<void(bool has_lost)> tell_store_lost;
+  };
 
   // The references must outlive the reader. `longest_wait`: between two tries
   // while the store fails.
@@ -36,7 +41,7 @@
                       const configuration::HeldConfiguration& held,
                       base::Random& random,
                       base::Duration longest_wait,
-                      HeardAt heard_at,
+                      FleetLink fleet,
                       OfferHandler offer);
   ~ConfigurationReader();
 
@@ -64,24 +69,30 @@
   void Repair(const configuration::StoredHead& stored,
               const configuration::Head& repaired);
   void EndRound(bool failed);
-  // Tells when the store is lost, and when it is back.
-  void NoteStore(bool failed);
+  // Notes whether the store answers, and tells of a change.
+  void NoteStore(bool has_lost);
+  // While this node does not read, nothing is known of its way to the store.
+  void ForgetStore();
 
   net::EventLoop& loop_;
   ConfigurationStore& store_;
   const configuration::HeldConfiguration& held_;
   base::Random& random_;
-  HeardAt fleet_heard_at_;
+  FleetLink fleet_;
   OfferHandler offer_;
   configuration::ReadPace pace_;
   configuration::FleetContact contact_;
   configuration::ReaderRole role_;
   int64_t as_of_ = 0;  // The store's revision as of which it was read.
   net::EventLoop::TimerId timer_ = 0;
+  // Runs out when a reading takes longer than kReadPatience.
+  net::EventLoop::TimerId patience_timer_ = 0;
   configuration::WatchRound watch_;
+  base::Instant watch_due_;  // The open watch has lost its connection then.
   std::optional<base::Instant> heard_at_;
-  bool has_read_ = false;  // Since the start.
-  bool store_failed_ = false;
+  bool has_read_ = false;    // Since the start.
+  bool is_reading_ = false;  // Ends with a watch or a wait.
+  bool has_lost_store_ = false;
 };
 
 }  // namespace chestnutport::fleet_configuration
--- a/src/libs/membership/member.cc
+++ b/src/libs/membership/member.cc
@@ -30,6 +30,8 @@
                  {"incarnation", incarnation},
                  {"state", static_cast<int>(state)},
                  {"revision", revision}};
+  if (has_lost_store)
+    object["has_lost_store"] = true;
   if (server) {
     object["service"] = server->service;
     object["slots"] = server->slots;
@@ -59,6 +61,7 @@
     member.incarnation = object.value("incarnation", uint64_t{0});
     member.revision = object.value("revision", uint64_t{0});
     member.state = static_cast<MemberState>(object.value("state", 0));
+    member.has_lost_store = object.value("has_lost_store", false);
     if (object.contains("service")) {
       member.server = ServerAnnouncement{
           object.value("service", ""), object.value("slots", 1),
--- a/src/libs/membership/member.h
+++ b/src/libs/membership/member.h
@@ -43,6 +43,8 @@
   uint64_t incarnation = 0;
   MemberState state = MemberState::kAlive;
   uint64_t revision = 0;  // Of the configuration it was last known to hold.
+  // It tried to read the platform's store, and was not answered since.
+  bool has_lost_store = false;
   std::optional<ServerAnnouncement> server;  // None: no server is announced.
 
   std::string ToJson() const;
--- a/src/libs/membership/member_record.cc
+++ b/src/libs/membership/member_record.cc
@@ -23,6 +23,7 @@
   kSlots = 9,
   kDraining = 10,
   kColdRate = 11,
+  kHasLostStore = 12,
 };
 
 constexpr size_t kLargestText = 64;
@@ -117,6 +118,9 @@
     case kColdRate:
       ServerOf(member).cold_rate = ReadColdRate(value);
       break;
+    case kHasLostStore:
+      member.has_lost_store = value.as<bool>();
+      break;
     default:
       break;  // Of a newer version; kept in the bytes.
   }
@@ -133,7 +137,8 @@
   Packer packer(buffer);
   constexpr uint32_t kFields = 8;
   constexpr uint32_t kServerFields = 4;
-  packer.pack_map(member.server ? kFields + kServerFields : kFields);
+  packer.pack_map(kFields + (member.server ? kServerFields : 0) +
+                  (member.has_lost_store ? 1 : 0));
   packer.pack(static_cast<uint32_t>(kId));
   packer.pack(member.id.value);
   PackText(packer, kName, member.name);
@@ -152,6 +157,10 @@
     packer.pack(static_cast<uint32_t>(kColdRate));
     packer.pack(member.server->cold_rate);
   }
+  if (member.has_lost_store) {
+    packer.pack(static_cast<uint32_t>(kHasLostStore));
+    packer.pack(true);
+  }
   MemberRecord record{member, std::string(buffer.data(), buffer.size())};
   record.hash = Hash(record.bytes);
   return record;
--- a/src/libs/membership/seed_duty.cc
+++ b/src/libs/membership/seed_duty.cc
@@ -1,29 +1,19 @@
 #include "membership/seed_duty.h"
 
-#include <xxhash.h>
+#include <algorithm>
 
-namespace chestnutport::membership {
-namespace {
-
-uint64_t Rank(const Member& member) {
-  return XXH3_64bits(&member.id.value, sizeof(member.id.value));
-}
+#include "membership/store_duty.h"
 
-}  // namespace
+namespace chestnutport::membership {
 
 std::optional<size_t> SeedDuty(const Member& self,
                                std::span<const Member> members) {
-  const uint64_t own = Rank(self);
-  size_t higher = 0;
-  for (const Member& member : members) {
-    if (member.data_centre == self.data_centre &&
-        member.state == MemberState::kAlive && Rank(member) > own) {
-      ++higher;
-    }
-  }
-  if (higher >= kSeedsPerDataCentre)
-    return std::nullopt;
-  return higher;
+  const auto ahead = std::ranges::count_if(members, [&](const Member& other) {
+    return other.data_centre == self.data_centre && CanDoStoreDuty(other) &&
+           StoreDutyOrder(other) < StoreDutyOrder(self);
+  });
+  const auto place = static_cast<size_t>(ahead);
+  return place < kSeedsPerDataCentre ? std::optional(place) : std::nullopt;
 }
 
 }  // namespace chestnutport::membership
--- a/src/libs/membership/seed_duty.h
+++ b/src/libs/membership/seed_duty.h
@@ -1,5 +1,5 @@
 // Chooses, without any message, which members keep a data centre's seed
-// entries in the store: those with the highest rendezvous hashes.
+// entries in the store: the first by StoreDutyOrder() that can.
 #ifndef MEMBERSHIP_SEED_DUTY_H_
 #define MEMBERSHIP_SEED_DUTY_H_
 
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -54,15 +54,16 @@
           membership_.store_prefix(),
           [this] { membership_.ListStoreNow(); },
           random),
-      configuration_(
-          loop,
-          store_,
-          control_listener_,
-          control_caller_,
-          adapters.configuration,
-          settings,
-          [this] { return membership_.heard_at(); },
-          random),
+      configuration_(loop,
+                     store_,
+                     control_listener_,
+                     control_caller_,
+                     adapters.configuration,
+                     settings,
+                     {.heard_at = [this] { return membership_.heard_at(); },
+                      .tell_store_lost =
+                          [this](bool has_lost) { TellStoreLost(has_lost); }},
+                     random),
       evacuation_reader_(loop,
                          store_,
                          adapters.evacuation,
@@ -258,6 +259,12 @@
   PublishServer();
 }
 
+void Control::TellStoreLost(bool has_lost) {
+  ++self_.incarnation;
+  self_.has_lost_store = has_lost;
+  membership_.Update(self_);
+}
+
 bool Control::IsDeclared(const std::string& service) const {
   return configuration_.configuration().FindService(service) != nullptr;
 }
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -114,6 +114,7 @@
   void OnMembers(std::vector<membership::Member> members);
   void OnEvacuations(const evacuation::Evacuations& evacuations);
   void OnOwnServerChanged();
+  void TellStoreLost(bool has_lost);
   bool IsDeclared(const std::string& service) const;
   // Requests a second that the own server is given while it is cold; zero: it
   // is warm, or the rate is not limited.
--- a/tests/auto/configuration/reader_test.cc
+++ b/tests/auto/configuration/reader_test.cc
@@ -36,7 +36,7 @@
   base::Duration at = ReadPace().First(random);
   int readings = 0;
   for (; at < std::chrono::hours(1); ++readings)
-    at += pace.Next(failing, alone, random);
+    at += pace.Next(failing, alone, 1, random);
   return readings;
 }
 
@@ -121,7 +121,7 @@
     const auto count_new = [&] {
       int count = 0;
       for (size_t i = 0; i < fleet.size(); ++i)
-        count += roles[i].SetMembers(fleet[i], fleet) ? 1 : 0;
+        count += roles[i].SetMembers(fleet[i], fleet) == ReadSoon::kNewRole;
       return count;
     };
     CHECK(count_new() == 0);  // Each took itself for one at its start.
@@ -131,17 +131,129 @@
   }
 }
 
-TEST_CASE("a fleet has sixteen readers at least, if it has so many nodes") {
+TEST_CASE(
+    "each node of a small fleet reads, two a data centre of a larger one") {
   base::Random random(3);
-  for (const size_t nodes : {1, 11, 12, 16, 40, 300}) {
-    for (const size_t data_centres : {1, 2, 3, 4, 8}) {
-      const auto fleet = MakeFleet(nodes, data_centres, random);
-      CHECK(CountReaders(fleet) >= std::min(nodes, kReadersPerFleet));
-      CHECK(CountReaders(fleet) < kReadersPerFleet + data_centres);
+  for (const size_t data_centres : {1, 2, 3, 4, 8}) {
+    for (const size_t nodes : {size_t{1}, size_t{11}, size_t{12}, kSmallFleet})
+      CHECK(CountReaders(MakeFleet(nodes, data_centres, random)) == nodes);
+    for (const size_t nodes : {kSmallFleet + 1, size_t{40}, size_t{300}}) {
+      CHECK(CountReaders(MakeFleet(nodes, data_centres, random)) ==
+            data_centres * kReadersPerDataCentre);
+    }
+  }
+}
+
+// All that read the store now have lost it.
+void LoseStoreOfReaders(std::vector<Member>& members) {
+  const std::vector<Member> before = members;
+  for (Member& member : members)
+    member.has_lost_store |= IsReader(member, before);
+}
+
+TEST_CASE("readers that have lost the store hand the duty on") {
+  base::Random random(4);
+  for (const size_t nodes : {40, 64, 300}) {
+    for (const size_t data_centres : {1, 3, 14}) {
+      INFO(nodes << " nodes, " << data_centres << " data centres");
+      auto fleet = MakeFleet(nodes, data_centres, random);
+      const size_t readers = CountReaders(fleet);
+      LoseStoreOfReaders(fleet);
+
+      const size_t trying = CountReaders(fleet);
+      CHECK(trying > readers);
+      const bool some_are_alert =
+          std::ranges::any_of(fleet, [&](const Member& member) {
+            return !member.has_lost_store && IsReader(member, fleet) &&
+                   IsAlertReader(member, fleet);
+          });
+      CHECK(some_are_alert);
+
+      // Also if these lose it in their turn, until no more may try.
+      for (size_t round = 0; round < nodes; ++round)
+        LoseStoreOfReaders(fleet);
+      CHECK(CountReaders(fleet) >= std::min(nodes, kMostTryingPerFleet));
+      CHECK(CountReaders(fleet) <=
+            std::max(kMostTryingPerFleet, readers) + data_centres);
+
+      // And take it back.
+      for (Member& member : fleet)
+        member.has_lost_store = false;
+      CHECK(CountReaders(fleet) == readers);
     }
   }
 }
 
+TEST_CASE("a reader is told when to read at once") {
+  base::Random random(5);
+  auto fleet = MakeFleet(40, 2, random);
+  const auto role_of = [&](const Member& member) {
+    ReaderRole role;
+    (void)role.SetMembers(member, fleet);
+    return role;
+  };
+  const auto reader = std::ranges::find_if(
+      fleet, [&](const Member& member) { return IsReader(member, fleet); });
+  const auto other = std::ranges::find_if(
+      fleet, [&](const Member& member) { return !IsReader(member, fleet); });
+  ReaderRole of_reader = role_of(*reader);
+  ReaderRole of_other = role_of(*other);
+
+  SECTION("as another one has lost the store, once") {
+    const auto lost = std::ranges::find_if(fleet, [&](const Member& member) {
+      return member.id != reader->id && IsReader(member, fleet) &&
+             !IsAlertReader(member, fleet);
+    });
+    lost->has_lost_store = true;
+    CHECK(of_reader.SetMembers(*reader, fleet) == ReadSoon::kOthersLostStore);
+    CHECK(of_reader.lost_members() == 1);
+    CHECK(of_reader.SetMembers(*reader, fleet) == ReadSoon::kNo);
+    lost->has_lost_store = false;
+    CHECK(of_reader.SetMembers(*reader, fleet) == ReadSoon::kNo);
+  }
+  SECTION("but not in a small fleet, where nobody could take its place") {
+    auto small = MakeFleet(kSmallFleet, 2, random);
+    ReaderRole role;
+    (void)role.SetMembers(small[0], small);
+    small[1].has_lost_store = true;
+    CHECK(role.SetMembers(small[0], small) == ReadSoon::kNo);
+  }
+  SECTION("as it has become one in place of those that lost it") {
+    LoseStoreOfReaders(fleet);
+    const auto next = std::ranges::find_if(fleet, [&](const Member& member) {
+      return !member.has_lost_store && IsReader(member, fleet);
+    });
+    ReaderRole of_next;
+    auto before = fleet;
+    for (Member& member : before)
+      member.has_lost_store = false;
+    (void)of_next.SetMembers(*next, before);
+    REQUIRE_FALSE(of_next.is_reader());
+    CHECK(of_next.SetMembers(*next, fleet) == ReadSoon::kNewRole);
+    CHECK(of_next.is_reader());
+  }
+  SECTION("but not who does not read") {
+    REQUIRE_FALSE(of_other.is_reader());
+    reader->has_lost_store = true;
+    if (!IsReader(*other, fleet))
+      CHECK(of_other.SetMembers(*other, fleet) == ReadSoon::kNo);
+  }
+}
+
+TEST_CASE("nodes that have all lost the store ask it seldom together") {
+  base::Random random(6);
+  for (const size_t failing : {1, 40, 400}) {
+    ReadPace pace(std::chrono::seconds(1));
+    base::Duration waited{};
+    constexpr int kTries = 1000;
+    for (int i = 0; i < kTries; ++i)
+      waited += pace.Next(true, false, failing, random);
+    const double tries_a_second = static_cast<double>(failing) * kTries /
+                                  std::chrono::duration<double>(waited).count();
+    CHECK(tries_a_second < 15);
+  }
+}
+
 TEST_CASE("the fleet's readings do not grow with the fleet") {
   base::Random random(1);
   for (const size_t nodes : {28, 100, 3000}) {
--- a/tests/auto/fleet_configuration/configuration_reader_test.cc
+++ b/tests/auto/fleet_configuration/configuration_reader_test.cc
@@ -19,7 +19,8 @@
 using membership::Member;
 using membership::MemberState;
 
-constexpr size_t kNodes = 6;
+// More than read the store.
+constexpr size_t kNodes = configuration::kSmallFleet + 4;
 constexpr std::chrono::seconds kTimeout(2);
 
 // A store without any entry, which holds watches.
@@ -42,6 +43,13 @@
     for (net::Reply& reply : std::exchange(held_, {}))
       reply.Send({.body = R"({"events": [], "asOf": 7})"});
   }
+  // From now on calls are answered so; zero: never. Unset: as usual.
+  std::optional<int> failure;
+  // Answers the calls that were left without an answer.
+  void AnswerReads() {
+    for (net::Reply& reply : std::exchange(unanswered_, {}))
+      reply.Send({.status = 404, .body = R"({"asOf": 7})"});
+  }
 
   int reads = 0;
   int watches = 0;
@@ -54,11 +62,17 @@
       return;
     }
     ++reads;
-    reply.Send({.status = 404, .body = R"({"asOf": 7})"});
+    if (failure == 0)
+      unanswered_.push_back(std::move(reply));
+    else if (failure)
+      reply.Send({.status = *failure});
+    else
+      reply.Send({.status = 404, .body = R"({"asOf": 7})"});
   }
 
   std::unique_ptr<net::HttpServer> server_;
   std::vector<net::Reply> held_;
+  std::vector<net::Reply> unanswered_;
 };
 
 class Scene {
@@ -80,7 +94,9 @@
             held_,
             random_,
             std::chrono::seconds(1),
-            [this] { return heard_at ? heard_at : loop_.now(); },
+            {.heard_at = [this] { return heard_at ? heard_at : loop_.now(); },
+             .tell_store_lost =
+                 [this](bool lost) { told_lost.push_back(lost); }},
             [](const auto&, const auto&) {}) {
     for (size_t i = 0; i < kNodes; ++i) {
       Member member;
@@ -118,6 +134,7 @@
 
   std::vector<Member> members;
   std::optional<base::Instant> heard_at;  // Nothing: all the time.
+  std::vector<bool> told_lost;            // What others were told, in order.
 
  private:
   net::EventLoop loop_;
@@ -160,19 +177,19 @@
 
 TEST_CASE("a reader that becomes an alert one") {
   Scene scene;
+  auto without_first = scene.members;
+  for (Member& member : without_first) {
+    if (configuration::IsAlertReader(member, scene.members))
+      member.state = MemberState::kSuspected;
+  }
   scene.StartAs([&](const Member& member) {
-    return configuration::IsReader(member, scene.members) &&
-           !configuration::IsAlertReader(member, scene.members);
+    return !configuration::IsAlertReader(member, scene.members) &&
+           configuration::IsAlertReader(member, without_first);
   });
   REQUIRE(scene.HoldsWithin(std::chrono::seconds(30),
                             [&] { return scene.store().watches == 1; }));
   const int reads = scene.store().reads;
-  for (Member& member : scene.members) {
-    if (configuration::IsAlertReader(member, scene.members)) {
-      member.state = MemberState::kSuspected;
-      break;
-    }
-  }
+  scene.members = without_first;
   scene.SetMembers();
 
   SECTION("reads at once, and does not wait for its long watch to end") {
@@ -183,5 +200,70 @@
   }
 }
 
+TEST_CASE("a reader tells the others of its way to the store") {
+  Scene scene;
+  scene.StartAs([&](const Member& member) {
+    return configuration::IsAlertReader(member, scene.members);
+  });
+  REQUIRE(scene.HoldsWithin(std::chrono::seconds(30),
+                            [&] { return scene.store().watches > 0; }));
+  CHECK(scene.told_lost.empty());
+
+  SECTION("when its watch is not answered any more") {
+    CHECK(scene.HoldsWithin(std::chrono::seconds(2),
+                            [&] { return !scene.told_lost.empty(); }));
+    SECTION("and that it has the store again, as it reads it") {
+      CHECK(scene.HoldsWithin(std::chrono::seconds(2), [&] {
+        return scene.told_lost == std::vector<bool>{true, false};
+      }));
+    }
+  }
+  SECTION("when its readings are refused") {
+    scene.store().failure = 503;
+    scene.store().EndWatches();
+    CHECK(scene.HoldsWithin(std::chrono::seconds(10), [&] {
+      return scene.told_lost == std::vector<bool>{true};
+    }));
+  }
+  SECTION("when a reading takes long, before it is given up") {
+    scene.store().failure = 0;
+    const int reads = scene.store().reads;
+    REQUIRE(scene.HoldsWithin(std::chrono::seconds(10),
+                              [&] { return scene.store().reads > reads; }));
+    CHECK(scene.HoldsWithin(kTimeout / 2, [&] {
+      return scene.told_lost == std::vector<bool>{true};
+    }));
+    SECTION("and not when it is slow but answers in the end") {
+      scene.store().failure.reset();
+      scene.store().AnswerReads();
+      CHECK(scene.HoldsWithin(kTimeout / 2, [&] {
+        return scene.told_lost == std::vector<bool>{true, false};
+      }));
+    }
+  }
+}
+
+TEST_CASE("a reader whose watch is long, as another one loses the store") {
+  Scene scene;
+  scene.StartAs([&](const Member& member) {
+    return configuration::IsReader(member, scene.members) &&
+           !configuration::IsAlertReader(member, scene.members);
+  });
+  REQUIRE(scene.HoldsWithin(std::chrono::seconds(30),
+                            [&] { return scene.store().watches == 1; }));
+  const int reads = scene.store().reads;
+  const auto alert =
+      std::ranges::find_if(scene.members, [&](const Member& member) {
+        return configuration::IsAlertReader(member, scene.members);
+      });
+  alert->has_lost_store = true;
+  scene.SetMembers();
+
+  SECTION("reads at once, and finds out whether it is cut off as well") {
+    CHECK(scene.HoldsWithin(configuration::kShortestWatch,
+                            [&] { return scene.store().reads > reads; }));
+  }
+}
+
 }  // namespace
 }  // namespace chestnutport::fleet_configuration
--- a/tests/auto/membership/gossip_fleet_test.cc
+++ b/tests/auto/membership/gossip_fleet_test.cc
@@ -175,6 +175,17 @@
   CHECK(keepers.size() == membership::kSeedsPerDataCentre * 14);
   CHECK(std::set<std::string>(keepers.begin(), keepers.end()).size() ==
         keepers.size());
+
+  SECTION("and others do where these have lost the store") {
+    const auto before = fleet.gossip(0).Members();
+    auto members = before;
+    for (auto& member : members)
+      member.has_lost_store = membership::SeedDuty(member, before).has_value();
+    const auto able = std::ranges::count_if(members, [&](const auto& member) {
+      return !member.has_lost_store && membership::SeedDuty(member, members);
+    });
+    CHECK(able == membership::kSeedsPerDataCentre * 14);
+  }
 }
 
 }  // namespace
--- a/tests/auto/membership/gossip_input_test.cc
+++ b/tests/auto/membership/gossip_input_test.cc
@@ -100,6 +100,19 @@
   }
 }
 
+TEST_CASE("a member's way to the store travels with its record") {
+  GossipFleet fleet({.members = 1});
+  membership::Member member = fleet.member(0);
+  for (const bool has_lost_store : {false, true}) {
+    member.has_lost_store = has_lost_store;
+    const auto decoded =
+        MemberRecord::Decode(MemberRecord::Encode(member).bytes);
+    REQUIRE(decoded);
+    CHECK(decoded->member.has_lost_store == has_lost_store);
+    CHECK(membership::Member::FromJson(member.ToJson()) == member);
+  }
+}
+
 TEST_CASE("damaged input is dropped") {
   rc::prop("a message survives its encoding", [] {
     const auto address = *rc::gen::arbitrary<uint32_t>();
--- a/tests/auto/platform/lost_store_test.cc
+++ b/tests/auto/platform/lost_store_test.cc
@@ -4,10 +4,12 @@
 #include <filesystem>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "configuration/reader_choice.h"
 #include "support/hosted_node.h"
 #include "support/hosted_platform.h"
 #include "support/relay.h"
@@ -16,8 +18,6 @@
 namespace chestnutport::test {
 namespace {
 
-constexpr size_t kNodes = 5;
-
 // A configuration without services, which says only its revision.
 std::string Document(uint64_t revision) {
   return absl::StrCat(R"({"version":)", revision,
@@ -29,12 +29,12 @@
 // Nodes of one data centre, each with a way to the store of its own.
 class Scene {
  public:
-  Scene()
+  explicit Scene(size_t nodes)
       : folder_(std::filesystem::temp_directory_path() /
                 absl::StrCat("lost-store-", getpid())) {
     std::filesystem::create_directories(folder_);
     platform_.Put("op/config", Document(revision_));
-    for (size_t i = 0; i < kNodes; ++i) {
+    for (size_t i = 0; i < nodes; ++i) {
       ways_.push_back(std::make_unique<Relay>(platform_.store_address()));
       nodes_.push_back(std::make_unique<HostedNode>(
           absl::StrCat("node-", i), ways_.back()->address(), folder_));
@@ -49,8 +49,8 @@
 
   bool WaitUntilAllKnowAll() {
     return WaitUntil([this] {
-      return std::ranges::all_of(nodes_, [](const auto& node) {
-        return StatusOf(*node)["members"].size() == kNodes;
+      return std::ranges::all_of(nodes_, [this](const auto& node) {
+        return StatusOf(*node)["members"].size() == nodes_.size();
       });
     });
   }
@@ -58,12 +58,21 @@
   // Cuts the others off, and opens the way of `index`.
   void LeaveOnly(size_t index) {
     ways_[index]->Cut(false);
-    for (size_t i = 0; i < kNodes; ++i) {
+    for (size_t i = 0; i < ways_.size(); ++i) {
       if (i != index)
         ways_[i]->Cut(true);
     }
   }
 
+  // The first node that leaves reading the store to others.
+  std::optional<size_t> FirstWithoutDuty() const {
+    for (size_t i = 0; i < nodes_.size(); ++i) {
+      if (!StatusOf(*nodes_[i]).value("reads_store", true))
+        return i;
+    }
+    return std::nullopt;
+  }
+
   // An operator writes the next revision to the store. Whether all take it.
   bool ChangeReachesAll() {
     platform_.Put("op/config", Document(++revision_));
@@ -87,17 +96,26 @@
 };
 
 TEST_CASE("a change is in force everywhere while one node reaches the store") {
-  Scene scene;
-  REQUIRE(scene.WaitUntilAllKnowAll());
-  REQUIRE(scene.ChangeReachesAll());
-
-  SECTION("whichever node that is") {
+  SECTION("of a few nodes, whichever that is") {
+    constexpr size_t kNodes = 5;
+    Scene scene(kNodes);
+    REQUIRE(scene.WaitUntilAllKnowAll());
+    REQUIRE(scene.ChangeReachesAll());
     for (size_t i = 0; i < kNodes; ++i) {
       INFO("node " << i);
       scene.LeaveOnly(i);
       REQUIRE(scene.ChangeReachesAll());
     }
   }
+  SECTION("of more nodes than read it, one that did not") {
+    Scene scene(configuration::kSmallFleet + 4);
+    REQUIRE(scene.WaitUntilAllKnowAll());
+    REQUIRE(scene.ChangeReachesAll());
+    const auto spare = scene.FirstWithoutDuty();
+    REQUIRE(spare);
+    scene.LeaveOnly(*spare);
+    CHECK(scene.ChangeReachesAll());
+  }
 }
 
 }  // namespace
--- a/tests/benchmarks/configuration/counted_figures.cc
+++ b/tests/benchmarks/configuration/counted_figures.cc
@@ -91,13 +91,14 @@
   return readers;
 }
 
-// Readings a second of one node, once its pace has settled.
-double ReadingsPerSecond(bool failing, bool alone, base::Random& random) {
+// Readings a second of one node, once its pace has settled; `failing`: nodes
+// whose readings fail, this one among them.
+double ReadingsPerSecond(size_t failing, bool alone, base::Random& random) {
   configuration::ReadPace pace;
   base::Duration at{};
   int readings = 0;
   for (; at < kObserved; ++readings)
-    at += pace.Next(failing, alone, random);
+    at += pace.Next(failing > 0, alone, failing, random);
   return readings / std::chrono::duration<double>(kObserved).count();
 }
 
@@ -110,18 +111,23 @@
       members[i].data_centre = absl::StrCat("dc", i % kDataCentres);
     }
     const auto readers = static_cast<double>(CountReaders(members));
+    std::vector<Member> lost = members;
+    for (Member& member : lost)
+      member.has_lost_store = true;
+    const size_t trying = CountReaders(lost);
     const std::string fleet = absl::StrCat("configuration/store/", nodes);
     report.Add({.name = fleet + "/calls-at-rest",
-                .value = readers * ReadingsPerSecond(false, false, random),
+                .value = readers * ReadingsPerSecond(0, false, random),
                 .unit = "1/s",
                 .at_most = 28.5});
     report.Add({.name = fleet + "/calls-in-an-outage",
-                .value = readers * ReadingsPerSecond(true, false, random),
+                .value = static_cast<double>(trying) *
+                         ReadingsPerSecond(trying, false, random),
                 .unit = "1/s",
                 .at_most = 5});
     report.Add({.name = fleet + "/calls-if-no-node-knows-another",
                 .value = static_cast<double>(nodes) *
-                         ReadingsPerSecond(false, true, random),
+                         ReadingsPerSecond(0, true, random),
                 .unit = "1/s",
                 .at_most = 0.1 * static_cast<double>(nodes)});
   }
