Let readers that are not alert watch again only a second after a change

Cause: each change ends the watches of all readers, and each begins another one at once: in a fleet where every node reads, a change each half second costs 24 calls a second, though the two alert readers tell all others within some milliseconds.

Change: other readers begin their next watch a second after a change. It brings what was missed; a second is half of the time in which a change has to be in force.

Ruled out: longer watches at rest, which would save less (one call of 12 nodes each six seconds) and make it later that a lost one is found.

--- a/src/libs/configuration/read_pace.h
+++ b/src/libs/configuration/read_pace.h
@@ -37,6 +37,10 @@
 inline constexpr std::chrono::milliseconds kWatchPatience(1000);
 // The same of a reading. The longest that a slow store takes as a rule.
 inline constexpr base::Duration kReadPatience = std::chrono::milliseconds(500);
+// How long readers that are not alert leave it to those and to the gossip to
+// hear of a next change, when changes come in quick succession; half of the
+// time in which one has to be in force.
+inline constexpr base::Duration kPauseAfterChange = std::chrono::seconds(1);
 // Readers whose watches were cut together read again spread over this time.
 inline constexpr base::Duration kReadAgainSpread =
     std::chrono::milliseconds(200);
--- a/src/libs/fleet_configuration/configuration_reader.cc
+++ b/src/libs/fleet_configuration/configuration_reader.cc
@@ -114,6 +114,18 @@
   EndRound(false);
 }
 
+void ConfigurationReader::GoOnAfterChange() {
+  if (role_.is_alert() || !has_read_) {
+    GoOn();
+    return;
+  }
+  is_reading_ = false;
+  NoteStore(false);
+  loop_.Cancel(timer_);
+  timer_ =
+      loop_.CallAfter(configuration::kPauseAfterChange, [this] { GoOn(); });
+}
+
 void ConfigurationReader::Watch() {
   is_reading_ = false;
   const auto times = pace_.Watch(role_.is_alert(), random_);
@@ -151,12 +163,12 @@
   const auto missing =
       configuration::MissingDocuments(head.manifest, held_.documents());
   store_.ReadDocuments(missing, [this, head](auto documents) {
-    if (documents)
-      offer_(head, documents.value());
-    if (documents)
-      GoOn();
-    else
+    if (!documents) {
       EndRound(true);
+      return;
+    }
+    offer_(head, documents.value());
+    GoOnAfterChange();
   });
 }
 
--- a/src/libs/fleet_configuration/configuration_reader.h
+++ b/src/libs/fleet_configuration/configuration_reader.h
@@ -63,6 +63,8 @@
   void OnWatched(const base::Result<ConfigurationStore::Watched>& watched);
   // After a head that is held: waits for the next one, or reads in a while.
   void GoOn();
+  // The same after a change.
+  void GoOnAfterChange();
   void Read();
   void OnHead(const base::Result<configuration::StoredHead>& stored);
   void ReadDocuments(const configuration::Head& head);
--- a/tests/auto/fleet_configuration/configuration_reader_test.cc
+++ b/tests/auto/fleet_configuration/configuration_reader_test.cc
@@ -4,9 +4,11 @@
 
 #include <catch2/catch.hpp>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <utility>
 #include <vector>
 
+#include "absl/strings/escaping.h"
 #include "configuration/reader_choice.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -43,6 +45,18 @@
     for (net::Reply& reply : std::exchange(held_, {}))
       reply.Send({.body = R"({"events": [], "asOf": 7})"});
   }
+  // All watches are told of a next revision.
+  void Change() {
+    configuration::Head head;
+    head.revision = ++revision_;
+    const nlohmann::json event = {{"key", configuration::HeadKey("fleet")},
+                                  {"value", absl::Base64Escape(head.ToJson())},
+                                  {"revision", 7 + revision_}};
+    const nlohmann::json body = {{"events", nlohmann::json::array({event})},
+                                 {"asOf", 7 + revision_}};
+    for (net::Reply& reply : std::exchange(held_, {}))
+      reply.Send({.body = body.dump()});
+  }
   // From now on calls are answered so; zero: never. Unset: as usual.
   std::optional<int> failure;
   // Answers the calls that were left without an answer.
@@ -72,6 +86,7 @@
 
   std::unique_ptr<net::HttpServer> server_;
   std::vector<net::Reply> held_;
+  uint64_t revision_ = 0;
   std::vector<net::Reply> unanswered_;
 };
 
@@ -175,6 +190,36 @@
   }
 }
 
+TEST_CASE("changes in quick succession") {
+  constexpr std::chrono::milliseconds kSoon(500);
+  Scene scene;
+  const auto has_watches = [&](int count) {
+    return [&, count] { return scene.store().watches >= count; };
+  };
+
+  SECTION("are heard one by one by an alert reader") {
+    scene.StartAs([&](const Member& member) {
+      return configuration::IsAlertReader(member, scene.members);
+    });
+    REQUIRE(scene.HoldsWithin(std::chrono::seconds(30), has_watches(1)));
+    const int before = scene.store().watches;
+    scene.store().Change();
+    CHECK(scene.HoldsWithin(kSoon, has_watches(before + 1)));
+  }
+  SECTION("cost other readers one watch a second, as they are told of them") {
+    scene.StartAs([&](const Member& member) {
+      return configuration::IsReader(member, scene.members) &&
+             !configuration::IsAlertReader(member, scene.members);
+    });
+    REQUIRE(scene.HoldsWithin(std::chrono::seconds(30), has_watches(1)));
+    const int reads = scene.store().reads;
+    scene.store().Change();
+    CHECK_FALSE(scene.HoldsWithin(kSoon, has_watches(2)));
+    CHECK(scene.HoldsWithin(configuration::kPauseAfterChange, has_watches(2)));
+    CHECK(scene.store().reads == reads);
+  }
+}
+
 TEST_CASE("a reader that becomes an alert one") {
   Scene scene;
   auto without_first = scene.members;
