Let three nodes read at once in place of one that has lost the store

Cause: where most nodes have lost the store, so have most that are to read in place of the readers, and each round that finds this out takes 0.7 s.

Change: three stand in for each reader that has lost the store, still 32 at most.

Ruled out: two readers more in each data centre at rest (a call a second more, and the same rounds once they are lost).

--- a/src/libs/configuration/reader_choice.cc
+++ b/src/libs/configuration/reader_choice.cc
@@ -55,7 +55,9 @@
     ++ahead;
     able += CanDoStoreDuty(other) ? 1 : 0;
   }
-  return able < kReadersPerDataCentre && ahead < MostTrying(fleet.data_centres);
+  const size_t lost = ahead - able;
+  return able < kReadersPerDataCentre + kStandInsPerReader * lost &&
+         ahead < MostTrying(fleet.data_centres);
 }
 
 bool IsAlertReader(const Member& self, std::span<const Member> members) {
--- a/src/libs/configuration/reader_choice.h
+++ b/src/libs/configuration/reader_choice.h
@@ -16,6 +16,9 @@
 // readers that have lost the store hand the duty on, which takes a second or
 // two.
 inline constexpr size_t kSmallFleet = 16;
+// Nodes that read in place of one that has lost the store. Several at once, as
+// these may have lost it too, and each round of finding that out takes time.
+inline constexpr size_t kStandInsPerReader = 3;
 // Nodes that try in place of readers that have lost the store, those included;
 // at least one more in each data centre. Bounds what is asked of a store that
 // serves nobody.
