Give the operators' API what it needs of a node, not the control thread itself

Cause: Control and OperatorApi included each other, so neither could leave the library of the node.

Change: OperatedNode holds what operators see and do; Control fills it in. Control loses ten accessors that were there for the API only, one of them used by nobody.

Ruled out: an abstract class (nothing varies), a template (its sources would become headers). No change of behaviour: operators_test passes.

--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -6,7 +6,6 @@
 #include "net/error_answer.h"
 #include "node/control_readings.h"
 #include "node/drain_order.h"
-#include "node/operator_api.h"
 #include "store/store_connections.h"
 #include "telemetry/log.h"
 
@@ -88,10 +87,26 @@
                                      gate_report_, membership_.counters(),
                                      quarantine_});
                }),
-      operator_api_(std::make_unique<OperatorApi>(*this, settings)) {
+      operator_api_(ForOperators(), settings) {
   AddControlCalls();
 }
 
+OperatedNode Control::ForOperators() {
+  return {.self = self_,
+          .members = members_,
+          .evacuations = evacuations_,
+          .configuration = configuration_,
+          .caller = control_caller_,
+          .quarantine = quarantine_,
+          .metrics = metrics_,
+          .is_ready = [this] { return IsReady(); },
+          .set_draining = [this](bool draining) { SetDraining(draining); },
+          .evacuate =
+              [this](const auto& order, auto handler) {
+                Evacuate(order, std::move(handler));
+              }};
+}
+
 Control::~Control() {
   loop_.Cancel(key_view_timer_);
 }
@@ -101,7 +116,7 @@
       loop_, settings_.operator_listen,
       net::HttpServerLimits{.largest_body = kLargestConfiguration},
       [this](const net::HttpRequest& request, net::Reply reply) {
-        operator_api_->OnRequest(request, std::move(reply));
+        operator_api_.OnRequest(request, std::move(reply));
       });
   if (!operators)
     return operators.error();
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -25,6 +25,7 @@
 #include "node/fleet_membership.h"
 #include "node/gate_report.h"
 #include "node/metrics_api.h"
+#include "node/operator_api.h"
 #include "node/own_server.h"
 #include "node/request_quarantine.h"
 #include "node/server_finder.h"
@@ -34,8 +35,6 @@
 
 namespace chestnutport::node {
 
-class OperatorApi;
-
 class Control {
  public:
   // How the control thread reaches the others. Each is called on the control
@@ -69,8 +68,6 @@
   // From now on callers are told that this node is not ready.
   void BeginStop() { stopping_ = true; }
   void Undrain(DrainSource source) { own_server_.Undrain(source); }
-  // The same by an operator's wish, until it is taken back.
-  void SetDraining(bool draining);
   void OnGateReport(const GateReport& report);
   // Of this node's server.
   void OnServerCrash(const quarantine::ServerCrash& crash) {
@@ -80,29 +77,6 @@
     quarantine_.OnAnswered(fingerprint);
   }
 
-  // Whether callers should be directed to this node.
-  bool IsReady() const;
-
-  // For the operators' API.
-  fleet_configuration::ConfigurationKeeper& configuration() {
-    return configuration_;
-  }
-  const fleet_configuration::ConfigurationKeeper& configuration() const {
-    return configuration_;
-  }
-  control_calls::ControlCaller& caller() { return control_caller_; }
-  const std::vector<membership::Member>& members() const { return members_; }
-  const membership::Member& self() const { return self_; }
-  const GateReport& gate_report() const { return gate_report_; }
-  MetricsApi& metrics() { return metrics_; }
-  RequestQuarantine& quarantine() { return quarantine_; }
-  const RequestQuarantine& quarantine() const { return quarantine_; }
-  // What is evacuated, as far as this node knows.
-  const evacuation::Evacuations& evacuations() const { return evacuations_; }
-  // Carries out an operator's order, and reads the store anew after it.
-  void Evacuate(const evacuation_store::EvacuationOrder& order,
-                evacuation_store::EvacuationWriter::Handler handler);
-
   // The addresses of this thread's listeners, bound.
   const base::SocketAddress& operator_address() const;
   const base::SocketAddress& server_address() const;
@@ -110,6 +84,13 @@
   const base::SocketAddress& gossip_address() const;
 
  private:
+  // What the operators' API shows and does.
+  OperatedNode ForOperators();
+  bool IsReady() const;
+  void SetDraining(bool draining);
+  // Reads the store anew after it.
+  void Evacuate(const evacuation_store::EvacuationOrder& order,
+                evacuation_store::EvacuationWriter::Handler handler);
   base::Result<bool> ListenForMetrics();
   void OnMembers(std::vector<membership::Member> members);
   void OnEvacuations(const evacuation::Evacuations& evacuations);
@@ -143,7 +124,7 @@
   OwnServer own_server_;
   ServerFinder server_finder_;
   MetricsApi metrics_;
-  std::unique_ptr<OperatorApi> operator_api_;
+  OperatorApi operator_api_;
   std::unique_ptr<net::HttpServer> operator_listener_;
   // Open to whoever gathers metrics, without a token; null: not asked for.
   std::unique_ptr<net::HttpServer> metrics_listener_;
--- a/src/libs/node/operator_api.cc
+++ b/src/libs/node/operator_api.cc
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "base/encoding.h"
-#include "node/control.h"
 #include "node/operator_answer.h"
 #include "node/operator_calls.h"
 
@@ -16,15 +15,15 @@
 
 }  // namespace
 
-OperatorApi::OperatorApi(Control& control,
+OperatorApi::OperatorApi(OperatedNode node,
                          const settings::NodeSettings& settings)
-    : control_(control), settings_(settings) {}
+    : node_(std::move(node)), settings_(settings) {}
 
 void OperatorApi::OnRequest(const net::HttpRequest& request, net::Reply reply) {
   const std::string call = request.method + " " + request.target;
   // Asked by whatever directs callers to nodes, which holds no token.
   if (call == "GET /v1/ready") {
-    AnswerReady(control_, std::move(reply));
+    AnswerReady(node_, std::move(reply));
     return;
   }
   const std::string who = Authenticate(request);
@@ -33,29 +32,29 @@
     return;
   }
   if (call == "POST /v1/plan")
-    AnswerPlan(control_, request, std::move(reply));
+    AnswerPlan(node_, request, std::move(reply));
   else if (call == "POST /v1/confirm")
-    AnswerConfirm(control_, request, who, std::move(reply));
+    AnswerConfirm(node_, request, who, std::move(reply));
   else if (call == "GET /v1/status")
-    AnswerStatus(control_, std::move(reply));
+    AnswerStatus(node_, std::move(reply));
   else if (call == "GET /v1/revisions")
-    AnswerRevisions(control_, std::move(reply));
+    AnswerRevisions(node_, std::move(reply));
   else if (call == "GET /v1/history")
-    AnswerHistory(control_, std::move(reply));
+    AnswerHistory(node_, std::move(reply));
   else if (request.method == "GET" && IsMetricsTarget(request.target))
-    control_.metrics().Answer(request.target, std::move(reply));
+    node_.metrics.Answer(request.target, std::move(reply));
   else if (call == "GET /v1/quarantine")
-    AnswerQuarantine(control_, std::move(reply));
+    AnswerQuarantine(node_, std::move(reply));
   else if (call == "POST /v1/release")
-    AnswerRelease(control_, request, who, std::move(reply));
+    AnswerRelease(node_, request, who, std::move(reply));
   else if (call == "GET /v1/evacuations")
-    AnswerEvacuations(control_, std::move(reply));
+    AnswerEvacuations(node_, std::move(reply));
   else if (call == "POST /v1/evacuate")
-    AnswerEvacuate(control_, request, who, std::move(reply));
+    AnswerEvacuate(node_, request, who, std::move(reply));
   else if (call == "POST /v1/drain")
-    AnswerDrain(control_, request, true, std::move(reply));
+    AnswerDrain(node_, request, true, std::move(reply));
   else if (call == "POST /v1/undrain")
-    AnswerDrain(control_, request, false, std::move(reply));
+    AnswerDrain(node_, request, false, std::move(reply));
   else
     SendError(reply, ErrorKind::kNotFound);
 }
--- a/src/libs/node/operator_api.h
+++ b/src/libs/node/operator_api.h
@@ -6,16 +6,15 @@
 
 #include "net/http_message.h"
 #include "net/reply.h"
+#include "node/operated_node.h"
 #include "settings/node_settings.h"
 
 namespace chestnutport::node {
 
-class Control;
-
 class OperatorApi {
  public:
   // Both must outlive the API.
-  OperatorApi(Control& control, const settings::NodeSettings& settings);
+  OperatorApi(OperatedNode node, const settings::NodeSettings& settings);
 
   void OnRequest(const net::HttpRequest& request, net::Reply reply);
 
@@ -23,7 +22,7 @@
   // The name of the operator whose token is shown; empty: nobody's.
   std::string Authenticate(const net::HttpRequest& request) const;
 
-  Control& control_;
+  const OperatedNode node_;
   const settings::NodeSettings& settings_;
 };
 
--- a/src/libs/node/operator_calls.h
+++ b/src/libs/node/operator_calls.h
@@ -8,59 +8,59 @@
 #include "declarations/configuration.h"
 #include "net/http_message.h"
 #include "net/reply.h"
-#include "node/control.h"
+#include "node/operated_node.h"
 
 namespace chestnutport::node {
 
 // POST /v1/plan {"services": {name: text}}
-void AnswerPlan(const Control& control,
+void AnswerPlan(const OperatedNode& node,
                 const net::HttpRequest& request,
                 net::Reply reply);
 
 // POST /v1/confirm {"plan": id, "services": {name: text}}. `who` is the
 // operator's name.
-void AnswerConfirm(Control& control,
+void AnswerConfirm(const OperatedNode& node,
                    const net::HttpRequest& request,
                    const std::string& who,
                    net::Reply reply);
 
 // GET /v1/ready: 200 while callers should be directed to this node: it has a
 // configuration and is not being stopped; else 503.
-void AnswerReady(const Control& control, net::Reply reply);
+void AnswerReady(const OperatedNode& node, net::Reply reply);
 
 // GET /v1/status: this node, and the members that it knows.
-void AnswerStatus(const Control& control, net::Reply reply);
+void AnswerStatus(const OperatedNode& node, net::Reply reply);
 
 // GET /v1/revisions: which node holds which revision; each is asked.
-void AnswerRevisions(Control& control, net::Reply reply);
+void AnswerRevisions(const OperatedNode& node, net::Reply reply);
 
 // GET /v1/history: the confirmations, the newest first.
-void AnswerHistory(const Control& control, net::Reply reply);
+void AnswerHistory(const OperatedNode& node, net::Reply reply);
 
 // POST /v1/drain and /v1/undrain {"node": name or id}; without a body: this
 // node.
-void AnswerDrain(Control& control,
+void AnswerDrain(const OperatedNode& node,
                  const net::HttpRequest& request,
                  bool draining,
                  net::Reply reply);
 
 // GET /v1/evacuations: the data centres that are evacuated.
-void AnswerEvacuations(const Control& control, net::Reply reply);
+void AnswerEvacuations(const OperatedNode& node, net::Reply reply);
 
 // POST /v1/evacuate {"data_centre": name, "evacuated": bool, "plan": id}.
 // Without a plan: shows one, and changes nothing. `who` is the operator's name.
-void AnswerEvacuate(Control& control,
+void AnswerEvacuate(const OperatedNode& node,
                     const net::HttpRequest& request,
                     const std::string& who,
                     net::Reply reply);
 
 // GET /v1/quarantine: the requests that are suspected or in quarantine, and the
 // ends of servers that speak against them.
-void AnswerQuarantine(const Control& control, net::Reply reply);
+void AnswerQuarantine(const OperatedNode& node, net::Reply reply);
 
 // POST /v1/release {"fingerprint": text}: on all nodes the request runs like
 // any other again. `who` is the operator's name.
-void AnswerRelease(Control& control,
+void AnswerRelease(const OperatedNode& node,
                    const net::HttpRequest& request,
                    const std::string& who,
                    net::Reply reply);
--- a/src/libs/node/operator_confirm.cc
+++ b/src/libs/node/operator_confirm.cc
@@ -34,11 +34,11 @@
 }
 
 // What was confirmed after the plan's base: per key, by whom and when.
-json ChangedSince(const Control& control,
+json ChangedSince(const OperatedNode& node,
                   const Finish& finish,
                   uint64_t base_revision) {
   json changes = json::array();
-  const auto& documents = control.configuration().held().documents();
+  const auto& documents = node.configuration.held().documents();
   for (const configuration::ConfirmedChange& confirmed :
        configuration::ChangesSince(finish.head, documents, base_revision)) {
     const configuration::Change& change = confirmed.change;
@@ -56,7 +56,7 @@
 }
 
 void SendVerdict(net::Reply& reply,
-                 const Control& control,
+                 const OperatedNode& node,
                  const Finish& finish,
                  uint64_t base_revision) {
   switch (finish.verdict) {
@@ -67,11 +67,10 @@
       SendJson(reply, {{"revision", finish.revision}, {"again", true}});
       return;
     case ConfirmVerdict::kStale:
-      SendError(
-          reply, ErrorKind::kStalePlan,
-          {{"base_revision", base_revision},
-           {"revision", finish.head.revision},
-           {"changed_since", ChangedSince(control, finish, base_revision)}});
+      SendError(reply, ErrorKind::kStalePlan,
+                {{"base_revision", base_revision},
+                 {"revision", finish.head.revision},
+                 {"changed_since", ChangedSince(node, finish, base_revision)}});
       return;
     case ConfirmVerdict::kUnavailable:
       SendError(reply, ErrorKind::kStoreUnavailable);
@@ -84,7 +83,7 @@
 
 }  // namespace
 
-void AnswerConfirm(Control& control,
+void AnswerConfirm(const OperatedNode& node,
                    const net::HttpRequest& request,
                    const std::string& who,
                    net::Reply reply) {
@@ -102,9 +101,9 @@
                                *std::move(texts)};
   // A std::function must be copyable; the reply is not.
   auto held = std::make_shared<net::Reply>(std::move(reply));
-  control.configuration().Confirm(
-      confirm, [held, &control, base = *base_revision](const Finish& finish) {
-        SendVerdict(*held, control, finish, base);
+  node.configuration.Confirm(
+      confirm, [held, &node, base = *base_revision](const Finish& finish) {
+        SendVerdict(*held, node, finish, base);
       });
 }
 
--- a/src/libs/node/operator_drain.cc
+++ b/src/libs/node/operator_drain.cc
@@ -30,10 +30,10 @@
   return object["node"].get<std::string>();
 }
 
-std::vector<Member> FindMembers(const Control& control,
+std::vector<Member> FindMembers(const OperatedNode& node,
                                 const std::string& wanted) {
   std::vector<Member> found;
-  for (const Member& member : control.members()) {
+  for (const Member& member : node.members) {
     const bool named = member.name == wanted || member.id.ToString() == wanted;
     if (named && member.state != membership::MemberState::kGone)
       found.push_back(member);
@@ -41,30 +41,30 @@
   return found;
 }
 
-void Forward(Control& control,
+void Forward(const OperatedNode& node,
              const Member& member,
              const DrainOrder& order,
              net::Reply reply) {
   // A std::function must be copyable; the reply is not.
   auto held = std::make_shared<net::Reply>(std::move(reply));
-  control.caller().Call(member.control_address, kDrainMethod, order.ToJson(),
-                        kTimeout, [held, member, order](const auto& answer) {
-                          if (!answer) {
-                            // Repeating it is harmless, whether it arrived or
-                            // not.
-                            SendError(*held, base::KindOf(answer.error()),
-                                      {{"node", member.id.ToString()}});
-                            return;
-                          }
-                          SendJson(*held, {{"node", member.id.ToString()},
-                                           {"name", member.name},
-                                           {"draining", order.draining}});
-                        });
+  node.caller.Call(member.control_address, kDrainMethod, order.ToJson(),
+                   kTimeout, [held, member, order](const auto& answer) {
+                     if (!answer) {
+                       // Repeating it is harmless, whether it arrived or
+                       // not.
+                       SendError(*held, base::KindOf(answer.error()),
+                                 {{"node", member.id.ToString()}});
+                       return;
+                     }
+                     SendJson(*held, {{"node", member.id.ToString()},
+                                      {"name", member.name},
+                                      {"draining", order.draining}});
+                   });
 }
 
 }  // namespace
 
-void AnswerDrain(Control& control,
+void AnswerDrain(const OperatedNode& node,
                  const net::HttpRequest& request,
                  bool draining,
                  net::Reply reply) {
@@ -74,15 +74,15 @@
               {{"accepted", "{\"node\": name or id}"}});
     return;
   }
-  const Member& self = control.self();
+  const Member& self = node.self;
   if (wanted->empty() || *wanted == self.id.ToString()) {
-    control.SetDraining(draining);
+    node.set_draining(draining);
     SendJson(reply, {{"node", self.id.ToString()},
                      {"name", self.name},
                      {"draining", draining}});
     return;
   }
-  const std::vector<Member> found = FindMembers(control, *wanted);
+  const std::vector<Member> found = FindMembers(node, *wanted);
   if (found.empty()) {
     SendError(reply, ErrorKind::kNotFound, {{"node", *wanted}});
   } else if (found.size() > 1) {
@@ -92,7 +92,7 @@
     SendError(reply, ErrorKind::kMalformedRequest,
               {{"node", *wanted}, {"accepted", ids}});
   } else {
-    Forward(control, found[0], {draining}, std::move(reply));
+    Forward(node, found[0], {draining}, std::move(reply));
   }
 }
 
--- a/src/libs/node/operator_evacuation.cc
+++ b/src/libs/node/operator_evacuation.cc
@@ -33,8 +33,8 @@
   }
 }
 
-bool IsKnown(const Control& control, const std::string& data_centre) {
-  return std::ranges::any_of(control.members(),
+bool IsKnown(const OperatedNode& node, const std::string& data_centre) {
+  return std::ranges::any_of(node.members,
                              [&](const membership::Member& member) {
                                return member.data_centre == data_centre;
                              });
@@ -42,10 +42,10 @@
 
 // Servers that would take work with `evacuated`, by service.
 std::map<std::string, int> CountServers(
-    const Control& control,
+    const OperatedNode& node,
     const evacuation_store::DataCentres& evacuated) {
   std::map<std::string, int> servers;
-  for (const membership::Member& member : control.members()) {
+  for (const membership::Member& member : node.members) {
     if (!member.server)
       continue;
     int& count = servers[member.server->service];
@@ -57,12 +57,12 @@
   return servers;
 }
 
-void SendPlan(const Control& control,
+void SendPlan(const OperatedNode& node,
               const EvacuationChange& change,
               net::Reply& reply) {
-  const auto& now = control.evacuations().data_centres;
-  const auto before = CountServers(control, now);
-  const auto after = CountServers(control, change.Apply(now));
+  const auto& now = node.evacuations.data_centres;
+  const auto before = CountServers(node, now);
+  const auto after = CountServers(node, change.Apply(now));
   json services = json::array();
   for (const auto& [service, servers] : before) {
     services.push_back({{"service", service},
@@ -77,11 +77,11 @@
 
 }  // namespace
 
-void AnswerEvacuations(const Control& control, net::Reply reply) {
-  SendJson(reply, {{"data_centres", control.evacuations().data_centres}});
+void AnswerEvacuations(const OperatedNode& node, net::Reply reply) {
+  SendJson(reply, {{"data_centres", node.evacuations.data_centres}});
 }
 
-void AnswerEvacuate(Control& control,
+void AnswerEvacuate(const OperatedNode& node,
                     const net::HttpRequest& request,
                     const std::string& who,
                     net::Reply reply) {
@@ -94,18 +94,18 @@
     return;
   }
   const EvacuationChange& change = order->change;
-  if (change.is_evacuated && !IsKnown(control, change.data_centre)) {
+  if (change.is_evacuated && !IsKnown(node, change.data_centre)) {
     SendError(reply, ErrorKind::kNotFound,
               {{"data_centre", change.data_centre}});
     return;
   }
   if (order->plan_id.empty()) {
-    SendPlan(control, change, reply);
+    SendPlan(node, change, reply);
     return;
   }
   // A std::function must be copyable; the reply is not.
   auto held = std::make_shared<net::Reply>(std::move(reply));
-  control.Evacuate(*order, [held, change, who](const auto& done) {
+  node.evacuate(*order, [held, change, who](const auto& done) {
     if (!done) {
       SendError(*held, base::KindOf(done.error()),
                 {{"data_centre", change.data_centre}});
--- a/src/libs/node/operator_history.cc
+++ b/src/libs/node/operator_history.cc
@@ -8,8 +8,8 @@
 
 using nlohmann::json;
 
-void AnswerHistory(const Control& control, net::Reply reply) {
-  const configuration::Head& head = control.configuration().held().head();
+void AnswerHistory(const OperatedNode& node, net::Reply reply) {
+  const configuration::Head& head = node.configuration.held().head();
   json confirmations = json::array();
   for (auto entry = head.history.rbegin(); entry != head.history.rend();
        ++entry) {
--- a/src/libs/node/operator_plan.cc
+++ b/src/libs/node/operator_plan.cc
@@ -17,9 +17,9 @@
           {"before", change.before},       {"after", change.after}};
 }
 
-size_t CountServers(const Control& control, const std::string& service) {
+size_t CountServers(const OperatedNode& node, const std::string& service) {
   const auto count = std::ranges::count_if(
-      control.members(), [&](const membership::Member& member) {
+      node.members, [&](const membership::Member& member) {
         return member.server && member.server->service == service &&
                member.state != membership::MemberState::kGone;
       });
@@ -28,21 +28,21 @@
 
 }  // namespace
 
-void AnswerPlan(const Control& control,
+void AnswerPlan(const OperatedNode& node,
                 const net::HttpRequest& request,
                 net::Reply reply) {
   const auto texts = ReadDeclarations(request, reply);
   if (!texts)
     return;
   const auto plan =
-      configuration::MakePlan(control.configuration().configuration(), *texts);
+      configuration::MakePlan(node.configuration.configuration(), *texts);
   json changes = json::array();
   for (const configuration::Change& change : plan.changes)
     changes.push_back(ToJson(change));
   json touched = json::array();
   for (const configuration::TouchedService& service : plan.touched) {
     touched.push_back({{"service", service.service},
-                       {"servers", CountServers(control, service.service)},
+                       {"servers", CountServers(node, service.service)},
                        {"tenants", service.tenants}});
   }
   SendJson(reply, {{"plan", plan.id},
--- a/src/libs/node/operator_quarantine.cc
+++ b/src/libs/node/operator_quarantine.cc
@@ -47,15 +47,15 @@
 
 }  // namespace
 
-void AnswerQuarantine(const Control& control, net::Reply reply) {
-  const RequestQuarantine& quarantine = control.quarantine();
+void AnswerQuarantine(const OperatedNode& node, net::Reply reply) {
+  const RequestQuarantine& quarantine = node.quarantine;
   json requests = json::array();
   for (const HeldRequest& held : quarantine.Held())
     requests.push_back(Describe(quarantine, held, base::Clock::now()));
   SendJson(reply, {{"requests", requests}});
 }
 
-void AnswerRelease(Control& control,
+void AnswerRelease(const OperatedNode& node,
                    const net::HttpRequest& request,
                    const std::string& who,
                    net::Reply reply) {
@@ -65,7 +65,7 @@
               {{"accepted", "{\"fingerprint\": 16 hexadecimal digits}"}});
     return;
   }
-  if (!control.quarantine().Release(*wanted, who)) {
+  if (!node.quarantine.Release(*wanted, who)) {
     SendError(reply, base::ErrorKind::kNotFound,
               {{"fingerprint", wanted->ToString()}});
     return;
--- a/src/libs/node/operator_revisions.cc
+++ b/src/libs/node/operator_revisions.cc
@@ -97,10 +97,10 @@
 
 }  // namespace
 
-void AnswerRevisions(Control& control, net::Reply reply) {
-  const uint64_t own = control.configuration().held().head().revision;
-  std::make_shared<RevisionSurvey>(control.caller(), own, std::move(reply))
-      ->Run(control.self(), control.members());
+void AnswerRevisions(const OperatedNode& node, net::Reply reply) {
+  const uint64_t own = node.configuration.held().head().revision;
+  std::make_shared<RevisionSurvey>(node.caller, own, std::move(reply))
+      ->Run(node.self, node.members);
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/node/operator_status.cc
+++ b/src/libs/node/operator_status.cc
@@ -8,21 +8,21 @@
 
 using nlohmann::json;
 
-void AnswerReady(const Control& control, net::Reply reply) {
-  if (control.IsReady())
+void AnswerReady(const OperatedNode& node, net::Reply reply) {
+  if (node.is_ready())
     SendJson(reply, {{"ready", true}});
   else
     SendError(reply, base::ErrorKind::kConfigurationMissing);
 }
 
-void AnswerStatus(const Control& control, net::Reply reply) {
+void AnswerStatus(const OperatedNode& node, net::Reply reply) {
   json members = json::array();
-  for (const membership::Member& member : control.members())
+  for (const membership::Member& member : node.members)
     members.push_back(json::parse(member.ToJson()));
-  SendJson(reply, {{"node", control.self().id.ToString()},
-                   {"name", control.self().name},
-                   {"revision", control.configuration().held().head().revision},
-                   {"reads_store", control.configuration().is_reader()},
+  SendJson(reply, {{"node", node.self.id.ToString()},
+                   {"name", node.self.name},
+                   {"revision", node.configuration.held().head().revision},
+                   {"reads_store", node.configuration.is_reader()},
                    {"members", members}});
 }
 
