Let all that may stand in read the store once, in place of three readers for each lost one

Change: two readers a data centre as before; when an alert reader has lost the store, all that may stand in read once. Who reaches it brings the change, who does not says so and is passed over.

--- a/src/libs/configuration/reader_choice.cc
+++ b/src/libs/configuration/reader_choice.cc
@@ -44,20 +44,22 @@
 }  // namespace
 
 bool IsReader(const Member& self, std::span<const Member> members) {
-  const FleetSize fleet = SizeOf(self, members);
-  if (fleet.nodes <= kSmallFleet)
+  if (SizeOf(self, members).nodes <= kSmallFleet)
     return true;
-  size_t ahead = 0;
-  size_t able = 0;
-  for (const Member& other : members) {
-    if (other.data_centre != self.data_centre || !IsAhead(other, self))
-      continue;
-    ++ahead;
-    able += CanDoStoreDuty(other) ? 1 : 0;
-  }
-  const size_t lost = ahead - able;
-  return able < kReadersPerDataCentre + kStandInsPerReader * lost &&
-         ahead < MostTrying(fleet.data_centres);
+  const auto able = std::ranges::count_if(members, [&](const Member& other) {
+    return other.data_centre == self.data_centre && CanDoStoreDuty(other) &&
+           IsAhead(other, self);
+  });
+  return static_cast<size_t>(able) < kReadersPerDataCentre &&
+         MayStandIn(self, members);
+}
+
+bool MayStandIn(const Member& self, std::span<const Member> members) {
+  const auto ahead = std::ranges::count_if(members, [&](const Member& other) {
+    return other.data_centre == self.data_centre && IsAhead(other, self);
+  });
+  const size_t data_centres = SizeOf(self, members).data_centres;
+  return static_cast<size_t>(ahead) < MostTrying(data_centres);
 }
 
 bool IsAlertReader(const Member& self, std::span<const Member> members) {
--- a/src/libs/configuration/reader_choice.h
+++ b/src/libs/configuration/reader_choice.h
@@ -16,9 +16,6 @@
 // readers that have lost the store hand the duty on, which takes a second or
 // two.
 inline constexpr size_t kSmallFleet = 16;
-// Nodes that read in place of one that has lost the store. Several at once, as
-// these may have lost it too, and each round of finding that out takes time.
-inline constexpr size_t kStandInsPerReader = 3;
 // Nodes that try in place of readers that have lost the store, those included;
 // at least one more in each data centre. Bounds what is asked of a store that
 // serves nobody.
@@ -32,6 +29,12 @@
 bool IsReader(const membership::Member& self,
               std::span<const membership::Member> members);
 
+// True if `self` is among those that may take a reader's place. They read once
+// when an alert reader has lost the store: whoever reaches it brings what was
+// confirmed, and the others are passed over when readers are chosen.
+bool MayStandIn(const membership::Member& self,
+                std::span<const membership::Member> members);
+
 // Readers whose watches are short. Two: one may be lost at the same time.
 inline constexpr size_t kAlertReaders = 2;
 
--- a/src/libs/configuration/reader_role.h
+++ b/src/libs/configuration/reader_role.h
@@ -9,11 +9,12 @@
 
 namespace chestnutport::configuration {
 
-// Why a reader is not to wait for the end of a long watch.
+// Why the store is to be read at once, whatever watch is open.
 enum class ReadSoon {
   kNo,
-  kNewRole,          // It has become a reader, or an alert one.
-  kOthersLostStore,  // It may be no different here, and others have to read.
+  kNewRole,  // It has become a reader, or an alert one.
+  // Once, also by who may stand in for it.
+  kAlertReaderLostStore,
 };
 
 class ReaderRole {
@@ -36,6 +37,7 @@
   bool is_alert_ = true;
   bool is_alone_ = true;
   size_t lost_members_ = 0;
+  size_t lost_alert_readers_ = 0;
 };
 
 }  // namespace chestnutport::configuration
--- a/src/libs/fleet_configuration/configuration_reader.cc
+++ b/src/libs/fleet_configuration/configuration_reader.cc
@@ -49,10 +49,12 @@
   using configuration::ReadSoon;
   const ReadSoon reason = role_.SetMembers(self, members);
   // A store that serves nobody is not asked each time that one more finds out.
-  const bool knows = has_lost_store_ && reason == ReadSoon::kOthersLostStore;
+  const bool knows =
+      has_lost_store_ && reason == ReadSoon::kAlertReaderLostStore;
   if (reason == ReadSoon::kNo || knows || is_reading_)
     return;
   watch_.GiveUp();
+  reads_once_ = true;
   Schedule(configuration::ReadPace::Again(random_));
 }
 
@@ -63,7 +65,7 @@
 
 void ConfigurationReader::CheckRole() {
   contact_.Check(fleet_.heard_at(), loop_.now());
-  if (Reads()) {
+  if (std::exchange(reads_once_, false) || Reads()) {
     Read();
     return;
   }
--- a/src/libs/fleet_configuration/configuration_reader.h
+++ b/src/libs/fleet_configuration/configuration_reader.h
@@ -94,6 +94,7 @@
   std::optional<base::Instant> heard_at_;
   bool has_read_ = false;    // Since the start.
   bool is_reading_ = false;  // Ends with a watch or a wait.
+  bool reads_once_ = false;  // Next, whether or not it has the duty.
   bool has_lost_store_ = false;
 };
 
