--- a/src/libs/base/error_kind.cc
+++ b/src/libs/base/error_kind.cc
@@ -144,6 +144,10 @@
   return kTable.back();
 }
 
+std::string NameOf(const std::optional<ErrorKind>& error) {
+  return error ? std::string(AnswerTo(*error).name) : "none";
+}
+
 const std::error_category& ErrorCategory() {
   static const Category category;
   return category;
--- a/src/libs/base/error_kind.h
+++ b/src/libs/base/error_kind.h
@@ -5,7 +5,9 @@
 #define BASE_ERROR_KIND_H_
 
 #include <chrono>
+#include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 #include <system_error>
 
@@ -76,6 +78,9 @@
 const std::error_category& ErrorCategory();
 std::error_code make_error_code(ErrorKind kind);
 
+// The name of its row; "none" if there is no error.
+std::string NameOf(const std::optional<ErrorKind>& error);
+
 // The kind behind `code`; kInternal for a code of another category.
 ErrorKind KindOf(const std::error_code& code);
 
--- a/src/libs/configuration/reader_choice.cc
+++ b/src/libs/configuration/reader_choice.cc
@@ -4,12 +4,13 @@
 #include <string_view>
 
 #include "absl/container/flat_hash_set.h"
-#include "membership/store_duty.h"
+#include "duties/store_duty.h"
 
 namespace chestnutport::configuration {
 namespace {
 
-using membership::CanDoStoreDuty;
+using duties::CanDoStoreDuty;
+using duties::StoreDutyOrder;
 using membership::Member;
 using membership::MemberState;
 
--- a/src/libs/configuration/reader_choice.h
+++ b/src/libs/configuration/reader_choice.h
@@ -22,7 +22,7 @@
 inline constexpr size_t kMostTryingPerFleet = 32;
 
 // True if the fleet is small, or `self` is among the first
-// kReadersPerDataCentre of its data centre by membership::StoreDutyOrder(). A
+// kReadersPerDataCentre of its data centre by duties::StoreDutyOrder(). A
 // reader that has lost the store goes on trying, and the next one reads beside
 // it. Nodes whose views differ may choose other readers for a while; that is
 // harmless.
--- a/src/libs/membership/seed_duty.h
+++ b/src/libs/duties/seed_duty.h
@@ -1,23 +1,23 @@
 // Chooses, without any message, which members keep a data centre's seed
 // entries in the store: the first by StoreDutyOrder() that can.
-#ifndef MEMBERSHIP_SEED_DUTY_H_
-#define MEMBERSHIP_SEED_DUTY_H_
+#ifndef DUTIES_SEED_DUTY_H_
+#define DUTIES_SEED_DUTY_H_
 
 #include <optional>
 #include <span>
 
 #include "membership/member.h"
 
-namespace chestnutport::membership {
+namespace chestnutport::duties {
 
 // Entries of each data centre.
 inline constexpr size_t kSeedsPerDataCentre = 2;
 
 // The entry that `self` keeps, counted from zero; none if others keep all.
 // Two nodes whose views differ may choose the same: that is harmless.
-std::optional<size_t> SeedDuty(const Member& self,
-                               std::span<const Member> members);
+std::optional<size_t> SeedDuty(const membership::Member& self,
+                               std::span<const membership::Member> members);
 
-}  // namespace chestnutport::membership
+}  // namespace chestnutport::duties
 
-#endif  // MEMBERSHIP_SEED_DUTY_H_
+#endif  // DUTIES_SEED_DUTY_H_
--- a/src/libs/membership/seed_search.cc
+++ b/src/libs/duties/seed_search.cc
@@ -1,10 +1,10 @@
-#include "membership/seed_search.h"
+#include "duties/seed_search.h"
 
 #include <algorithm>
 #include <random>
 #include <utility>
 
-namespace chestnutport::membership {
+namespace chestnutport::duties {
 namespace {
 
 using base::Duration;
@@ -78,4 +78,4 @@
   return std::min<Duration>(kFirstBackoff, longest_wait_);
 }
 
-}  // namespace chestnutport::membership
+}  // namespace chestnutport::duties
--- a/src/libs/membership/seed_search.h
+++ b/src/libs/duties/seed_search.h
@@ -5,13 +5,13 @@
 // A listing that may be some seconds old is cheaper than one of now and, where
 // the store does not count it toward its rate, needs no spreading. A start
 // beside a running fleet needs no other.
-#ifndef MEMBERSHIP_SEED_SEARCH_H_
-#define MEMBERSHIP_SEED_SEARCH_H_
+#ifndef DUTIES_SEED_SEARCH_H_
+#define DUTIES_SEED_SEARCH_H_
 
 #include "base/random.h"
 #include "base/time.h"
 
-namespace chestnutport::membership {
+namespace chestnutport::duties {
 
 class SeedSearch {
  public:
@@ -53,6 +53,6 @@
   base::Duration greeting_;
 };
 
-}  // namespace chestnutport::membership
+}  // namespace chestnutport::duties
 
-#endif  // MEMBERSHIP_SEED_SEARCH_H_
+#endif  // DUTIES_SEED_SEARCH_H_
--- a/src/libs/node/evidence_store.cc
+++ b/src/libs/fleet/evidence_store.cc
@@ -1,4 +1,4 @@
-#include "node/evidence_store.h"
+#include "fleet/evidence_store.h"
 
 #include <algorithm>
 #include <utility>
@@ -6,7 +6,7 @@
 #include "quarantine/evidence_codec.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 namespace {
 
 using quarantine::RequestEvidence;
@@ -94,4 +94,4 @@
   });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
--- a/src/libs/node/evidence_store.h
+++ b/src/libs/fleet/evidence_store.h
@@ -1,19 +1,19 @@
 // Keeps what is known of requests in quarantine in the platform's store, for a
 // fleet of which all nodes are started anew at once. Runs on the control
 // thread.
-#ifndef NODE_EVIDENCE_STORE_H_
-#define NODE_EVIDENCE_STORE_H_
+#ifndef FLEET_EVIDENCE_STORE_H_
+#define FLEET_EVIDENCE_STORE_H_
 
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "base/random.h"
+#include "fleet/request_quarantine.h"
 #include "net/event_loop.h"
-#include "node/request_quarantine.h"
 #include "store/store_client.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 
 // One entry for the whole fleet, beside those that starting nodes list anyway:
 // reading it costs no call. It is written by the nodes that keep the first
@@ -56,6 +56,6 @@
   net::EventLoop::TimerId timer_ = 0;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
 
-#endif  // NODE_EVIDENCE_STORE_H_
+#endif  // FLEET_EVIDENCE_STORE_H_
--- a/src/libs/node/fleet_membership.cc
+++ b/src/libs/fleet/fleet_membership.cc
@@ -1,4 +1,4 @@
-#include "node/fleet_membership.h"
+#include "fleet/fleet_membership.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -7,7 +7,7 @@
 
 #include "absl/strings/escaping.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 namespace {
 
 using membership::GossipOutput;
@@ -213,4 +213,4 @@
   handler_(std::move(members));
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
--- a/src/libs/node/fleet_membership.h
+++ b/src/libs/fleet/fleet_membership.h
@@ -1,7 +1,7 @@
 // Runs the gossip of this node on its UDP socket, and reports the members.
 // Runs on the control thread.
-#ifndef NODE_FLEET_MEMBERSHIP_H_
-#define NODE_FLEET_MEMBERSHIP_H_
+#ifndef FLEET_FLEET_MEMBERSHIP_H_
+#define FLEET_FLEET_MEMBERSHIP_H_
 
 #include <cstdint>
 #include <functional>
@@ -15,16 +15,16 @@
 #include "control_calls/control_caller.h"
 #include "control_calls/control_listener.h"
 #include "control_calls/peer_keys.h"
+#include "fleet/membership_log.h"
+#include "fleet/seed_keeper.h"
 #include "membership/gossip.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
 #include "net/udp_socket.h"
-#include "node/membership_log.h"
-#include "node/seed_keeper.h"
 #include "settings/node_settings.h"
 #include "store/store_client.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 
 class FleetMembership {
  public:
@@ -126,6 +126,6 @@
   net::EventLoop::TimerId publish_timer_ = 0;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
 
-#endif  // NODE_FLEET_MEMBERSHIP_H_
+#endif  // FLEET_FLEET_MEMBERSHIP_H_
--- a/src/libs/node/membership_log.cc
+++ b/src/libs/fleet/membership_log.cc
@@ -1,11 +1,11 @@
-#include "node/membership_log.h"
+#include "fleet/membership_log.h"
 
 #include <string>
 #include <utility>
 
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 namespace {
 
 using membership::MemberState;
@@ -39,4 +39,4 @@
        {"omitted", std::to_string(std::exchange(omitted_, 0))}});
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
--- a/src/libs/node/membership_log.h
+++ b/src/libs/fleet/membership_log.h
@@ -1,11 +1,11 @@
 // Logs members that come and go, a bounded number in each second.
-#ifndef NODE_MEMBERSHIP_LOG_H_
-#define NODE_MEMBERSHIP_LOG_H_
+#ifndef FLEET_MEMBERSHIP_LOG_H_
+#define FLEET_MEMBERSHIP_LOG_H_
 
 #include "base/time.h"
 #include "membership/gossip_output.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 
 class MembershipLog {
  public:
@@ -17,6 +17,6 @@
   int omitted_ = 0;  // Told with the next line that is logged.
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
 
-#endif  // NODE_MEMBERSHIP_LOG_H_
+#endif  // FLEET_MEMBERSHIP_LOG_H_
--- a/src/libs/node/request_quarantine.cc
+++ b/src/libs/fleet/request_quarantine.cc
@@ -1,4 +1,4 @@
-#include "node/request_quarantine.h"
+#include "fleet/request_quarantine.h"
 
 #include <algorithm>
 #include <memory>
@@ -8,7 +8,7 @@
 #include "base/encoding.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 namespace {
 
 using base::RequestFingerprint;
@@ -172,4 +172,4 @@
   return text;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
--- a/src/libs/node/request_quarantine.h
+++ b/src/libs/fleet/request_quarantine.h
@@ -1,7 +1,7 @@
 // Holds what this node knows of requests that servers ran when they ended, and
 // tells the traffic threads the verdicts. Runs on the control thread.
-#ifndef NODE_REQUEST_QUARANTINE_H_
-#define NODE_REQUEST_QUARANTINE_H_
+#ifndef FLEET_REQUEST_QUARANTINE_H_
+#define FLEET_REQUEST_QUARANTINE_H_
 
 #include <functional>
 #include <span>
@@ -15,7 +15,7 @@
 #include "quarantine/gate_guard.h"
 #include "quarantine/server_crash.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 
 // A request that is not free, as operators are shown it.
 struct HeldRequest {
@@ -89,6 +89,6 @@
   net::EventLoop::TimerId timer_ = 0;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
 
-#endif  // NODE_REQUEST_QUARANTINE_H_
+#endif  // FLEET_REQUEST_QUARANTINE_H_
--- a/src/libs/node/seed_keeper.cc
+++ b/src/libs/fleet/seed_keeper.cc
@@ -1,17 +1,17 @@
-#include "node/seed_keeper.h"
+#include "fleet/seed_keeper.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "membership/seed_duty.h"
+#include "duties/seed_duty.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 namespace {
 
-using membership::SeedSearch;
+using duties::SeedSearch;
 using nlohmann::json;
 
 constexpr std::chrono::seconds kTimeToLive(15);
@@ -85,7 +85,7 @@
 }
 
 void SeedKeeper::Run() {
-  const bool has_duty = membership::SeedDuty(self_, members_).has_value();
+  const bool has_duty = duties::SeedDuty(self_, members_).has_value();
   if (!has_duty)
     lease_ = 0;
   if (!IsAlone() && !has_duty) {
@@ -122,7 +122,7 @@
   was_alone_ = IsAlone();
   if (may_join_others)
     return;
-  if (const auto place = membership::SeedDuty(self_, members_))
+  if (const auto place = duties::SeedDuty(self_, members_))
     KeepEntry(*place, entries);
 }
 
@@ -130,7 +130,7 @@
   const auto others = std::stable_partition(
       entries.begin(), entries.end(),
       [this](const auto& entry) { return IsSeed(entry); });
-  const bool keeps_first = membership::SeedDuty(self_, members_) == size_t{0};
+  const bool keeps_first = duties::SeedDuty(self_, members_) == size_t{0};
   if (others_)
     others_({others, entries.end()}, keeps_first);
   entries.erase(others, entries.end());
@@ -214,4 +214,4 @@
       .dump();
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
--- a/src/libs/node/seed_keeper.h
+++ b/src/libs/fleet/seed_keeper.h
@@ -1,7 +1,7 @@
 // Finds the first members of the fleet through a few entries in the store, and
 // keeps one of them if that is this node's duty. Runs on the control thread.
-#ifndef NODE_SEED_KEEPER_H_
-#define NODE_SEED_KEEPER_H_
+#ifndef FLEET_SEED_KEEPER_H_
+#define FLEET_SEED_KEEPER_H_
 
 #include <functional>
 #include <set>
@@ -9,13 +9,13 @@
 #include <vector>
 
 #include "base/random.h"
+#include "duties/seed_search.h"
 #include "membership/member.h"
-#include "membership/seed_search.h"
 #include "net/event_loop.h"
 #include "settings/node_settings.h"
 #include "store/store_client.h"
 
-namespace chestnutport::node {
+namespace chestnutport::fleet {
 
 // Calls to the store: one listing for each starting node, and two calls for
 // each entry in each SeedSearch::kDutyInterval, whatever the size of the fleet.
@@ -53,7 +53,7 @@
   void Greet();
   void Run();
   void RunAfter(base::Duration delay);
-  void OnEntries(membership::SeedSearch::Listing listing,
+  void OnEntries(duties::SeedSearch::Listing listing,
                  std::vector<store::StoreEntry> entries);
   // Tells of the entries that are no seeds, and takes them out.
   void TakeOthers(std::vector<store::StoreEntry>& entries);
@@ -67,7 +67,7 @@
   net::EventLoop& loop_;
   store::StoreClient& store_;
   std::string prefix_;
-  membership::SeedSearch search_;
+  duties::SeedSearch search_;
   // To be greeted: of the settings, then those that the store named.
   std::vector<base::SocketAddress> contacts_;
   base::Random random_;
@@ -82,6 +82,6 @@
   net::EventLoop::TimerId greet_timer_ = 0;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::fleet
 
-#endif  // NODE_SEED_KEEPER_H_
+#endif  // FLEET_SEED_KEEPER_H_
--- a/src/libs/node/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -1,17 +1,16 @@
-#include "node/gate.h"
+#include "gate/gate.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/encoding.h"
-#include "node/attempt_sender.h"
-#include "node/attempt_settler.h"
-#include "node/request_log.h"
+#include "gate/gate_log.h"
 #include "telemetry/log.h"
+#include "traffic/peer_paths.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 namespace {
 
 using base::AttemptId;
@@ -25,7 +24,8 @@
 
 // Connections to the own server: it is the only one to be spoken to, and runs
 // no more requests than the limit lets through.
-net::HttpClientOptions ServerConnections(const AnyServerProtocol& protocol) {
+net::HttpClientOptions ServerConnections(
+    const server::AnyServerProtocol& protocol) {
   net::HttpClientOptions options;
   options.answer_tag = protocol.answer_tag;
   return options;
@@ -41,10 +41,10 @@
 }  // namespace
 
 Gate::Gate(net::EventLoop& loop,
-           NodeIdentity identity,
+           traffic::NodeIdentity identity,
            control_calls::PeerKeys keys,
-           AnyServerProtocol protocol,
-           RunningRequests& running,
+           server::AnyServerProtocol protocol,
+           traffic::RunningRequests& running,
            Outputs outputs)
     : loop_(loop),
       identity_(std::move(identity)),
@@ -91,7 +91,7 @@
   return listener_->address();
 }
 
-void Gate::SetServer(const ServerState& server) {
+void Gate::SetServer(const server::ServerState& server) {
   const bool has_started = server.life != server_.life;
   const bool was_evacuated = server.evacuations != server_.evacuations;
   server_ = server;
@@ -148,7 +148,7 @@
     SendAnswer(reply, wire::MakeErrorAnswer(ErrorKind::kStaleTarget));
     return;
   }
-  if (request.target == kSettlePath)
+  if (request.target == traffic::kSettlePath)
     SendAnswer(reply, settle_calls_.Answer(request.body));
   else
     Receive(*head, std::move(request), std::move(reply));
@@ -172,7 +172,7 @@
       .arrived_at = now,
       .deadline = now + head.remaining - freeze_watch_.UnseenWait(now),
       .target = TargetOf(head, now)};
-  arrival.is_inquiry = arrival.request.target == kInquiryPath;
+  arrival.is_inquiry = arrival.request.target == traffic::kInquiryPath;
   // How slow the server is when a request starts decides how long it takes, so
   // one that could go elsewhere waits for the server's word if there is none of
   // now. To a cold server a probe is as much as a request.
@@ -264,7 +264,7 @@
                wire::MakePeerErrorAnswer(refused->error, refused->retry_after));
     return;
   }
-  SendAnswer(reply, {.status = kPlaceFree});
+  SendAnswer(reply, {.status = traffic::kPlaceFree});
 }
 
 void Gate::Keep(GateArrival arrival) {
@@ -411,4 +411,4 @@
        .probe_time = probes.spent()});
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
--- a/src/libs/node/gate.h
+++ b/src/libs/gate/gate.h
@@ -1,7 +1,7 @@
 // The admission side: the only way to this node's own server. Runs on the
 // gate thread.
-#ifndef NODE_GATE_H_
-#define NODE_GATE_H_
+#ifndef GATE_GATE_H_
+#define GATE_GATE_H_
 
 #include <functional>
 #include <memory>
@@ -13,26 +13,26 @@
 #include "admission/freeze_watch.h"
 #include "base/result.h"
 #include "control_calls/peer_keys.h"
+#include "gate/gate_arrival.h"
+#include "gate/gate_attempt.h"
+#include "gate/gate_log.h"
+#include "gate/gate_report.h"
+#include "gate/keyed_requests.h"
+#include "gate/settle_calls.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "node/gate_arrival.h"
-#include "node/gate_attempt.h"
-#include "node/gate_report.h"
-#include "node/keyed_requests.h"
-#include "node/node_identity.h"
-#include "node/request_log.h"
-#include "node/running_requests.h"
-#include "node/server_observer.h"
-#include "node/server_protocol.h"
-#include "node/server_state.h"
-#include "node/settle_calls.h"
-#include "node/traffic_recorder.h"
 #include "quarantine/gate_guard.h"
 #include "quarantine/server_crash.h"
+#include "server/server_observer.h"
+#include "server/server_protocol.h"
+#include "server/server_state.h"
+#include "traffic/node_identity.h"
+#include "traffic/running_requests.h"
+#include "traffic/traffic_recorder.h"
 #include "wire/peer_request_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 
 class Gate {
  public:
@@ -47,10 +47,10 @@
 
   // `loop` and `running` must outlive the gate.
   Gate(net::EventLoop& loop,
-       NodeIdentity identity,
+       traffic::NodeIdentity identity,
        control_calls::PeerKeys keys,
-       AnyServerProtocol protocol,
-       RunningRequests& running,
+       server::AnyServerProtocol protocol,
+       traffic::RunningRequests& running,
        Outputs outputs);
   ~Gate();
 
@@ -58,7 +58,7 @@
   base::Result<base::SocketAddress> Listen(const base::SocketAddress& address);
 
   // Called on the gate's thread.
-  void SetServer(const ServerState& server);
+  void SetServer(const server::ServerState& server);
   void SetConfiguration(const declarations::Configuration& configuration) {
     recorder_.SetConfiguration(configuration);
   }
@@ -127,7 +127,7 @@
   void OnServerDone(const base::AttemptId& id, net::TransferResult result);
   // Takes note of what the end says of the server and of the request.
   void NoteEnd(const GateAttempt& attempt,
-               RequestEnd end,
+               server::RequestEnd end,
                const net::TransferResult& result,
                base::Instant now);
   // The server ended while it ran these.
@@ -152,22 +152,22 @@
   void OnPeerGone(const base::AttemptId& id);
 
   net::EventLoop& loop_;
-  NodeIdentity identity_;
+  traffic::NodeIdentity identity_;
   control_calls::PeerKeys keys_;
-  ServerState server_;
+  server::ServerState server_;
   admission::AdmissionController admission_;
   admission::FreezeWatch freeze_watch_;
-  AnyServerProtocol protocol_;
-  RunningRequests& running_;
+  server::AnyServerProtocol protocol_;
+  traffic::RunningRequests& running_;
   KeyedRequests keyed_requests_;
   net::HttpClient client_;
-  ServerObserver observer_;
+  server::ServerObserver observer_;
   std::vector<GateArrival> waiting_for_look_;
   quarantine::GateGuard guard_;
   Outputs outputs_;
   base::Instant reported_at_;
   SettleCalls settle_calls_;
-  TrafficRecorder recorder_;
+  traffic::TrafficRecorder recorder_;
   std::unique_ptr<net::HttpServer> listener_;
   absl::flat_hash_map<base::AttemptId, std::unique_ptr<GateAttempt>> attempts_;
   std::function<void()> on_empty_;
@@ -175,6 +175,6 @@
   net::EventLoop::TimerId ticker_ = 0;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
 
-#endif  // NODE_GATE_H_
+#endif  // GATE_GATE_H_
--- a/src/libs/node/gate_arrival.h
+++ b/src/libs/gate/gate_arrival.h
@@ -1,6 +1,6 @@
 // An attempt as it came to a gate from its ingress.
-#ifndef NODE_GATE_ARRIVAL_H_
-#define NODE_GATE_ARRIVAL_H_
+#ifndef GATE_GATE_ARRIVAL_H_
+#define GATE_GATE_ARRIVAL_H_
 
 #include <optional>
 
@@ -9,7 +9,7 @@
 #include "net/reply.h"
 #include "wire/peer_request_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 
 struct GateArrival {
   wire::PeerRequestHead head;
@@ -21,6 +21,6 @@
   bool is_inquiry = false;  // Asks for a place; the request itself follows.
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
 
-#endif  // NODE_GATE_ARRIVAL_H_
+#endif  // GATE_GATE_ARRIVAL_H_
--- a/src/libs/node/gate_attempt.h
+++ b/src/libs/gate/gate_attempt.h
@@ -1,6 +1,6 @@
 // An attempt at a gate, from its admission to its answer.
-#ifndef NODE_GATE_ATTEMPT_H_
-#define NODE_GATE_ATTEMPT_H_
+#ifndef GATE_GATE_ATTEMPT_H_
+#define GATE_GATE_ATTEMPT_H_
 
 #include <cstdint>
 #include <memory>
@@ -12,10 +12,10 @@
 #include "net/http_client.h"
 #include "net/http_message.h"
 #include "net/reply.h"
-#include "node/answer_relay.h"
 #include "quarantine/gate_guard.h"
+#include "traffic/answer_relay.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 
 struct GateAttempt {
   base::AttemptId id;
@@ -39,9 +39,10 @@
   net::HttpRequest request;
   net::Reply reply;
   net::HttpClient::TransferId transfer = 0;
-  std::unique_ptr<AnswerRelay> relay;  // Of an answer that is streamed.
+  std::unique_ptr<traffic::AnswerRelay>
+      relay;  // Of an answer that is streamed.
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
 
-#endif  // NODE_GATE_ATTEMPT_H_
+#endif  // GATE_GATE_ATTEMPT_H_
--- /dev/null
+++ b/src/libs/gate/gate_log.cc
@@ -0,0 +1,82 @@
+#include "gate/gate_log.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "base/encoding.h"
+#include "telemetry/log.h"
+
+namespace chestnutport::gate {
+namespace {
+
+using telemetry::Event;
+using telemetry::LogRequestEvent;
+
+// Bytes of the requests in a line; a value of a line has 200 at most.
+constexpr size_t kLongestRunning = 180;
+
+// What reached the server has lines of its own: while servers are missing,
+// those of what is refused use up the limit of theirs within a tenth of a
+// second.
+Event EventOf(const GateDecision& decision) {
+  if (!decision.error)
+    return Event::kServerLate;
+  return decision.error == base::ErrorKind::kServerLost ? Event::kAttemptLost
+                                                        : Event::kGateDecided;
+}
+
+// As many as a value of a line holds; with how long each had run.
+std::string DescribeRunning(std::span<const admission::BrokenRequest> running) {
+  std::string text;
+  for (const admission::BrokenRequest& request : running) {
+    const std::string one = absl::StrCat(
+        request.fingerprint.ToString(), "+",
+        base::FormatDuration(std::chrono::round<std::chrono::milliseconds>(
+            request.broken_at - request.started_at)));
+    if (text.size() + one.size() > kLongestRunning)
+      break;
+    absl::StrAppend(&text, text.empty() ? "" : " ", one);
+  }
+  return text;
+}
+
+}  // namespace
+
+void LogGateDecision(const GateDecision& decision) {
+  const bool reached = decision.serving.has_value();
+  LogRequestEvent(
+      EventOf(decision),
+      {{"request", decision.request},
+       {"fingerprint", decision.fingerprint.ToString()},
+       {"instance", decision.instance},
+       {"error", base::NameOf(decision.error)},
+       {"reached_server", reached ? "yes" : "no"},
+       {"queued", base::FormatDuration(decision.queued)},
+       {"serving", base::FormatDuration(
+                       decision.serving.value_or(base::Duration::zero()))},
+       {"admitted_slowness",
+        absl::StrFormat("%.2f", decision.admitted_slowness)},
+       {"slowness_age", decision.slowness_age
+                            ? base::FormatDuration(*decision.slowness_age)
+                            : "none"},
+       {"usual_strain", decision.usual_strain
+                            ? absl::StrFormat("%.2f", *decision.usual_strain)
+                            : "none"},
+       {"in_flight", absl::StrCat(decision.load.in_flight)},
+       {"limit", absl::StrCat(decision.load.limit)},
+       {"waiting", absl::StrCat(decision.load.queued)},
+       {"expected_wait", base::FormatDuration(decision.load.expected_wait)},
+       {"slowness", absl::StrFormat("%.2f", decision.slowness)},
+       {"failing", absl::StrFormat("%.2f", decision.failure_share)}});
+}
+
+void LogServerEnd(const std::string& service,
+                  std::span<const admission::BrokenRequest> running) {
+  telemetry::LogEvent(
+      Event::kServerEnded,
+      {{"service", service},
+       {"instance", running.empty() ? "" : running.front().instance},
+       {"running", absl::StrCat(running.size())},
+       {"requests", DescribeRunning(running)}});
+}
+
+}  // namespace chestnutport::gate
--- a/src/libs/node/request_log.h
+++ b/src/libs/gate/gate_log.h
@@ -1,8 +1,7 @@
-// The log lines of single requests: what was decided, on what, and how old that
-// was. An ordinary success has none; every other end can be found by the name
-// that the caller gave the request.
-#ifndef NODE_REQUEST_LOG_H_
-#define NODE_REQUEST_LOG_H_
+// The log lines of a gate: what it did with an attempt, on what, and how old
+// that was. An ordinary success has none.
+#ifndef GATE_GATE_LOG_H_
+#define GATE_GATE_LOG_H_
 
 #include <optional>
 #include <span>
@@ -12,31 +11,9 @@
 #include "base/error_kind.h"
 #include "base/request_fingerprint.h"
 #include "base/time.h"
-#include "node/active_call.h"
 #include "wire/load_report.h"
 
-namespace chestnutport::node {
-
-// The end of a caller's request at its ingress.
-struct CallEnd {
-  std::optional<base::ErrorKind> error;  // None: the server's answer.
-  int status = 0;                        // As the caller is told.
-  base::Duration retry_after{};
-  uint64_t revision = 0;  // Of the configuration in force.
-};
-
-// Writes nothing for a success in time at the first server.
-void LogCallEnd(const ActiveCall& call, const CallEnd& end, base::Instant now);
-
-// A request that was not read as a call at all.
-// `revision`: of the configuration that decided it.
-void LogCallRejected(const std::string& request,
-                     base::RequestFingerprint fingerprint,
-                     base::ErrorKind error,
-                     uint64_t revision);
-
-// The caller went away before its answer.
-void LogCallerGone(const ActiveCall& call, base::Instant now);
+namespace chestnutport::gate {
 
 // What a gate did with an attempt, and the state of its server just then.
 struct GateDecision {
@@ -64,6 +41,6 @@
 void LogServerEnd(const std::string& service,
                   std::span<const admission::BrokenRequest> running);
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
 
-#endif  // NODE_REQUEST_LOG_H_
+#endif  // GATE_GATE_LOG_H_
--- a/src/libs/node/gate_report.h
+++ b/src/libs/gate/gate_report.h
@@ -1,13 +1,13 @@
 // What the gate thread tells the control thread about this node's own server.
-#ifndef NODE_GATE_REPORT_H_
-#define NODE_GATE_REPORT_H_
+#ifndef GATE_GATE_REPORT_H_
+#define GATE_GATE_REPORT_H_
 
 #include <cstdint>
 
 #include "base/time.h"
 #include "wire/load_report.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 
 struct GateReport {
   uint64_t life = 0;          // Of the server that this tells of.
@@ -19,6 +19,6 @@
   base::Duration probe_time{};  // The server's time spent on them, in all.
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
 
-#endif  // NODE_GATE_REPORT_H_
+#endif  // GATE_GATE_REPORT_H_
--- a/src/libs/node/gate_serving.cc
+++ b/src/libs/gate/gate_serving.cc
@@ -5,14 +5,14 @@
 #include <utility>
 #include <vector>
 
-#include "node/answer_relay.h"
-#include "node/gate.h"
-#include "node/request_log.h"
-#include "node/server_answer.h"
+#include "gate/gate.h"
+#include "gate/gate_log.h"
+#include "gate/server_answer.h"
+#include "traffic/answer_relay.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 
 using admission::AdmissionActions;
 using admission::AttemptState;
@@ -72,18 +72,18 @@
 bool Gate::StartRelay(const AttemptId& id, const net::HttpAnswer& head) {
   const auto found = attempts_.find(id);
   if (found == attempts_.end() ||
-      protocol_.judge(head) != ServerVerdict::kAnswered) {
+      protocol_.judge(head) != server::ServerVerdict::kAnswered) {
     return false;
   }
   GateAttempt& attempt = *found->second;
-  if (!IsRelayed(attempt.method, head))
+  if (!traffic::IsRelayed(attempt.method, head))
     return false;
   const base::Instant now = base::Clock::now();
   keyed_requests_.OnStreamed(id, now);
   const base::Duration server_time = now - *attempt.started_at;
   net::HttpAnswer answer = ForPeer(head, server_time);
   AddLoad(answer);
-  attempt.relay = std::make_unique<AnswerRelay>(
+  attempt.relay = std::make_unique<traffic::AnswerRelay>(
       client_, attempt.transfer, std::move(answer), std::move(attempt.reply),
       [this, id] { loop_.Defer(this, [this, id] { OnPeerGone(id); }); });
   return true;
@@ -101,9 +101,10 @@
     return;
   GateAttempt& attempt = *ended.mapped();
   const base::Instant now = base::Clock::now();
-  const ServerVerdict verdict = result.end == net::TransferEnd::kComplete
-                                    ? protocol_.judge(result.answer)
-                                    : ServerVerdict::kUnusable;
+  const server::ServerVerdict verdict =
+      result.end == net::TransferEnd::kComplete
+          ? protocol_.judge(result.answer)
+          : server::ServerVerdict::kUnusable;
   const bool has_failed_call = running_.OnEnded(attempt.name);
   NoteEnd(attempt, {result.end, verdict, has_failed_call}, result, now);
   AdmissionActions actions =
@@ -126,7 +127,7 @@
 }
 
 void Gate::NoteEnd(const GateAttempt& attempt,
-                   RequestEnd end,
+                   server::RequestEnd end,
                    const net::TransferResult& result,
                    base::Instant now) {
   end.life = attempt.life;
@@ -139,8 +140,8 @@
   observer_.OnRequestEnd(end, result.answer, now);
   // Also an answer that cannot be handed on comes from a server that goes on.
   const bool is_answered = end.end == net::TransferEnd::kComplete &&
-                           (end.verdict == ServerVerdict::kAnswered ||
-                            end.verdict == ServerVerdict::kUnusable);
+                           (end.verdict == server::ServerVerdict::kAnswered ||
+                            end.verdict == server::ServerVerdict::kUnusable);
   const auto answered_by = is_answered ? std::optional(end.life) : std::nullopt;
   if (guard_.OnEnded(attempt.id, end.fingerprint, answered_by, now))
     outputs_.suspect_answered(end.fingerprint);
@@ -236,4 +237,4 @@
   CancelAttempt(id, found->second->may_stop, {});
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
--- a/src/libs/node/keyed_requests.cc
+++ b/src/libs/gate/keyed_requests.cc
@@ -1,4 +1,4 @@
-#include "node/keyed_requests.h"
+#include "gate/keyed_requests.h"
 
 #include <utility>
 
@@ -7,7 +7,7 @@
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 namespace {
 
 using base::ErrorKind;
@@ -132,4 +132,4 @@
     answer.headers.push_back({wire::kKeyNewHeader, "true"});
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
--- a/src/libs/node/keyed_requests.h
+++ b/src/libs/gate/keyed_requests.h
@@ -1,7 +1,7 @@
 // The requests with idempotency keys at the gate of the node that owns them.
 // Runs on the gate thread.
-#ifndef NODE_KEYED_REQUESTS_H_
-#define NODE_KEYED_REQUESTS_H_
+#ifndef GATE_KEYED_REQUESTS_H_
+#define GATE_KEYED_REQUESTS_H_
 
 #include <optional>
 #include <vector>
@@ -16,7 +16,7 @@
 #include "net/http_message.h"
 #include "wire/peer_request_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 
 class KeyedRequests {
  public:
@@ -48,6 +48,6 @@
   absl::flat_hash_map<base::AttemptId, keys::KeyScope> active_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
 
-#endif  // NODE_KEYED_REQUESTS_H_
+#endif  // GATE_KEYED_REQUESTS_H_
--- a/src/libs/node/server_answer.cc
+++ b/src/libs/gate/server_answer.cc
@@ -1,4 +1,4 @@
-#include "node/server_answer.h"
+#include "gate/server_answer.h"
 
 #include <string>
 #include <utility>
@@ -7,7 +7,7 @@
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 namespace {
 
 using admission::ServerResult;
@@ -21,7 +21,7 @@
 }  // namespace
 
 admission::ServerResult ToServerResult(net::TransferEnd end,
-                                       ServerVerdict verdict) {
+                                       server::ServerVerdict verdict) {
   switch (end) {
     case net::TransferEnd::kComplete:
       break;
@@ -32,20 +32,21 @@
       return ServerResult::kUncertain;
   }
   switch (verdict) {
-    case ServerVerdict::kAnswered:
+    case server::ServerVerdict::kAnswered:
       return ServerResult::kAnswered;
-    case ServerVerdict::kShed:
+    case server::ServerVerdict::kShed:
       return ServerResult::kShed;
     // Says nothing of the load of the server that was meant.
-    case ServerVerdict::kOtherInstance:
+    case server::ServerVerdict::kOtherInstance:
       return ServerResult::kNotSent;
-    case ServerVerdict::kUnusable:
+    case server::ServerVerdict::kUnusable:
       break;
   }
   return ServerResult::kUncertain;
 }
 
-std::optional<ErrorKind> ErrorOf(net::TransferEnd end, ServerVerdict verdict) {
+std::optional<ErrorKind> ErrorOf(net::TransferEnd end,
+                                 server::ServerVerdict verdict) {
   switch (end) {
     case net::TransferEnd::kNotSent:
       return ErrorKind::kConnectFailed;
@@ -57,13 +58,13 @@
       break;
   }
   switch (verdict) {
-    case ServerVerdict::kShed:
+    case server::ServerVerdict::kShed:
       return ErrorKind::kServerShed;
-    case ServerVerdict::kOtherInstance:
+    case server::ServerVerdict::kOtherInstance:
       return ErrorKind::kServerReplaced;
-    case ServerVerdict::kUnusable:
+    case server::ServerVerdict::kUnusable:
       return ErrorKind::kAnswerUnusable;
-    case ServerVerdict::kAnswered:
+    case server::ServerVerdict::kAnswered:
       break;
   }
   return std::nullopt;
@@ -80,4 +81,4 @@
   return answer;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
--- a/src/libs/node/server_answer.h
+++ b/src/libs/gate/server_answer.h
@@ -1,7 +1,7 @@
 // What a transfer to this node's own server means for admission, and for the
 // node that handed over the request.
-#ifndef NODE_SERVER_ANSWER_H_
-#define NODE_SERVER_ANSWER_H_
+#ifndef GATE_SERVER_ANSWER_H_
+#define GATE_SERVER_ANSWER_H_
 
 #include <optional>
 
@@ -10,23 +10,23 @@
 #include "base/time.h"
 #include "net/http_client.h"
 #include "net/http_message.h"
-#include "node/server_protocol.h"
+#include "server/server_protocol.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 
 // What the end of a transfer says, with the verdict on its answer if it has a
 // whole one.
 admission::ServerResult ToServerResult(net::TransferEnd end,
-                                       ServerVerdict verdict);
+                                       server::ServerVerdict verdict);
 
 // Nothing if the server answered.
 std::optional<base::ErrorKind> ErrorOf(net::TransferEnd end,
-                                       ServerVerdict verdict);
+                                       server::ServerVerdict verdict);
 
 // The server's answer, or its head, marked as such and with the time that the
 // server took.
 net::HttpAnswer ForPeer(net::HttpAnswer answer, base::Duration server_time);
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
 
-#endif  // NODE_SERVER_ANSWER_H_
+#endif  // GATE_SERVER_ANSWER_H_
--- a/src/libs/node/settle_calls.cc
+++ b/src/libs/gate/settle_calls.cc
@@ -1,12 +1,11 @@
-#include "node/settle_calls.h"
+#include "gate/settle_calls.h"
+#include "traffic/peer_paths.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
-#include "node/attempt_settler.h"
-
-namespace chestnutport::node {
+namespace chestnutport::gate {
 namespace {
 
 using admission::AttemptState;
@@ -34,7 +33,7 @@
 }  // namespace
 
 SettleCalls::SettleCalls(Handler handler) : handler_(std::move(handler)) {
-  dispatcher_.Add(kSettleMethod,
+  dispatcher_.Add(traffic::kSettleMethod,
                   [this](const std::string& params) { return Settle(params); });
 }
 
@@ -55,4 +54,4 @@
       .dump();
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
--- a/src/libs/node/settle_calls.h
+++ b/src/libs/gate/settle_calls.h
@@ -1,8 +1,8 @@
 // The control call by which another node asks what became of an attempt, or
 // cancels it. Reads the question and words the answer; what is done is up to
 // the handler.
-#ifndef NODE_SETTLE_CALLS_H_
-#define NODE_SETTLE_CALLS_H_
+#ifndef GATE_SETTLE_CALLS_H_
+#define GATE_SETTLE_CALLS_H_
 
 #include <functional>
 #include <string>
@@ -12,7 +12,7 @@
 #include "net/http_message.h"
 #include "rpc/dispatcher.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 
 struct SettleRequest {
   base::AttemptId attempt;
@@ -39,6 +39,6 @@
   rpc::Dispatcher dispatcher_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
 
-#endif  // NODE_SETTLE_CALLS_H_
+#endif  // GATE_SETTLE_CALLS_H_
--- a/src/libs/node/active_call.h
+++ b/src/libs/ingress/active_call.h
@@ -1,6 +1,6 @@
 // One caller's request at its ingress node, from its arrival to its answer.
-#ifndef NODE_ACTIVE_CALL_H_
-#define NODE_ACTIVE_CALL_H_
+#ifndef INGRESS_ACTIVE_CALL_H_
+#define INGRESS_ACTIVE_CALL_H_
 
 #include <cstdint>
 #include <optional>
@@ -9,14 +9,14 @@
 #include "base/attempt_id.h"
 #include "base/node_id.h"
 #include "calls/call.h"
+#include "ingress/caller_request.h"
+#include "ingress/service_traffic.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
 #include "net/reply.h"
-#include "node/caller_request.h"
-#include "node/service_traffic.h"
 #include "routing/server_candidate.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 using CallId = uint64_t;
 
@@ -48,6 +48,6 @@
   base::Instant timer_at;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
 
-#endif  // NODE_ACTIVE_CALL_H_
+#endif  // INGRESS_ACTIVE_CALL_H_
--- a/src/libs/node/attempt_canceller.cc
+++ b/src/libs/ingress/attempt_canceller.cc
@@ -1,6 +1,6 @@
-#include "node/attempt_canceller.h"
+#include "ingress/attempt_canceller.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 // Another node answers within a round trip of some milliseconds. All questions
@@ -37,4 +37,4 @@
       });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/attempt_canceller.h
+++ b/src/libs/ingress/attempt_canceller.h
@@ -1,13 +1,13 @@
 // Cancels attempts for whose answer nobody waits any more.
-#ifndef NODE_ATTEMPT_CANCELLER_H_
-#define NODE_ATTEMPT_CANCELLER_H_
+#ifndef INGRESS_ATTEMPT_CANCELLER_H_
+#define INGRESS_ATTEMPT_CANCELLER_H_
 
 #include "base/attempt_id.h"
-#include "node/attempt_sender.h"
-#include "node/attempt_settler.h"
+#include "ingress/attempt_sender.h"
+#include "ingress/attempt_settler.h"
 #include "routing/server_candidate.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 class AttemptCanceller {
  public:
@@ -31,6 +31,6 @@
   AttemptSettler& settler_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
 
-#endif  // NODE_ATTEMPT_CANCELLER_H_
+#endif  // INGRESS_ATTEMPT_CANCELLER_H_
--- a/src/libs/node/attempt_sender.cc
+++ b/src/libs/ingress/attempt_sender.cc
@@ -1,12 +1,13 @@
-#include "node/attempt_sender.h"
+#include "ingress/attempt_sender.h"
 
 #include <algorithm>
 #include <utility>
 
+#include "traffic/peer_paths.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 using base::ErrorKind;
@@ -127,7 +128,7 @@
 
 void AttemptSender::Inquire(InFlight& sent) {
   const Held& held = *sent.held;
-  net::HttpRequest inquiry{.method = "POST", .target = kInquiryPath};
+  net::HttpRequest inquiry{.method = "POST", .target = traffic::kInquiryPath};
   held.head.AppendTo(inquiry.headers, keys_.current);
   sent.transfer = client_.Send(
       held.to, std::move(inquiry),
@@ -144,7 +145,8 @@
     return;
   InFlight& sent = found->second;
   const bool is_whole = result.end == net::TransferEnd::kComplete;
-  const bool has_place = is_whole && result.answer.status == kPlaceFree;
+  const bool has_place =
+      is_whole && result.answer.status == traffic::kPlaceFree;
   // Nothing of the request was sent, whatever became of the question.
   if (!is_whole)
     result.end = net::TransferEnd::kNotSent;
@@ -175,7 +177,7 @@
     return;
   }
   InFlight& sent = found->second;
-  sent.relay = std::make_unique<AnswerRelay>(
+  sent.relay = std::make_unique<traffic::AnswerRelay>(
       client_, sent.transfer, std::move(answer), std::move(reply),
       [this, attempt] { GiveUp(attempt); });
 }
@@ -183,7 +185,8 @@
 bool AttemptSender::StartRelay(const base::AttemptId& attempt,
                                const net::HttpAnswer& head) {
   const auto found = in_flight_.find(attempt);
-  if (found == in_flight_.end() || !IsRelayed(found->second.method, head))
+  if (found == in_flight_.end() ||
+      !traffic::IsRelayed(found->second.method, head))
     return false;
   const calls::AttemptEnd end =
       ReadEnd({.end = net::TransferEnd::kComplete, .answer = head},
@@ -267,4 +270,4 @@
     sent.handler(end, std::move(result.answer));
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/attempt_sender.h
+++ b/src/libs/ingress/attempt_sender.h
@@ -1,7 +1,7 @@
 // Hands attempts to other nodes' gates, and reports their ends. What is seen
 // on the way is told to the service's chooser and timing.
-#ifndef NODE_ATTEMPT_SENDER_H_
-#define NODE_ATTEMPT_SENDER_H_
+#ifndef INGRESS_ATTEMPT_SENDER_H_
+#define INGRESS_ATTEMPT_SENDER_H_
 
 #include <functional>
 #include <memory>
@@ -12,15 +12,15 @@
 #include "base/attempt_id.h"
 #include "calls/attempt_end.h"
 #include "control_calls/peer_keys.h"
+#include "ingress/service_traffic.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/reply.h"
-#include "node/answer_relay.h"
-#include "node/service_traffic.h"
 #include "routing/server_candidate.h"
+#include "traffic/answer_relay.h"
 #include "wire/peer_request_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 class AttemptSender {
  public:
@@ -67,7 +67,8 @@
     std::unique_ptr<Held> held;  // Until the place is found free.
     Handler handler;             // Empty once abandoned.
     bool is_streamed = false;
-    std::unique_ptr<AnswerRelay> relay;  // Of an answer that is streamed.
+    std::unique_ptr<traffic::AnswerRelay>
+        relay;  // Of an answer that is streamed.
   };
 
   void Transmit(InFlight& sent, Held held);
@@ -87,11 +88,6 @@
   absl::flat_hash_map<base::AttemptId, InFlight> in_flight_;
 };
 
-// The path of the question whether a gate has a place, and the status that says
-// so, on the peer listener.
-inline constexpr char kInquiryPath[] = "/chestnutport/place";
-inline constexpr int kPlaceFree = 204;
+}  // namespace chestnutport::ingress
 
-}  // namespace chestnutport::node
-
-#endif  // NODE_ATTEMPT_SENDER_H_
+#endif  // INGRESS_ATTEMPT_SENDER_H_
--- a/src/libs/node/attempt_settler.cc
+++ b/src/libs/ingress/attempt_settler.cc
@@ -1,12 +1,13 @@
-#include "node/attempt_settler.h"
+#include "ingress/attempt_settler.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "rpc/call_codec.h"
+#include "traffic/peer_paths.h"
 #include "wire/peer_request_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 using calls::SettleAnswer;
@@ -27,7 +28,8 @@
   std::string text;
   std::string error;
   if (result.end != net::TransferEnd::kComplete ||
-      !rpc::DecodeAnswer(kSettleMethod, result.answer.body, &text, &error)) {
+      !rpc::DecodeAnswer(traffic::kSettleMethod, result.answer.body, &text,
+                         &error)) {
     return SettleAnswer::kNoAnswer;
   }
   const auto answer = nlohmann::json::parse(text, nullptr, false);
@@ -55,12 +57,12 @@
   head.attempt = attempt;
   head.target = server.node;
   head.remaining = timeout;
-  net::HttpRequest request{.method = "POST", .target = kSettlePath};
+  net::HttpRequest request{.method = "POST", .target = traffic::kSettlePath};
   head.AppendTo(request.headers, keys_.current);
   const nlohmann::json params = {{"attempt", attempt.ToString()},
                                  {"cancel", question != Question::kAsk},
                                  {"stop_running", question == Question::kStop}};
-  request.body = rpc::EncodeCall(kSettleMethod, params.dump());
+  request.body = rpc::EncodeCall(traffic::kSettleMethod, params.dump());
   client_.Send(
       server.peer_address, std::move(request), timeout,
       [handler = std::move(handler)](const net::TransferResult& result) {
@@ -68,4 +70,4 @@
       });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/attempt_settler.h
+++ b/src/libs/ingress/attempt_settler.h
@@ -1,7 +1,7 @@
 // Asks another node's gate what became of an attempt, and may bar it from
 // starting.
-#ifndef NODE_ATTEMPT_SETTLER_H_
-#define NODE_ATTEMPT_SETTLER_H_
+#ifndef INGRESS_ATTEMPT_SETTLER_H_
+#define INGRESS_ATTEMPT_SETTLER_H_
 
 #include <functional>
 
@@ -11,7 +11,7 @@
 #include "net/http_client.h"
 #include "routing/server_candidate.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 enum class Question {
   kAsk,     // Changes nothing.
@@ -38,10 +38,6 @@
   net::HttpClient client_;
 };
 
-// The path of the question on the peer listener.
-inline constexpr char kSettlePath[] = "/chestnutport/settle";
-inline constexpr char kSettleMethod[] = "attempt.settle";
+}  // namespace chestnutport::ingress
 
-}  // namespace chestnutport::node
-
-#endif  // NODE_ATTEMPT_SETTLER_H_
+#endif  // INGRESS_ATTEMPT_SETTLER_H_
--- a/src/libs/node/request_log.cc
+++ b/src/libs/ingress/call_log.cc
@@ -1,13 +1,12 @@
-#include "node/request_log.h"
+#include "ingress/call_log.h"
 
 #include <string_view>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 #include "base/encoding.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 using telemetry::Event;
@@ -82,34 +81,6 @@
   return left == 0 ? text : absl::StrCat(left, "-before ", text);
 }
 
-std::string NameOf(const std::optional<base::ErrorKind>& error) {
-  return error ? std::string(base::AnswerTo(*error).name) : "none";
-}
-
-// What reached the server has lines of its own: while servers are missing,
-// those of what is refused use up the limit of theirs within a tenth of a
-// second.
-Event EventOf(const GateDecision& decision) {
-  if (!decision.error)
-    return Event::kServerLate;
-  return decision.error == base::ErrorKind::kServerLost ? Event::kAttemptLost
-                                                        : Event::kGateDecided;
-}
-
-// As many as a value of a line holds; with how long each had run.
-std::string DescribeRunning(std::span<const admission::BrokenRequest> running) {
-  std::string text;
-  for (const admission::BrokenRequest& request : running) {
-    const std::string one =
-        absl::StrCat(request.fingerprint.ToString(), "+",
-                     Rounded(request.broken_at - request.started_at));
-    if (text.size() + one.size() > kLongestSent)
-      break;
-    absl::StrAppend(&text, text.empty() ? "" : " ", one);
-  }
-  return text;
-}
-
 // Plain successes are counted, not written.
 bool IsOrdinary(const ActiveCall& call, const CallEnd& end, bool is_late) {
   return !end.error && !is_late && end.status < kServerError &&
@@ -130,7 +101,7 @@
                    {"service", call.request.service},
                    {"class", call.request.traffic_class},
                    {"status", absl::StrCat(end.status)},
-                   {"error", NameOf(end.error)},
+                   {"error", base::NameOf(end.error)},
                    {"late", is_late ? "yes" : "no"},
                    {"took", base::FormatDuration(took)},
                    {"allowed", base::FormatDuration(call.request.remaining)},
@@ -149,7 +120,7 @@
   LogRequestEvent(Event::kCallRejected,
                   {{"request", request},
                    {"fingerprint", fingerprint.ToString()},
-                   {"error", NameOf(error)},
+                   {"error", base::NameOf(error)},
                    {"revision", absl::StrCat(revision)}});
 }
 
@@ -162,42 +133,4 @@
                    {"sent", DescribeAttempts(call, now)}});
 }
 
-void LogGateDecision(const GateDecision& decision) {
-  const bool reached = decision.serving.has_value();
-  LogRequestEvent(
-      EventOf(decision),
-      {{"request", decision.request},
-       {"fingerprint", decision.fingerprint.ToString()},
-       {"instance", decision.instance},
-       {"error", NameOf(decision.error)},
-       {"reached_server", reached ? "yes" : "no"},
-       {"queued", base::FormatDuration(decision.queued)},
-       {"serving", base::FormatDuration(
-                       decision.serving.value_or(base::Duration::zero()))},
-       {"admitted_slowness",
-        absl::StrFormat("%.2f", decision.admitted_slowness)},
-       {"slowness_age", decision.slowness_age
-                            ? base::FormatDuration(*decision.slowness_age)
-                            : "none"},
-       {"usual_strain", decision.usual_strain
-                            ? absl::StrFormat("%.2f", *decision.usual_strain)
-                            : "none"},
-       {"in_flight", absl::StrCat(decision.load.in_flight)},
-       {"limit", absl::StrCat(decision.load.limit)},
-       {"waiting", absl::StrCat(decision.load.queued)},
-       {"expected_wait", base::FormatDuration(decision.load.expected_wait)},
-       {"slowness", absl::StrFormat("%.2f", decision.slowness)},
-       {"failing", absl::StrFormat("%.2f", decision.failure_share)}});
-}
-
-void LogServerEnd(const std::string& service,
-                  std::span<const admission::BrokenRequest> running) {
-  telemetry::LogEvent(
-      Event::kServerEnded,
-      {{"service", service},
-       {"instance", running.empty() ? "" : running.front().instance},
-       {"running", absl::StrCat(running.size())},
-       {"requests", DescribeRunning(running)}});
-}
-
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/caller_protocol.h
+++ b/src/libs/ingress/caller_protocol.h
@@ -1,7 +1,7 @@
 // How callers and the server beside an ingress speak to it: what a request says
 // of itself, and how an error is told.
-#ifndef NODE_CALLER_PROTOCOL_H_
-#define NODE_CALLER_PROTOCOL_H_
+#ifndef INGRESS_CALLER_PROTOCOL_H_
+#define INGRESS_CALLER_PROTOCOL_H_
 
 #include <concepts>
 #include <functional>
@@ -12,10 +12,10 @@
 #include "base/result.h"
 #include "base/time.h"
 #include "declarations/configuration.h"
+#include "ingress/caller_request.h"
 #include "net/http_message.h"
-#include "node/caller_request.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 // What a caller is told when there is no answer of a server.
 struct CallerError {
@@ -74,6 +74,6 @@
   bool tells_return_time = false;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
 
-#endif  // NODE_CALLER_PROTOCOL_H_
+#endif  // INGRESS_CALLER_PROTOCOL_H_
--- a/src/libs/node/caller_request.cc
+++ b/src/libs/ingress/caller_request.cc
@@ -1,4 +1,4 @@
-#include "node/caller_request.h"
+#include "ingress/caller_request.h"
 
 #include <algorithm>
 #include <utility>
@@ -8,7 +8,7 @@
 #include "base/text.h"
 #include "wire/header_names.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 using base::ErrorKind;
@@ -97,4 +97,4 @@
   return read;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/caller_request.h
+++ b/src/libs/ingress/caller_request.h
@@ -1,6 +1,6 @@
 // A caller's request, checked against what is declared.
-#ifndef NODE_CALLER_REQUEST_H_
-#define NODE_CALLER_REQUEST_H_
+#ifndef INGRESS_CALLER_REQUEST_H_
+#define INGRESS_CALLER_REQUEST_H_
 
 #include <optional>
 #include <string>
@@ -13,7 +13,7 @@
 #include "declarations/configuration.h"
 #include "net/http_message.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 struct CallerRequest {
   std::string service;
@@ -44,6 +44,6 @@
     const declarations::Configuration& configuration,
     net::HttpRequest request);
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
 
-#endif  // NODE_CALLER_REQUEST_H_
+#endif  // INGRESS_CALLER_REQUEST_H_
--- a/src/libs/node/ingress.cc
+++ b/src/libs/ingress/ingress.cc
@@ -1,16 +1,16 @@
-#include "node/ingress.h"
+#include "ingress/ingress.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "base/error_kind.h"
 #include "calls/return_time.h"
-#include "node/caller_request.h"
-#include "node/request_log.h"
+#include "ingress/call_log.h"
+#include "ingress/caller_request.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 // Over all services, whatever each declares.
@@ -80,10 +80,10 @@
 }  // namespace
 
 Ingress::Ingress(net::EventLoop& loop,
-                 NodeIdentity identity,
+                 traffic::NodeIdentity identity,
                  control_calls::PeerKeys keys,
                  AnyCallerProtocol protocol,
-                 RunningRequests& running,
+                 traffic::RunningRequests& running,
                  base::Random random)
     : loop_(loop),
       identity_(std::move(identity)),
@@ -377,4 +377,4 @@
   return *slot;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/ingress.h
+++ b/src/libs/ingress/ingress.h
@@ -1,7 +1,7 @@
 // The caller's side: takes requests, chooses servers, and gives each caller
 // its one final answer. Runs on the ingress thread.
-#ifndef NODE_INGRESS_H_
-#define NODE_INGRESS_H_
+#ifndef INGRESS_INGRESS_H_
+#define INGRESS_INGRESS_H_
 
 #include <map>
 #include <memory>
@@ -14,31 +14,31 @@
 #include "calls/next_step.h"
 #include "calls/retry_budget.h"
 #include "control_calls/peer_keys.h"
+#include "ingress/active_call.h"
+#include "ingress/attempt_canceller.h"
+#include "ingress/attempt_sender.h"
+#include "ingress/attempt_settler.h"
+#include "ingress/caller_protocol.h"
+#include "ingress/service_traffic.h"
+#include "ingress/traffic_snapshot.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
-#include "node/active_call.h"
-#include "node/attempt_canceller.h"
-#include "node/attempt_sender.h"
-#include "node/attempt_settler.h"
-#include "node/caller_protocol.h"
-#include "node/node_identity.h"
-#include "node/running_requests.h"
-#include "node/service_traffic.h"
-#include "node/traffic_recorder.h"
-#include "node/traffic_snapshot.h"
 #include "quarantine/gate_guard.h"
+#include "traffic/node_identity.h"
+#include "traffic/running_requests.h"
+#include "traffic/traffic_recorder.h"
 #include "wire/peer_request_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 class Ingress {
  public:
   // `loop` and `running` must outlive the ingress.
   Ingress(net::EventLoop& loop,
-          NodeIdentity identity,
+          traffic::NodeIdentity identity,
           control_calls::PeerKeys keys,
           AnyCallerProtocol protocol,
-          RunningRequests& running,
+          traffic::RunningRequests& running,
           base::Random random);
   ~Ingress();
 
@@ -128,9 +128,9 @@
   ServiceTraffic& Traffic(const std::string& service);
 
   net::EventLoop& loop_;
-  NodeIdentity identity_;
+  traffic::NodeIdentity identity_;
   AnyCallerProtocol protocol_;
-  RunningRequests& running_;
+  traffic::RunningRequests& running_;
   base::Random random_;
   uint64_t attempt_origin_;
   uint64_t last_attempt_ = 0;
@@ -143,13 +143,13 @@
   AttemptSender sender_;
   AttemptSettler settler_;
   AttemptCanceller canceller_;
-  TrafficRecorder recorder_;
+  traffic::TrafficRecorder recorder_;
   std::unique_ptr<net::HttpServer> listener_;
   net::EventLoop::TimerId start_timer_ = 0;
   // After the listener, so that replies end before it does.
   absl::flat_hash_map<CallId, std::unique_ptr<ActiveCall>> calls_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
 
-#endif  // NODE_INGRESS_H_
+#endif  // INGRESS_INGRESS_H_
--- a/src/libs/node/ingress_attempts.cc
+++ b/src/libs/ingress/ingress_attempts.cc
@@ -7,15 +7,15 @@
 #include "base/encoding.h"
 #include "base/error_kind.h"
 #include "calls/nested_target.h"
+#include "ingress/caller_request.h"
+#include "ingress/ingress.h"
+#include "ingress/key_owner_view.h"
 #include "keys/key_scope.h"
-#include "node/caller_request.h"
-#include "node/ingress.h"
-#include "node/key_owner_view.h"
 #include "quarantine/crash_ledger.h"
 #include "wire/header_names.h"
 #include "wire/peer_request_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 constexpr std::chrono::milliseconds kSettleTimeout(500);
@@ -214,4 +214,4 @@
   canceller_.Cancel(sent.server, sent.id, question);
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/key_owner_view.cc
+++ b/src/libs/ingress/key_owner_view.cc
@@ -1,9 +1,9 @@
-#include "node/key_owner_view.h"
+#include "ingress/key_owner_view.h"
 
 #include <algorithm>
 #include <iterator>
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 keys::OwnerState ToOwnerState(routing::ServerState state) {
@@ -48,4 +48,4 @@
   return found == servers.end() ? nullptr : &*found;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/key_owner_view.h
+++ b/src/libs/ingress/key_owner_view.h
@@ -1,6 +1,6 @@
 // The nodes among which the owners of a service's idempotency keys are found.
-#ifndef NODE_KEY_OWNER_VIEW_H_
-#define NODE_KEY_OWNER_VIEW_H_
+#ifndef INGRESS_KEY_OWNER_VIEW_H_
+#define INGRESS_KEY_OWNER_VIEW_H_
 
 #include <span>
 #include <vector>
@@ -9,7 +9,7 @@
 #include "routing/server_candidate.h"
 #include "routing/server_filter.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 // In the order of their ids, so that equal views compare equal.
 std::vector<keys::OwnerNode> ToOwnerNodes(
@@ -22,6 +22,6 @@
     std::span<const routing::ServerCandidate> servers,
     const routing::ServerFilter& filter = {});
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
 
-#endif  // NODE_KEY_OWNER_VIEW_H_
+#endif  // INGRESS_KEY_OWNER_VIEW_H_
--- a/src/libs/node/own_caller_protocol.cc
+++ b/src/libs/ingress/own_caller_protocol.cc
@@ -1,10 +1,10 @@
-#include "node/own_caller_protocol.h"
+#include "ingress/own_caller_protocol.h"
 
 #include <utility>
 
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 base::Result<CallerRequest> OwnCallerProtocol::Read(
     const declarations::Configuration& configuration,
@@ -22,4 +22,4 @@
   return wire::MakeErrorAnswer(error.kind, error.retry_after);
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/own_caller_protocol.h
+++ b/src/libs/ingress/own_caller_protocol.h
@@ -1,10 +1,10 @@
 // How callers speak that know the product's own headers.
-#ifndef NODE_OWN_CALLER_PROTOCOL_H_
-#define NODE_OWN_CALLER_PROTOCOL_H_
+#ifndef INGRESS_OWN_CALLER_PROTOCOL_H_
+#define INGRESS_OWN_CALLER_PROTOCOL_H_
 
-#include "node/caller_protocol.h"
+#include "ingress/caller_protocol.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 class OwnCallerProtocol {
  public:
@@ -17,6 +17,6 @@
   net::HttpAnswer ErrorAnswer(const CallerError& error) const;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
 
-#endif  // NODE_OWN_CALLER_PROTOCOL_H_
+#endif  // INGRESS_OWN_CALLER_PROTOCOL_H_
--- a/src/libs/node/service_traffic.cc
+++ b/src/libs/ingress/service_traffic.cc
@@ -1,8 +1,8 @@
-#include "node/service_traffic.h"
+#include "ingress/service_traffic.h"
 
 #include <utility>
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 constexpr double kRetryBurst = 20;
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-ServiceTraffic::ServiceTraffic(const NodeIdentity& identity,
+ServiceTraffic::ServiceTraffic(const traffic::NodeIdentity& identity,
                                calls::RetryBudget& node_retries)
     : chooser_({identity.data_centre, identity.region, identity.id}),
       node_retries_(node_retries),
@@ -61,4 +61,4 @@
   return {retries_, node_retries_, hedges_, refusals_, questions_};
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/src/libs/node/service_traffic.h
+++ b/src/libs/ingress/service_traffic.h
@@ -1,22 +1,22 @@
 // What the ingress thread keeps for a service across snapshots.
-#ifndef NODE_SERVICE_TRAFFIC_H_
-#define NODE_SERVICE_TRAFFIC_H_
+#ifndef INGRESS_SERVICE_TRAFFIC_H_
+#define INGRESS_SERVICE_TRAFFIC_H_
 
 #include "calls/call_policy.h"
 #include "calls/fleet_retries.h"
 #include "calls/latency_timing.h"
 #include "calls/retry_budget.h"
 #include "declarations/service_declaration.h"
-#include "node/caller_request.h"
-#include "node/node_identity.h"
+#include "ingress/caller_request.h"
 #include "routing/server_chooser.h"
+#include "traffic/node_identity.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 class ServiceTraffic {
  public:
   // `node_retries` is shared by all services and must outlive this object.
-  ServiceTraffic(const NodeIdentity& identity,
+  ServiceTraffic(const traffic::NodeIdentity& identity,
                  calls::RetryBudget& node_retries);
 
   void SetDeclaration(const declarations::ServiceDeclaration& declaration);
@@ -43,6 +43,6 @@
   bool has_fleet_limit_ = false;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
 
-#endif  // NODE_SERVICE_TRAFFIC_H_
+#endif  // INGRESS_SERVICE_TRAFFIC_H_
--- a/src/libs/node/traffic_snapshot.h
+++ b/src/libs/ingress/traffic_snapshot.h
@@ -1,7 +1,7 @@
 // What the control thread tells the ingress thread: what is declared, and
 // which servers there are. Each snapshot replaces the one before as a whole.
-#ifndef NODE_TRAFFIC_SNAPSHOT_H_
-#define NODE_TRAFFIC_SNAPSHOT_H_
+#ifndef INGRESS_TRAFFIC_SNAPSHOT_H_
+#define INGRESS_TRAFFIC_SNAPSHOT_H_
 
 #include <map>
 #include <memory>
@@ -13,7 +13,7 @@
 #include "declarations/configuration.h"
 #include "routing/server_candidate.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 
 struct TrafficSnapshot {
   declarations::SharedConfiguration configuration =
@@ -24,6 +24,6 @@
   std::optional<calls::NodeRetryLimit> retries;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
 
-#endif  // NODE_TRAFFIC_SNAPSHOT_H_
+#endif  // INGRESS_TRAFFIC_SNAPSHOT_H_
--- a/src/libs/node/adapters.h
+++ b/src/libs/node/adapters.h
@@ -5,15 +5,15 @@
 
 #include "evacuation_store/evacuation_form.h"
 #include "fleet_configuration/configuration_form.h"
-#include "node/caller_protocol.h"
-#include "node/server_protocol.h"
+#include "ingress/caller_protocol.h"
+#include "server/server_protocol.h"
 #include "store/store_form.h"
 
 namespace chestnutport::node {
 
 struct Adapters {
-  AnyCallerProtocol callers;
-  AnyServerProtocol servers;
+  ingress::AnyCallerProtocol callers;
+  server::AnyServerProtocol servers;
   store::AnyStoreForm store;
   fleet_configuration::AnyConfigurationForm configuration;
   evacuation_store::AnyEvacuationForm evacuation;
--- a/src/libs/node/control.cc
+++ b/src/libs/node/control.cc
@@ -5,7 +5,7 @@
 
 #include "net/error_answer.h"
 #include "node/control_readings.h"
-#include "node/drain_order.h"
+#include "operators/drain_order.h"
 #include "store/store_connections.h"
 #include "telemetry/log.h"
 
@@ -22,7 +22,7 @@
                  const settings::NodeSettings& settings,
                  membership::Member self,
                  const control_calls::PeerKeys& keys,
-                 MetricsCollector& metrics,
+                 operators::MetricsCollector& metrics,
                  const Adapters& adapters,
                  Outputs outputs,
                  const base::Random& random)
@@ -78,7 +78,7 @@
           [this] { OnOwnServerChanged(); }),
       server_finder_(loop,
                      adapters.servers,
-                     [this](const ServerAnnouncement& found) {
+                     [this](const server::ServerAnnouncement& found) {
                        own_server_.OnFound(found);
                      }),
       metrics_(metrics,
@@ -91,7 +91,7 @@
   AddControlCalls();
 }
 
-OperatedNode Control::ForOperators() {
+operators::OperatedNode Control::ForOperators() {
   return {.self = self_,
           .members = members_,
           .evacuations = evacuations_,
@@ -138,7 +138,8 @@
   auto opened = net::HttpServer::Open(
       loop_, settings_.metrics_listen, net::HttpServerLimits{},
       [this](const net::HttpRequest& request, net::Reply reply) {
-        if (request.method == "GET" && IsMetricsTarget(request.target))
+        if (request.method == "GET" &&
+            operators::IsMetricsTarget(request.target))
           metrics_.Answer(request.target, std::move(reply));
         else
           reply.Send(net::MakeErrorAnswer(base::ErrorKind::kNotFound));
@@ -182,7 +183,7 @@
   PublishKeyView();
 }
 
-void Control::Drain(DrainSource source) {
+void Control::Drain(server::DrainSource source) {
   own_server_.Drain(source);
 }
 
@@ -192,19 +193,20 @@
 
 void Control::SetDraining(bool draining) {
   if (draining)
-    Drain(DrainSource::kOperator);
+    Drain(server::DrainSource::kOperator);
   else
-    Undrain(DrainSource::kOperator);
+    Undrain(server::DrainSource::kOperator);
 }
 
 void Control::AddControlCalls() {
-  control_listener_.Add(kDrainMethod, [this](const std::string& params) {
-    const auto order = DrainOrder::FromJson(params);
-    if (!order)
-      return std::string();
-    SetDraining(order->draining);
-    return std::string("{}");
-  });
+  control_listener_.Add(
+      operators::kDrainMethod, [this](const std::string& params) {
+        const auto order = operators::DrainOrder::FromJson(params);
+        if (!order)
+          return std::string();
+        SetDraining(order->draining);
+        return std::string("{}");
+      });
 }
 
 const base::SocketAddress& Control::operator_address() const {
@@ -246,9 +248,9 @@
   }
   evacuations_ = evacuations;
   if (evacuations_.Contains(self_.data_centre))
-    own_server_.Drain(DrainSource::kEvacuation);
+    own_server_.Drain(server::DrainSource::kEvacuation);
   else
-    own_server_.Undrain(DrainSource::kEvacuation);
+    own_server_.Undrain(server::DrainSource::kEvacuation);
   PublishSnapshot();
 }
 
@@ -262,7 +264,7 @@
 }
 
 void Control::OnOwnServerChanged() {
-  const ServerState& server = own_server_.state();
+  const server::ServerState& server = own_server_.state();
   server_finder_.Stop();
   ++self_.incarnation;
   self_.server.reset();
@@ -293,7 +295,7 @@
   }
 }
 
-void Control::OnGateReport(const GateReport& report) {
+void Control::OnGateReport(const gate::GateReport& report) {
   gate_report_ = report;
   own_server_.OnAnswer(report.last_answer);
   own_server_.OnColdReported(report.life, report.cold_until);
--- a/src/libs/node/control.h
+++ b/src/libs/node/control.h
@@ -14,22 +14,22 @@
 #include "control_calls/peer_keys.h"
 #include "evacuation_store/evacuation_reader.h"
 #include "evacuation_store/evacuation_writer.h"
+#include "fleet/evidence_store.h"
+#include "fleet/fleet_membership.h"
+#include "fleet/request_quarantine.h"
 #include "fleet_configuration/configuration_keeper.h"
+#include "gate/gate_report.h"
+#include "ingress/traffic_snapshot.h"
 #include "keys/key_ownership.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "node/adapters.h"
-#include "node/evidence_store.h"
-#include "node/fleet_membership.h"
-#include "node/gate_report.h"
-#include "node/metrics_api.h"
-#include "node/operator_api.h"
-#include "node/own_server.h"
-#include "node/request_quarantine.h"
-#include "node/server_finder.h"
-#include "node/traffic_snapshot.h"
+#include "operators/metrics_api.h"
+#include "operators/operator_api.h"
+#include "server/own_server.h"
+#include "server/server_finder.h"
 #include "settings/node_settings.h"
 #include "store/store_client.h"
 
@@ -40,8 +40,8 @@
   // How the control thread reaches the others. Each is called on the control
   // thread and must not block.
   struct Outputs {
-    std::function<void(TrafficSnapshot)> publish_snapshot;
-    std::function<void(ServerState)> publish_server;
+    std::function<void(ingress::TrafficSnapshot)> publish_snapshot;
+    std::function<void(server::ServerState)> publish_server;
     std::function<void(const quarantine::SharedVerdicts&)> publish_verdicts;
     // The nodes of this node's service, repeated also without a change.
     std::function<void(std::vector<keys::OwnerNode>, base::Instant as_of)>
@@ -53,7 +53,7 @@
           const settings::NodeSettings& settings,
           membership::Member self,
           const control_calls::PeerKeys& keys,
-          MetricsCollector& metrics,
+          operators::MetricsCollector& metrics,
           const Adapters& adapters,
           Outputs outputs,
           const base::Random& random);
@@ -64,11 +64,11 @@
   // Takes the address of the gate's listener, and starts.
   void Start(const base::SocketAddress& peer_address);
   // Makes the fleet stop sending work here.
-  void Drain(DrainSource source);
+  void Drain(server::DrainSource source);
   // From now on callers are told that this node is not ready.
   void BeginStop() { stopping_ = true; }
-  void Undrain(DrainSource source) { own_server_.Undrain(source); }
-  void OnGateReport(const GateReport& report);
+  void Undrain(server::DrainSource source) { own_server_.Undrain(source); }
+  void OnGateReport(const gate::GateReport& report);
   // Of this node's server.
   void OnServerCrash(const quarantine::ServerCrash& crash) {
     quarantine_.OnServerCrash(crash);
@@ -85,7 +85,7 @@
 
  private:
   // What the operators' API shows and does.
-  OperatedNode ForOperators();
+  operators::OperatedNode ForOperators();
   bool IsReady() const;
   void SetDraining(bool draining);
   // Reads the store anew after it.
@@ -114,23 +114,23 @@
   store::StoreClient store_;
   control_calls::ControlListener control_listener_;
   control_calls::ControlCaller control_caller_;
-  RequestQuarantine quarantine_;
-  FleetMembership membership_;
-  EvidenceStore evidence_store_;
+  fleet::RequestQuarantine quarantine_;
+  fleet::FleetMembership membership_;
+  fleet::EvidenceStore evidence_store_;
   fleet_configuration::ConfigurationKeeper configuration_;
   evacuation_store::EvacuationReader evacuation_reader_;
   evacuation_store::EvacuationWriter evacuation_writer_;
   evacuation::Evacuations evacuations_;
-  OwnServer own_server_;
-  ServerFinder server_finder_;
-  MetricsApi metrics_;
-  OperatorApi operator_api_;
+  server::OwnServer own_server_;
+  server::ServerFinder server_finder_;
+  operators::MetricsApi metrics_;
+  operators::OperatorApi operator_api_;
   std::unique_ptr<net::HttpServer> operator_listener_;
   // Open to whoever gathers metrics, without a token; null: not asked for.
   std::unique_ptr<net::HttpServer> metrics_listener_;
   std::vector<membership::Member> members_;
   size_t most_members_ = 1;
-  GateReport gate_report_;
+  gate::GateReport gate_report_;
   bool stopping_ = false;
   net::EventLoop::TimerId key_view_timer_ = 0;
 };
--- a/src/libs/node/control_publishing.cc
+++ b/src/libs/node/control_publishing.cc
@@ -3,8 +3,8 @@
 #include <cmath>
 #include <utility>
 
+#include "ingress/key_owner_view.h"
 #include "node/control.h"
-#include "node/key_owner_view.h"
 #include "routing/server_filter.h"
 
 namespace chestnutport::node {
@@ -40,7 +40,7 @@
 
 void ApplyDeclaration(const declarations::ServiceDeclaration& service,
                       const settings::NodeSettings& settings,
-                      ServerState& server) {
+                      server::ServerState& server) {
   admission::AdmissionOptions& options = server.admission;
   const double usable = std::floor(options.slots * service.usable_slots);
   options.slots =
@@ -63,7 +63,7 @@
 }  // namespace
 
 double Control::OwnColdRate() const {
-  const ServerState& server = own_server_.state();
+  const server::ServerState& server = own_server_.state();
   const auto* declared =
       configuration_.configuration().FindService(server.service);
   if (!declared || base::Clock::now() >= server.cold_until)
@@ -72,7 +72,7 @@
 }
 
 void Control::PublishServer() {
-  ServerState server = own_server_.state();
+  server::ServerState server = own_server_.state();
   for (const auto& service : configuration_.configuration().services) {
     if (service.name == server.service)
       ApplyDeclaration(service, settings_, server);
@@ -81,7 +81,7 @@
 }
 
 void Control::PublishSnapshot() {
-  TrafficSnapshot snapshot;
+  ingress::TrafficSnapshot snapshot;
   snapshot.configuration = configuration_.shared_configuration();
   for (const membership::Member& member : members_) {
     if (member.server && member.state != membership::MemberState::kGone)
@@ -115,7 +115,7 @@
     }
   }
   // Read anew: a loop that was held up must not date its view too early.
-  outputs_.publish_key_view(ToOwnerNodes(servers), base::Clock::now());
+  outputs_.publish_key_view(ingress::ToOwnerNodes(servers), base::Clock::now());
   key_view_timer_ =
       loop_.CallAfter(kKeyViewInterval, [this] { PublishKeyView(); });
 }
--- a/src/libs/node/control_readings.cc
+++ b/src/libs/node/control_readings.cc
@@ -97,7 +97,7 @@
 }
 
 void AppendHeld(std::vector<Reading>& readings,
-                const RequestQuarantine& quarantine) {
+                const fleet::RequestQuarantine& quarantine) {
   using quarantine::Verdict;
   for (const Verdict verdict : {Verdict::kSuspected, Verdict::kQuarantined}) {
     readings.push_back({Metric::kHeldRequests, std::string(ToString(verdict)),
--- a/src/libs/node/control_readings.h
+++ b/src/libs/node/control_readings.h
@@ -4,11 +4,11 @@
 
 #include <vector>
 
+#include "fleet/request_quarantine.h"
 #include "fleet_configuration/configuration_keeper.h"
+#include "gate/gate_report.h"
 #include "membership/gossip_counters.h"
 #include "membership/member.h"
-#include "node/gate_report.h"
-#include "node/request_quarantine.h"
 #include "store/store_call_counts.h"
 #include "telemetry/metrics_report.h"
 
@@ -18,9 +18,9 @@
   const std::vector<membership::Member>& members;
   const fleet_configuration::ConfigurationKeeper& configuration;
   const store::StoreCallCounts& store_calls;
-  const GateReport& gate;
+  const gate::GateReport& gate;
   const membership::GossipCounters& gossip;
-  const RequestQuarantine& quarantine;
+  const fleet::RequestQuarantine& quarantine;
 };
 
 // To be called on the control thread: reads its processor time.
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -11,12 +11,12 @@
 #include <utility>
 #include <vector>
 
+#include "gate/gate.h"
+#include "ingress/ingress.h"
 #include "net/event_loop.h"
 #include "node/control.h"
-#include "node/gate.h"
-#include "node/ingress.h"
-#include "node/metrics_collector.h"
 #include "node/settings_watch.h"
+#include "operators/metrics_collector.h"
 #include "telemetry/log.h"
 
 namespace chestnutport::node {
@@ -63,7 +63,7 @@
   return self;
 }
 
-NodeIdentity ToIdentity(const membership::Member& self) {
+traffic::NodeIdentity ToIdentity(const membership::Member& self) {
   return {self.id, self.name, self.data_centre, self.region};
 }
 
@@ -83,7 +83,7 @@
              keys,
              adapters.servers,
              running,
-             {[this](const GateReport& report) {
+             {[this](const gate::GateReport& report) {
                 control_loop.Post(
                     [this, report] { control.OnGateReport(report); });
               },
@@ -110,14 +110,14 @@
             keys,
             metrics,
             adapters,
-            {[this](TrafficSnapshot snapshot) {
+            {[this](ingress::TrafficSnapshot snapshot) {
                TellGate(snapshot.configuration);
                ingress_loop.Post(
                    [this, snapshot = std::move(snapshot)]() mutable {
                      ingress.SetSnapshot(std::move(snapshot));
                    });
              },
-             [this](const ServerState& server) {
+             [this](const server::ServerState& server) {
                gate_loop.Post([this, server] { gate.SetServer(server); });
              },
              [this](const quarantine::SharedVerdicts& verdicts) {
@@ -132,7 +132,7 @@
              }},
             SeededRandom()) {}
 
-  std::vector<MetricsCollector::Source> MetricsSources() {
+  std::vector<operators::MetricsCollector::Source> MetricsSources() {
     return {{ingress_loop, [this] { return &ingress.metrics(); },
              [this] { return InFlight("ingress", ingress.in_flight()); }},
             {gate_loop, [this] { return &gate.metrics(); },
@@ -155,10 +155,10 @@
   net::EventLoop control_loop;
   net::EventLoop gate_loop;
   net::EventLoop ingress_loop;
-  RunningRequests running;
-  Gate gate;
-  Ingress ingress;
-  MetricsCollector metrics;
+  traffic::RunningRequests running;
+  gate::Gate gate;
+  ingress::Ingress ingress;
+  operators::MetricsCollector metrics;
   uint64_t gate_revision = 0;
   Control control;
   std::unique_ptr<SettingsWatch> settings_watch;
@@ -258,7 +258,7 @@
   const base::Duration server_notice =
       std::min<base::Duration>(kServerNotice, notice / kServerNoticePart);
   threads_->control_loop.CallAfter(notice - server_notice, [this] {
-    threads_->control.Drain(DrainSource::kStop);
+    threads_->control.Drain(server::DrainSource::kStop);
   });
   threads_->control_loop.CallAfter(notice, [this] { DrainTraffic(); });
   threads_->control_loop.CallAfter(grace, [this] { EndStop(); });
--- a/src/libs/node/drain_order.cc
+++ b/src/libs/operators/drain_order.cc
@@ -1,8 +1,8 @@
-#include "node/drain_order.h"
+#include "operators/drain_order.h"
 
 #include <nlohmann/json.hpp>
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 
 using nlohmann::json;
 
@@ -20,4 +20,4 @@
   return DrainOrder{draining->get<bool>()};
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/drain_order.h
+++ b/src/libs/operators/drain_order.h
@@ -1,12 +1,12 @@
 // The control call node.drain, by which an operator's wish is forwarded.
-#ifndef NODE_DRAIN_ORDER_H_
-#define NODE_DRAIN_ORDER_H_
+#ifndef OPERATORS_DRAIN_ORDER_H_
+#define OPERATORS_DRAIN_ORDER_H_
 
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 
 inline constexpr char kDrainMethod[] = "node.drain";
 
@@ -17,6 +17,6 @@
   static std::optional<DrainOrder> FromJson(std::string_view text);
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
 
-#endif  // NODE_DRAIN_ORDER_H_
+#endif  // OPERATORS_DRAIN_ORDER_H_
--- a/src/libs/node/metrics_api.cc
+++ b/src/libs/operators/metrics_api.cc
@@ -1,4 +1,4 @@
-#include "node/metrics_api.h"
+#include "operators/metrics_api.h"
 
 #include <algorithm>
 #include <memory>
@@ -9,7 +9,7 @@
 #include "telemetry/exposition.h"
 #include "telemetry/metrics_json.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 constexpr std::string_view kMetricsPath = "/v1/metrics";
@@ -72,4 +72,4 @@
   });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/metrics_api.h
+++ b/src/libs/operators/metrics_api.h
@@ -3,18 +3,18 @@
 //                exposition format
 //   service=S    only this service's series
 //   tenant=T     only this tenant's series
-#ifndef NODE_METRICS_API_H_
-#define NODE_METRICS_API_H_
+#ifndef OPERATORS_METRICS_API_H_
+#define OPERATORS_METRICS_API_H_
 
 #include <functional>
 #include <string_view>
 #include <vector>
 
 #include "net/reply.h"
-#include "node/metrics_collector.h"
+#include "operators/metrics_collector.h"
 #include "telemetry/metrics_report.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 
 // Whether `target` is the path of this call, with a query or without.
 bool IsMetricsTarget(std::string_view target);
@@ -33,6 +33,6 @@
   std::function<std::vector<telemetry::Reading>()> control_readings_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
 
-#endif  // NODE_METRICS_API_H_
+#endif  // OPERATORS_METRICS_API_H_
--- a/src/libs/node/metrics_collector.cc
+++ b/src/libs/operators/metrics_collector.cc
@@ -1,11 +1,11 @@
-#include "node/metrics_collector.h"
+#include "operators/metrics_collector.h"
 
 #include <algorithm>
 #include <iterator>
 #include <optional>
 #include <utility>
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 // Series copied at a time: some tens of microseconds of a traffic thread.
@@ -82,4 +82,4 @@
   ++collection.source;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/metrics_collector.h
+++ b/src/libs/operators/metrics_collector.h
@@ -1,8 +1,8 @@
 // Gathers the metrics of the traffic threads on the control thread: asks each
 // for copies, a part at a time, so that no thread reads another's state and no
 // traffic is held up for long.
-#ifndef NODE_METRICS_COLLECTOR_H_
-#define NODE_METRICS_COLLECTOR_H_
+#ifndef OPERATORS_METRICS_COLLECTOR_H_
+#define OPERATORS_METRICS_COLLECTOR_H_
 
 #include <functional>
 #include <memory>
@@ -12,7 +12,7 @@
 #include "telemetry/metrics_report.h"
 #include "telemetry/traffic_metrics.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 
 // For the control thread only. Must outlive its collections.
 class MetricsCollector {
@@ -41,6 +41,6 @@
   std::vector<Source> sources_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
 
-#endif  // NODE_METRICS_COLLECTOR_H_
+#endif  // OPERATORS_METRICS_COLLECTOR_H_
--- a/src/libs/node/operated_node.h
+++ b/src/libs/operators/operated_node.h
@@ -1,6 +1,6 @@
 // What operators see and do of the node that they speak to.
-#ifndef NODE_OPERATED_NODE_H_
-#define NODE_OPERATED_NODE_H_
+#ifndef OPERATORS_OPERATED_NODE_H_
+#define OPERATORS_OPERATED_NODE_H_
 
 #include <functional>
 #include <vector>
@@ -8,12 +8,12 @@
 #include "control_calls/control_caller.h"
 #include "evacuation/evacuations.h"
 #include "evacuation_store/evacuation_writer.h"
+#include "fleet/request_quarantine.h"
 #include "fleet_configuration/configuration_keeper.h"
 #include "membership/member.h"
-#include "node/metrics_api.h"
-#include "node/request_quarantine.h"
+#include "operators/metrics_api.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 
 // All that is referred to must outlive it. For the control thread.
 struct OperatedNode {
@@ -23,7 +23,7 @@
   const evacuation::Evacuations& evacuations;
   fleet_configuration::ConfigurationKeeper& configuration;
   control_calls::ControlCaller& caller;
-  RequestQuarantine& quarantine;
+  fleet::RequestQuarantine& quarantine;
   MetricsApi& metrics;
   // Whether callers should be directed to this node.
   std::function<bool()> is_ready;
@@ -35,6 +35,6 @@
       evacuate;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
 
-#endif  // NODE_OPERATED_NODE_H_
+#endif  // OPERATORS_OPERATED_NODE_H_
--- a/src/libs/node/operator_answer.cc
+++ b/src/libs/operators/operator_answer.cc
@@ -1,9 +1,9 @@
-#include "node/operator_answer.h"
+#include "operators/operator_answer.h"
 
 #include <string>
 #include <utility>
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 using nlohmann::json;
@@ -39,4 +39,4 @@
   reply.Send(std::move(answer));
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/operator_answer.h
+++ b/src/libs/operators/operator_answer.h
@@ -1,13 +1,13 @@
 // Answers of the operators' API.
-#ifndef NODE_OPERATOR_ANSWER_H_
-#define NODE_OPERATOR_ANSWER_H_
+#ifndef OPERATORS_OPERATOR_ANSWER_H_
+#define OPERATORS_OPERATOR_ANSWER_H_
 
 #include <nlohmann/json.hpp>
 
 #include "base/error_kind.h"
 #include "net/reply.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 
 void SendJson(net::Reply& reply, const nlohmann::json& body);
 
@@ -16,6 +16,6 @@
                base::ErrorKind kind,
                nlohmann::json details = nlohmann::json::object());
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
 
-#endif  // NODE_OPERATOR_ANSWER_H_
+#endif  // OPERATORS_OPERATOR_ANSWER_H_
--- a/src/libs/node/operator_api.cc
+++ b/src/libs/operators/operator_api.cc
@@ -1,12 +1,12 @@
-#include "node/operator_api.h"
+#include "operators/operator_api.h"
 
 #include <utility>
 
 #include "base/encoding.h"
-#include "node/operator_answer.h"
-#include "node/operator_calls.h"
+#include "operators/operator_answer.h"
+#include "operators/operator_calls.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 using base::ErrorKind;
@@ -72,4 +72,4 @@
   return who;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/operator_api.h
+++ b/src/libs/operators/operator_api.h
@@ -1,15 +1,15 @@
 // The operators' API, as HTTP and JSON: who may call, and which call it is.
-#ifndef NODE_OPERATOR_API_H_
-#define NODE_OPERATOR_API_H_
+#ifndef OPERATORS_OPERATOR_API_H_
+#define OPERATORS_OPERATOR_API_H_
 
 #include <string>
 
 #include "net/http_message.h"
 #include "net/reply.h"
-#include "node/operated_node.h"
+#include "operators/operated_node.h"
 #include "settings/node_settings.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 
 class OperatorApi {
  public:
@@ -26,6 +26,6 @@
   const settings::NodeSettings& settings_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
 
-#endif  // NODE_OPERATOR_API_H_
+#endif  // OPERATORS_OPERATOR_API_H_
--- a/src/libs/node/operator_calls.h
+++ b/src/libs/operators/operator_calls.h
@@ -1,6 +1,6 @@
 // The calls of the operators' API, one source file each.
-#ifndef NODE_OPERATOR_CALLS_H_
-#define NODE_OPERATOR_CALLS_H_
+#ifndef OPERATORS_OPERATOR_CALLS_H_
+#define OPERATORS_OPERATOR_CALLS_H_
 
 #include <optional>
 #include <string>
@@ -8,9 +8,9 @@
 #include "declarations/configuration.h"
 #include "net/http_message.h"
 #include "net/reply.h"
-#include "node/operated_node.h"
+#include "operators/operated_node.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 
 // POST /v1/plan {"services": {name: text}}
 void AnswerPlan(const OperatedNode& node,
@@ -71,6 +71,6 @@
     const net::HttpRequest& request,
     net::Reply& reply);
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
 
-#endif  // NODE_OPERATOR_CALLS_H_
+#endif  // OPERATORS_OPERATOR_CALLS_H_
--- a/src/libs/node/operator_confirm.cc
+++ b/src/libs/operators/operator_confirm.cc
@@ -6,10 +6,10 @@
 #include "absl/time/time.h"
 #include "configuration/change.h"
 #include "configuration/plan.h"
-#include "node/operator_answer.h"
-#include "node/operator_calls.h"
+#include "operators/operator_answer.h"
+#include "operators/operator_calls.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 using base::ErrorKind;
@@ -107,4 +107,4 @@
       });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/operator_declarations.cc
+++ b/src/libs/operators/operator_declarations.cc
@@ -2,10 +2,10 @@
 #include <utility>
 
 #include "declarations/checker.h"
-#include "node/operator_answer.h"
-#include "node/operator_calls.h"
+#include "operators/operator_answer.h"
+#include "operators/operator_calls.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 using base::ErrorKind;
@@ -63,4 +63,4 @@
   return std::nullopt;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/operator_drain.cc
+++ b/src/libs/operators/operator_drain.cc
@@ -3,11 +3,11 @@
 #include <utility>
 #include <vector>
 
-#include "node/drain_order.h"
-#include "node/operator_answer.h"
-#include "node/operator_calls.h"
+#include "operators/drain_order.h"
+#include "operators/operator_answer.h"
+#include "operators/operator_calls.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 using base::ErrorKind;
@@ -96,4 +96,4 @@
   }
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/operator_evacuation.cc
+++ b/src/libs/operators/operator_evacuation.cc
@@ -5,11 +5,11 @@
 #include <set>
 #include <utility>
 
-#include "node/operator_answer.h"
-#include "node/operator_calls.h"
+#include "operators/operator_answer.h"
+#include "operators/operator_calls.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 using base::ErrorKind;
@@ -119,4 +119,4 @@
   });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/operator_history.cc
+++ b/src/libs/operators/operator_history.cc
@@ -1,10 +1,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "node/operator_answer.h"
-#include "node/operator_calls.h"
+#include "operators/operator_answer.h"
+#include "operators/operator_calls.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 
 using nlohmann::json;
 
@@ -27,4 +27,4 @@
            {{"revision", head.revision}, {"confirmations", confirmations}});
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/operator_plan.cc
+++ b/src/libs/operators/operator_plan.cc
@@ -3,10 +3,10 @@
 #include <utility>
 
 #include "configuration/plan.h"
-#include "node/operator_answer.h"
-#include "node/operator_calls.h"
+#include "operators/operator_answer.h"
+#include "operators/operator_calls.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 using nlohmann::json;
@@ -51,4 +51,4 @@
                    {"touches", touched}});
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/operator_quarantine.cc
+++ b/src/libs/operators/operator_quarantine.cc
@@ -2,11 +2,11 @@
 #include <utility>
 
 #include "base/encoding.h"
-#include "node/operator_answer.h"
-#include "node/operator_calls.h"
+#include "operators/operator_answer.h"
+#include "operators/operator_calls.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 using base::RequestFingerprint;
@@ -18,8 +18,8 @@
       std::chrono::round<std::chrono::milliseconds>(duration));
 }
 
-json Describe(const RequestQuarantine& quarantine,
-              const HeldRequest& held,
+json Describe(const fleet::RequestQuarantine& quarantine,
+              const fleet::HeldRequest& held,
               base::Instant now) {
   json ends = json::array();
   for (const quarantine::CrashMark& mark : held.evidence.marks) {
@@ -48,9 +48,9 @@
 }  // namespace
 
 void AnswerQuarantine(const OperatedNode& node, net::Reply reply) {
-  const RequestQuarantine& quarantine = node.quarantine;
+  const fleet::RequestQuarantine& quarantine = node.quarantine;
   json requests = json::array();
-  for (const HeldRequest& held : quarantine.Held())
+  for (const fleet::HeldRequest& held : quarantine.Held())
     requests.push_back(Describe(quarantine, held, base::Clock::now()));
   SendJson(reply, {{"requests", requests}});
 }
@@ -73,4 +73,4 @@
   SendJson(reply, {{"fingerprint", wanted->ToString()}, {"released", true}});
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/operator_revisions.cc
+++ b/src/libs/operators/operator_revisions.cc
@@ -5,10 +5,10 @@
 #include <vector>
 
 #include "configuration/fetch.h"
-#include "node/operator_answer.h"
-#include "node/operator_calls.h"
+#include "operators/operator_answer.h"
+#include "operators/operator_calls.h"
 
-namespace chestnutport::node {
+namespace chestnutport::operators {
 namespace {
 
 using configuration::FetchAnswer;
@@ -103,4 +103,4 @@
       ->Run(node.self, node.members);
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::operators
--- a/src/libs/node/own_server.cc
+++ b/src/libs/server/own_server.cc
@@ -1,4 +1,4 @@
-#include "node/own_server.h"
+#include "server/own_server.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,7 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 using telemetry::Event;
@@ -228,4 +228,4 @@
   timer_ = loop_.CallAfter(kCheckInterval, [this] { CheckPresence(); });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/src/libs/node/own_server.h
+++ b/src/libs/server/own_server.h
@@ -1,7 +1,7 @@
 // Hears what this node's own server says of itself: that it is there, that it
 // drains, that it leaves. Runs on the control thread.
-#ifndef NODE_OWN_SERVER_H_
-#define NODE_OWN_SERVER_H_
+#ifndef SERVER_OWN_SERVER_H_
+#define SERVER_OWN_SERVER_H_
 
 #include <cstdint>
 #include <functional>
@@ -14,11 +14,11 @@
 #include "base/result.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
-#include "node/server_announcement.h"
-#include "node/server_incarnations.h"
-#include "node/server_state.h"
+#include "server/server_announcement.h"
+#include "server/server_incarnations.h"
+#include "server/server_state.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 
 // Who wants the server to take no new work.
 enum class DrainSource {
@@ -91,6 +91,6 @@
   std::unique_ptr<net::HttpServer> listener_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
 
-#endif  // NODE_OWN_SERVER_H_
+#endif  // SERVER_OWN_SERVER_H_
--- a/src/libs/node/own_server_protocol.cc
+++ b/src/libs/server/own_server_protocol.cc
@@ -1,10 +1,10 @@
-#include "node/own_server_protocol.h"
+#include "server/own_server_protocol.h"
 
 #include "base/encoding.h"
 #include "base/outcome.h"
 #include "wire/header_names.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 constexpr int kUnavailable = 503;
@@ -46,4 +46,4 @@
   return "";
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/src/libs/node/own_server_protocol.h
+++ b/src/libs/server/own_server_protocol.h
@@ -1,10 +1,10 @@
 // How a server speaks that knows the product's own headers.
-#ifndef NODE_OWN_SERVER_PROTOCOL_H_
-#define NODE_OWN_SERVER_PROTOCOL_H_
+#ifndef SERVER_OWN_SERVER_PROTOCOL_H_
+#define SERVER_OWN_SERVER_PROTOCOL_H_
 
-#include "node/server_protocol.h"
+#include "server/server_protocol.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 
 // A server sheds with a 503 that bears the mark of what did not run; without
 // the mark it is an answer as any other.
@@ -19,6 +19,6 @@
   std::string AnswerTag() const { return ""; }
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
 
-#endif  // NODE_OWN_SERVER_PROTOCOL_H_
+#endif  // SERVER_OWN_SERVER_PROTOCOL_H_
--- a/src/libs/node/server_announcement.cc
+++ b/src/libs/server/server_announcement.cc
@@ -1,11 +1,11 @@
-#include "node/server_announcement.h"
+#include "server/server_announcement.h"
 
 #include <nlohmann/json.hpp>
 #include <type_traits>
 
 #include "base/encoding.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 using nlohmann::json;
@@ -137,4 +137,4 @@
   return said.started_at;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/src/libs/node/server_announcement.h
+++ b/src/libs/server/server_announcement.h
@@ -1,6 +1,6 @@
 // What a server tells its own node when it announces itself.
-#ifndef NODE_SERVER_ANNOUNCEMENT_H_
-#define NODE_SERVER_ANNOUNCEMENT_H_
+#ifndef SERVER_SERVER_ANNOUNCEMENT_H_
+#define SERVER_SERVER_ANNOUNCEMENT_H_
 
 #include <chrono>
 #include <optional>
@@ -10,7 +10,7 @@
 #include "base/socket_address.h"
 #include "base/time.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 
 struct ServerAnnouncement {
   std::string service;
@@ -36,6 +36,6 @@
 // zero: not told. Nothing if it cannot be read.
 std::optional<std::chrono::milliseconds> ReadStartedAt(std::string_view text);
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
 
-#endif  // NODE_SERVER_ANNOUNCEMENT_H_
+#endif  // SERVER_SERVER_ANNOUNCEMENT_H_
--- a/src/libs/node/server_finder.cc
+++ b/src/libs/server/server_finder.cc
@@ -1,8 +1,8 @@
-#include "node/server_finder.h"
+#include "server/server_finder.h"
 
 #include <utility>
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 constexpr int kOk = 200;
@@ -72,4 +72,4 @@
   handler_(found);
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/src/libs/node/server_finder.h
+++ b/src/libs/server/server_finder.h
@@ -1,17 +1,17 @@
 // Finds the server beside a node that has just started, before the server next
 // announces itself. Runs on the control thread.
-#ifndef NODE_SERVER_FINDER_H_
-#define NODE_SERVER_FINDER_H_
+#ifndef SERVER_SERVER_FINDER_H_
+#define SERVER_SERVER_FINDER_H_
 
 #include <functional>
 #include <string>
 
 #include "net/event_loop.h"
 #include "net/http_client.h"
-#include "node/server_announcement.h"
-#include "node/server_protocol.h"
+#include "server/server_announcement.h"
+#include "server/server_protocol.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 
 // A server goes on while its node is replaced, and announces itself only now
 // and then; until it does, the node would refuse its work. Its health path
@@ -52,6 +52,6 @@
   net::EventLoop::TimerId timer_ = 0;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
 
-#endif  // NODE_SERVER_FINDER_H_
+#endif  // SERVER_SERVER_FINDER_H_
--- a/src/libs/node/server_incarnations.cc
+++ b/src/libs/server/server_incarnations.cc
@@ -1,9 +1,9 @@
-#include "node/server_incarnations.h"
+#include "server/server_incarnations.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 using std::chrono::milliseconds;
@@ -91,4 +91,4 @@
     past_.pop_front();
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/src/libs/node/server_incarnations.h
+++ b/src/libs/server/server_incarnations.h
@@ -4,17 +4,17 @@
 // A server names each start by its instance, or starts again under the same
 // instance with another time of start. What is remembered of a start belongs to
 // it alone.
-#ifndef NODE_SERVER_INCARNATIONS_H_
-#define NODE_SERVER_INCARNATIONS_H_
+#ifndef SERVER_SERVER_INCARNATIONS_H_
+#define SERVER_SERVER_INCARNATIONS_H_
 
 #include <chrono>
 #include <deque>
 #include <optional>
 #include <string>
 
-#include "node/server_announcement.h"
+#include "server/server_announcement.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 
 class ServerIncarnations {
  public:
@@ -55,6 +55,6 @@
   std::deque<Incarnation> past_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
 
-#endif  // NODE_SERVER_INCARNATIONS_H_
+#endif  // SERVER_SERVER_INCARNATIONS_H_
--- a/src/libs/node/server_observer.cc
+++ b/src/libs/server/server_observer.cc
@@ -1,10 +1,10 @@
-#include "node/server_observer.h"
+#include "server/server_observer.h"
 
 #include <utility>
 
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 constexpr int kServerError = 500;
@@ -132,4 +132,4 @@
     outputs_.told_cold(*remaining);
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/src/libs/node/server_observer.h
+++ b/src/libs/server/server_observer.h
@@ -1,8 +1,8 @@
 // What a gate knows of its own server, from each answer and from probes: its
 // pace, whether another server has taken its address, and whether it ended with
 // requests that it ran. Runs on the gate thread.
-#ifndef NODE_SERVER_OBSERVER_H_
-#define NODE_SERVER_OBSERVER_H_
+#ifndef SERVER_SERVER_OBSERVER_H_
+#define SERVER_SERVER_OBSERVER_H_
 
 #include <cstdint>
 #include <functional>
@@ -14,11 +14,11 @@
 #include "admission/server_pace.h"
 #include "base/request_fingerprint.h"
 #include "net/event_loop.h"
-#include "node/server_prober.h"
-#include "node/server_protocol.h"
-#include "node/server_state.h"
+#include "server/server_prober.h"
+#include "server/server_protocol.h"
+#include "server/server_state.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 
 // How a request to the server ended.
 struct RequestEnd {
@@ -105,6 +105,6 @@
   ServerProber prober_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
 
-#endif  // NODE_SERVER_OBSERVER_H_
+#endif  // SERVER_SERVER_OBSERVER_H_
--- a/src/libs/node/server_prober.cc
+++ b/src/libs/server/server_prober.cc
@@ -1,11 +1,11 @@
-#include "node/server_prober.h"
+#include "server/server_prober.h"
 
 #include <utility>
 
 #include "base/encoding.h"
 #include "wire/header_names.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 // What the end of a probe may be late by.
@@ -75,4 +75,4 @@
                });
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/src/libs/node/server_prober.h
+++ b/src/libs/server/server_prober.h
@@ -1,7 +1,7 @@
 // Probes this node's own server when traffic tells too little of it, within
 // its budget. Runs on the gate thread.
-#ifndef NODE_SERVER_PROBER_H_
-#define NODE_SERVER_PROBER_H_
+#ifndef SERVER_SERVER_PROBER_H_
+#define SERVER_SERVER_PROBER_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,9 +9,9 @@
 #include "admission/probe_scheduler.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
-#include "node/server_state.h"
+#include "server/server_state.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 
 // When a probe was begun, and which life of the server it was meant for.
 struct ProbeStart {
@@ -61,6 +61,6 @@
   Handler handler_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
 
-#endif  // NODE_SERVER_PROBER_H_
+#endif  // SERVER_SERVER_PROBER_H_
--- a/src/libs/node/server_protocol.h
+++ b/src/libs/server/server_protocol.h
@@ -1,7 +1,7 @@
 // How a gate and its server speak: what a request to a server is given, and
 // what an answer of its says.
-#ifndef NODE_SERVER_PROTOCOL_H_
-#define NODE_SERVER_PROTOCOL_H_
+#ifndef SERVER_SERVER_PROTOCOL_H_
+#define SERVER_SERVER_PROTOCOL_H_
 
 #include <concepts>
 #include <functional>
@@ -12,7 +12,7 @@
 #include "net/http_message.h"
 #include "wire/server_load.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 
 // What a gate adds to a request that it hands to its server.
 struct ServerSend {
@@ -93,6 +93,6 @@
   }
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
 
-#endif  // NODE_SERVER_PROTOCOL_H_
+#endif  // SERVER_SERVER_PROTOCOL_H_
--- a/src/libs/node/server_state.h
+++ b/src/libs/server/server_state.h
@@ -1,6 +1,6 @@
 // What the control thread tells the gate thread about this node's own server.
-#ifndef NODE_SERVER_STATE_H_
-#define NODE_SERVER_STATE_H_
+#ifndef SERVER_SERVER_STATE_H_
+#define SERVER_SERVER_STATE_H_
 
 #include <cstdint>
 #include <string>
@@ -10,7 +10,7 @@
 #include "base/socket_address.h"
 #include "base/time.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 
 struct ServerState {
   bool announced = false;
@@ -31,6 +31,6 @@
   bool TakesWork() const { return announced && !draining; }
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
 
-#endif  // NODE_SERVER_STATE_H_
+#endif  // SERVER_SERVER_STATE_H_
--- a/src/libs/node/answer_relay.cc
+++ b/src/libs/traffic/answer_relay.cc
@@ -1,4 +1,4 @@
-#include "node/answer_relay.h"
+#include "traffic/answer_relay.h"
 
 #include <cstdint>
 #include <optional>
@@ -7,7 +7,7 @@
 #include "base/text.h"
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::traffic {
 namespace {
 
 constexpr uint64_t kLargestCollected = 64 * 1024;
@@ -71,4 +71,4 @@
     reply_.Send(wire::MakeErrorAnswer(ErrorOf(end)));
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::traffic
--- a/src/libs/node/answer_relay.h
+++ b/src/libs/traffic/answer_relay.h
@@ -1,7 +1,7 @@
 // Hands a large answer on as it comes, from a transfer to a reply, with a
 // bound on the bytes kept on the way.
-#ifndef NODE_ANSWER_RELAY_H_
-#define NODE_ANSWER_RELAY_H_
+#ifndef TRAFFIC_ANSWER_RELAY_H_
+#define TRAFFIC_ANSWER_RELAY_H_
 
 #include <functional>
 #include <string_view>
@@ -10,7 +10,7 @@
 #include "net/http_message.h"
 #include "net/reply.h"
 
-namespace chestnutport::node {
+namespace chestnutport::traffic {
 
 // Whether an answer to `method` is handed on as it comes: it is larger than
 // 64 KB, or of unknown length. Others are collected and sent whole, so that
@@ -42,6 +42,6 @@
   net::Reply reply_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::traffic
 
-#endif  // NODE_ANSWER_RELAY_H_
+#endif  // TRAFFIC_ANSWER_RELAY_H_
--- a/src/libs/node/node_identity.h
+++ b/src/libs/traffic/node_identity.h
@@ -1,12 +1,12 @@
 // Who this node is.
-#ifndef NODE_NODE_IDENTITY_H_
-#define NODE_NODE_IDENTITY_H_
+#ifndef TRAFFIC_NODE_IDENTITY_H_
+#define TRAFFIC_NODE_IDENTITY_H_
 
 #include <string>
 
 #include "base/node_id.h"
 
-namespace chestnutport::node {
+namespace chestnutport::traffic {
 
 struct NodeIdentity {
   base::NodeId id;
@@ -15,6 +15,6 @@
   std::string region;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::traffic
 
-#endif  // NODE_NODE_IDENTITY_H_
+#endif  // TRAFFIC_NODE_IDENTITY_H_
--- a/src/libs/node/running_requests.cc
+++ b/src/libs/traffic/running_requests.cc
@@ -1,9 +1,9 @@
-#include "node/running_requests.h"
+#include "traffic/running_requests.h"
 
 #include "absl/strings/ascii.h"
 #include "base/text.h"
 
-namespace chestnutport::node {
+namespace chestnutport::traffic {
 
 void RunningRequests::OnStarted(const std::string& name,
                                 const std::string& traffic_class) {
@@ -47,4 +47,4 @@
   return nullptr;
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::traffic
--- a/src/libs/node/running_requests.h
+++ b/src/libs/traffic/running_requests.h
@@ -4,8 +4,8 @@
 //
 // Servers name a call after the request that they make it for: the request's
 // name, a mark, and more. A call that is not named so is as any other request.
-#ifndef NODE_RUNNING_REQUESTS_H_
-#define NODE_RUNNING_REQUESTS_H_
+#ifndef TRAFFIC_RUNNING_REQUESTS_H_
+#define TRAFFIC_RUNNING_REQUESTS_H_
 
 #include <mutex>
 #include <optional>
@@ -14,7 +14,7 @@
 
 #include "absl/container/flat_hash_map.h"
 
-namespace chestnutport::node {
+namespace chestnutport::traffic {
 
 class RunningRequests {
  public:
@@ -45,6 +45,6 @@
   absl::flat_hash_map<std::string, Running> running_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::traffic
 
-#endif  // NODE_RUNNING_REQUESTS_H_
+#endif  // TRAFFIC_RUNNING_REQUESTS_H_
--- a/src/libs/node/traffic_recorder.cc
+++ b/src/libs/traffic/traffic_recorder.cc
@@ -1,11 +1,11 @@
-#include "node/traffic_recorder.h"
+#include "traffic/traffic_recorder.h"
 
 #include <utility>
 #include <vector>
 
 #include "telemetry/error_log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::traffic {
 namespace {
 
 using telemetry::DeclaredLabels;
@@ -44,4 +44,4 @@
   metrics_.Record(record);
 }
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::traffic
--- a/src/libs/node/traffic_recorder.h
+++ b/src/libs/traffic/traffic_recorder.h
@@ -1,12 +1,12 @@
 // Where a traffic thread tells how a request ended: counts it, and logs the
 // error that was given. Each traffic thread has one of its own.
-#ifndef NODE_TRAFFIC_RECORDER_H_
-#define NODE_TRAFFIC_RECORDER_H_
+#ifndef TRAFFIC_TRAFFIC_RECORDER_H_
+#define TRAFFIC_TRAFFIC_RECORDER_H_
 
 #include "declarations/configuration.h"
 #include "telemetry/traffic_metrics.h"
 
-namespace chestnutport::node {
+namespace chestnutport::traffic {
 
 class TrafficRecorder {
  public:
@@ -23,6 +23,6 @@
   telemetry::TrafficMetrics metrics_;
 };
 
-}  // namespace chestnutport::node
+}  // namespace chestnutport::traffic
 
-#endif  // NODE_TRAFFIC_RECORDER_H_
+#endif  // TRAFFIC_TRAFFIC_RECORDER_H_
--- a/tests/auto/admission/gate_quarantine_test.cc
+++ b/tests/auto/admission/gate_quarantine_test.cc
@@ -1,8 +1,8 @@
 // A gate whose server ends with what it runs, and one that knows verdicts.
 #include <catch2/catch.hpp>
 
-#include "node/attempt_sender.h"
 #include "support/gate_scene.h"
+#include "traffic/peer_paths.h"
 #include "wire/header_names.h"
 
 namespace chestnutport::test {
@@ -111,7 +111,7 @@
     CHECK(Outcome(scene.results[1]) == "not-run");
     CHECK(Error(scene.Inquire({kHeld})) == "request-quarantined");
     CHECK(scene.served.empty());
-    CHECK(scene.Inquire({kOther}).answer.status == node::kPlaceFree);
+    CHECK(scene.Inquire({kOther}).answer.status == traffic::kPlaceFree);
   }
 
   SECTION("still gives the answer on record of a key, and runs no new one") {
--- a/tests/auto/admission/gate_test.cc
+++ b/tests/auto/admission/gate_test.cc
@@ -7,8 +7,8 @@
 #include <array>
 #include <catch2/catch.hpp>
 
-#include "node/attempt_sender.h"
 #include "support/gate_scene.h"
+#include "traffic/peer_paths.h"
 #include "wire/header_names.h"
 #include "wire/load_report.h"
 
@@ -128,8 +128,8 @@
   scene.Apply();
 
   SECTION("says so while it has, and keeps nothing of it") {
-    CHECK(scene.Inquire().answer.status == node::kPlaceFree);
-    CHECK(scene.Inquire().answer.status == node::kPlaceFree);
+    CHECK(scene.Inquire().answer.status == traffic::kPlaceFree);
+    CHECK(scene.Inquire().answer.status == traffic::kPlaceFree);
     CHECK(scene.served.empty());
     CHECK(scene.Settle({1, 1}, false) == "unknown-here");
   }
--- /dev/null
+++ b/tests/auto/docs/layers_test.cc
@@ -0,0 +1,70 @@
+// The libraries of src/libs: their order, their size, and the files that the
+// pages name.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "source_tree.h"
+
+namespace chestnutport::test {
+namespace {
+
+constexpr char kLibraries[] = "src/libs";
+// Beyond this, a library has more than one job.
+constexpr ptrdiff_t kMostLines = 3000;
+
+// From the lowest to the highest.
+std::vector<std::string> Libraries() {
+  return Matches(ReadFile(SourceFolder() / kLibraries / "CMakeLists.txt"),
+                 R"(add_subdirectory\((\w+)\))");
+}
+
+std::vector<std::filesystem::path> SourcesOf(const std::string& library) {
+  return FilesBelow(std::string(kLibraries) + "/" + library, {".h", ".cc"});
+}
+
+TEST_CASE("each library includes only those below it") {
+  const auto libraries = Libraries();
+  REQUIRE(libraries.size() > 10);
+  for (auto library = libraries.begin(); library != libraries.end();
+       ++library) {
+    for (const auto& file : SourcesOf(*library)) {
+      for (const std::string& included :
+           Matches(ReadFile(file), "#include \"(\\w+)/")) {
+        INFO(file.string() << " includes a file of " << included);
+        const bool is_above = std::find(library + 1, libraries.end(),
+                                        included) != libraries.end();
+        CHECK_FALSE(is_above);
+      }
+    }
+  }
+}
+
+TEST_CASE("no library is so large that it has more than one job") {
+  for (const std::string& library : Libraries()) {
+    ptrdiff_t lines = 0;
+    for (const auto& file : SourcesOf(library))
+      lines += std::ranges::count(ReadFile(file), '\n');
+    INFO(library);
+    CHECK(lines > 0);
+    CHECK(lines <= kMostLines);
+  }
+}
+
+TEST_CASE("each source file that a page names exists") {
+  size_t named = 0;
+  for (const auto& page : Pages()) {
+    for (const std::string& name : Matches(
+             ReadFile(page), "`([a-z_]+(?:/[a-z_]+)+\\.(?:cc|h|ini|toml))`")) {
+      INFO(page.string() << " names " << name);
+      CHECK((std::filesystem::exists(SourceFolder() / name) ||
+             std::filesystem::exists(SourceFolder() / kLibraries / name)));
+      ++named;
+    }
+  }
+  CHECK(named > 10);
+}
+
+}  // namespace
+}  // namespace chestnutport::test
--- a/tests/auto/membership/seed_search_test.cc
+++ b/tests/auto/duties/seed_search_test.cc
@@ -1,9 +1,9 @@
 // Which listings a node asks the store for while it looks for the fleet.
-#include "membership/seed_search.h"
+#include "duties/seed_search.h"
 
 #include <catch2/catch.hpp>
 
-namespace chestnutport::membership {
+namespace chestnutport::duties {
 namespace {
 
 using base::Duration;
@@ -77,4 +77,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::membership
+}  // namespace chestnutport::duties
--- a/tests/auto/node/settle_calls_test.cc
+++ b/tests/auto/gate/settle_calls_test.cc
@@ -1,14 +1,14 @@
 // The control call that asks what became of an attempt, or cancels it.
-#include "node/settle_calls.h"
+#include "gate/settle_calls.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
 
-#include "node/attempt_settler.h"
 #include "rpc/call_codec.h"
+#include "traffic/peer_paths.h"
 
-namespace chestnutport::node {
+namespace chestnutport::gate {
 namespace {
 
 using admission::AttemptState;
@@ -25,7 +25,7 @@
   json params = {{"attempt", attempt.ToString()}};
   const auto answer = [&] {
     const auto sent =
-        calls.Answer(rpc::EncodeCall(kSettleMethod, params.dump()));
+        calls.Answer(rpc::EncodeCall(traffic::kSettleMethod, params.dump()));
     return json::parse(sent.body);
   };
 
@@ -58,4 +58,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::node
+}  // namespace chestnutport::gate
--- a/tests/auto/node/request_log_test.cc
+++ b/tests/auto/ingress/call_log_test.cc
@@ -1,14 +1,14 @@
 // What the line of a call says of its attempts.
-#include "node/request_log.h"
+#include "ingress/call_log.h"
 
 #include <catch2/catch.hpp>
 #include <sstream>
 
 #include "calls/retry_budget.h"
-#include "node/active_call.h"
+#include "ingress/active_call.h"
 #include "telemetry/log.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 using std::chrono::milliseconds;
@@ -63,4 +63,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/tests/auto/node/ingress_test.cc
+++ b/tests/auto/ingress/ingress_test.cc
@@ -1,5 +1,5 @@
 // The ingress of a node against peers that answer as the test wants.
-#include "node/ingress.h"
+#include "ingress/ingress.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -7,14 +7,13 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-#include "node/attempt_sender.h"
-#include "node/attempt_settler.h"
-#include "node/own_caller_protocol.h"
+#include "ingress/own_caller_protocol.h"
 #include "rpc/dispatcher.h"
+#include "traffic/peer_paths.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
-namespace chestnutport::node {
+namespace chestnutport::ingress {
 namespace {
 
 using net::FindHeader;
@@ -60,7 +59,7 @@
 
  private:
   void OnRequest(net::HttpRequest request, net::Reply reply) {
-    if (request.target == kSettlePath) {
+    if (request.target == traffic::kSettlePath) {
       const std::string answer = dispatcher_.Handle(request.body);
       if (answers_questions)
         reply.Send({.body = answer});
@@ -68,12 +67,12 @@
         held_.push_back(std::move(reply));
       return;
     }
-    if (request.target == kInquiryPath) {
+    if (request.target == traffic::kInquiryPath) {
       ++inquiries;
       if (behaviour_ == Behaviour::kRefuses)
         reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kOverloaded));
       else
-        reply.Send({.status = kPlaceFree});
+        reply.Send({.status = traffic::kPlaceFree});
       return;
     }
     attempts.push_back(std::move(request));
@@ -200,7 +199,7 @@
   net::EventLoop loop_;
 
  public:
-  RunningRequests running;
+  traffic::RunningRequests running;
 
  private:
   net::HttpClient caller_;
@@ -462,4 +461,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::node
+}  // namespace chestnutport::ingress
--- a/tests/auto/membership/gossip_fleet_test.cc
+++ b/tests/auto/membership/gossip_fleet_test.cc
@@ -2,7 +2,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
-#include "membership/seed_duty.h"
+#include "duties/seed_duty.h"
 #include "support/gossip_fleet.h"
 
 namespace chestnutport::test {
@@ -168,11 +168,11 @@
   std::multiset<std::string> keepers;
   for (size_t slot = 0; slot < fleet.size(); ++slot) {
     const auto members = fleet.gossip(slot).Members();
-    if (const auto duty = membership::SeedDuty(fleet.member(slot), members))
+    if (const auto duty = duties::SeedDuty(fleet.member(slot), members))
       keepers.insert(fleet.member(slot).data_centre + "/" +
                      std::to_string(*duty));
   }
-  CHECK(keepers.size() == membership::kSeedsPerDataCentre * 14);
+  CHECK(keepers.size() == duties::kSeedsPerDataCentre * 14);
   CHECK(std::set<std::string>(keepers.begin(), keepers.end()).size() ==
         keepers.size());
 
@@ -180,11 +180,11 @@
     const auto before = fleet.gossip(0).Members();
     auto members = before;
     for (auto& member : members)
-      member.has_lost_store = membership::SeedDuty(member, before).has_value();
+      member.has_lost_store = duties::SeedDuty(member, before).has_value();
     const auto able = std::ranges::count_if(members, [&](const auto& member) {
-      return !member.has_lost_store && membership::SeedDuty(member, members);
+      return !member.has_lost_store && duties::SeedDuty(member, members);
     });
-    CHECK(able == membership::kSeedsPerDataCentre * 14);
+    CHECK(able == duties::kSeedsPerDataCentre * 14);
   }
 }
 
--- a/tests/auto/platform/hosted_server_protocol_test.cc
+++ b/tests/auto/platform/hosted_server_protocol_test.cc
@@ -7,7 +7,7 @@
 namespace {
 
 using net::FindHeader;
-using node::ServerVerdict;
+using server::ServerVerdict;
 
 net::HttpAnswer Head(int status, net::HttpHeaders headers) {
   return {.status = status, .headers = std::move(headers), .body = ""};
--- a/tests/auto/platform/replaced_server_test.cc
+++ b/tests/auto/platform/replaced_server_test.cc
@@ -30,7 +30,7 @@
 
 TEST_CASE("a server is started anew while a request to it is on its way") {
   GateScene scene(
-      node::AnyServerProtocol::Of(platform::HostedServerProtocol()));
+      server::AnyServerProtocol::Of(platform::HostedServerProtocol()));
   scene.state.instance = "i-1";
   scene.Apply();
   scene.silent = true;
@@ -57,7 +57,7 @@
 
 TEST_CASE("another server answers at the address") {
   GateScene scene(
-      node::AnyServerProtocol::Of(platform::HostedServerProtocol()));
+      server::AnyServerProtocol::Of(platform::HostedServerProtocol()));
   scene.state.instance = "i-1";
   scene.Apply();
   scene.answer = RefusalOf("i-2");
--- a/tests/auto/node/announcement_property_test.cc
+++ b/tests/auto/server/announcement_property_test.cc
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-#include "node/server_announcement.h"
+#include "server/server_announcement.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 using nlohmann::json;
@@ -96,4 +96,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/tests/auto/node/own_server_test.cc
+++ b/tests/auto/server/own_server_test.cc
@@ -1,12 +1,12 @@
 // What a node believes of its own server, by what is posted to it.
-#include "node/own_server.h"
+#include "server/own_server.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
 #include "net/http_client.h"
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 using nlohmann::json;
@@ -97,4 +97,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/tests/auto/node/server_incarnations_test.cc
+++ b/tests/auto/server/server_incarnations_test.cc
@@ -1,9 +1,9 @@
 // Which announcements count, when a server starts again under its instance.
-#include "node/server_incarnations.h"
+#include "server/server_incarnations.h"
 
 #include <catch2/catch.hpp>
 
-namespace chestnutport::node {
+namespace chestnutport::server {
 namespace {
 
 using std::chrono::milliseconds;
@@ -113,4 +113,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::node
+}  // namespace chestnutport::server
--- a/tests/auto/node/running_requests_test.cc
+++ b/tests/auto/traffic/running_requests_test.cc
@@ -1,9 +1,9 @@
 // Which requests are calls that the own server makes.
-#include "node/running_requests.h"
+#include "traffic/running_requests.h"
 
 #include <catch2/catch.hpp>
 
-namespace chestnutport::node {
+namespace chestnutport::traffic {
 namespace {
 
 TEST_CASE("while a server runs a request") {
@@ -49,4 +49,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::node
+}  // namespace chestnutport::traffic
--- a/tests/benchmarks/control/gossip_scenarios.cc
+++ b/tests/benchmarks/control/gossip_scenarios.cc
@@ -9,8 +9,8 @@
 #include "absl/strings/str_cat.h"
 #include "base/text.h"
 #include "control/process_usage.h"
-#include "membership/seed_duty.h"
-#include "membership/seed_search.h"
+#include "duties/seed_duty.h"
+#include "duties/seed_search.h"
 #include "support/gossip_fleet.h"
 
 namespace chestnutport::bench {
@@ -363,9 +363,9 @@
   for (size_t slot = 0; slot < members; ++slot)
     fleet.Kill(slot);
   const Cost cost(fleet);
-  const size_t seeds = fleet.data_centres() * membership::kSeedsPerDataCentre;
+  const size_t seeds = fleet.data_centres() * duties::kSeedsPerDataCentre;
   const base::Duration step =
-      base::Duration(membership::SeedSearch::kStartSpread) / members;
+      base::Duration(duties::SeedSearch::kStartSpread) / members;
   for (size_t slot = 0; slot < members; ++slot) {
     const size_t known = std::max<size_t>(1, std::min(seeds, slot));
     fleet.Start(slot, (slot * 31 + 7) % known);
@@ -380,18 +380,18 @@
   size_t keepers = 0;
   for (size_t slot = 0; slot < members; ++slot) {
     const auto view = fleet.gossip(slot).Members();
-    keepers += membership::SeedDuty(fleet.member(slot), view) ? 1 : 0;
+    keepers += duties::SeedDuty(fleet.member(slot), view) ? 1 : 0;
   }
   constexpr double kCallsOfKeeper = 2;
   const double steady = static_cast<double>(keepers) * kCallsOfKeeper /
-                        Seconds(membership::SeedSearch::kDutyInterval);
+                        Seconds(duties::SeedSearch::kDutyInterval);
   report.Add({.name = Name("store", members, "steady calls"),
               .value = steady,
               .unit = "1/s fleet",
               .at_most = kLargestStoreRate});
   report.Add({.name = Name("store", members, "reads while all start"),
               .value = static_cast<double>(members) /
-                       Seconds(membership::SeedSearch::kStartSpread),
+                       Seconds(duties::SeedSearch::kStartSpread),
               .unit = "1/s fleet"});
 }
 
--- a/tests/benchmarks/decisions/ingress_run.h
+++ b/tests/benchmarks/decisions/ingress_run.h
@@ -17,7 +17,7 @@
 inline constexpr double kRetryShare = 0.1;
 inline constexpr double kHedgeShare = 0.02;
 
-// The budgets of node/service_traffic.cc.
+// The budgets of ingress/service_traffic.cc.
 template <ChoosingPolicy Policy>
 struct ServiceRun {
   explicit ServiceRun(const PolicyPlace& place) : policy(place) {}
--- a/tests/support/gate_scene.cc
+++ b/tests/support/gate_scene.cc
@@ -3,10 +3,9 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-#include "node/attempt_sender.h"
-#include "node/attempt_settler.h"
-#include "node/own_server_protocol.h"
 #include "rpc/call_codec.h"
+#include "server/own_server_protocol.h"
+#include "traffic/peer_paths.h"
 #include "wire/header_names.h"
 
 namespace chestnutport::test {
@@ -43,13 +42,13 @@
 
 }  // namespace
 
-GateScene::GateScene(const node::AnyServerProtocol& protocol)
+GateScene::GateScene(const server::AnyServerProtocol& protocol)
     : gate_(loop_,
             {kGateId, "a", "poa-a", "south"},
             kKeys,
             protocol,
             running,
-            {.report = [this](const node::GateReport& said) { report = said; },
+            {.report = [this](const gate::GateReport& said) { report = said; },
              .server_crash =
                  [this](const quarantine::ServerCrash& crash) {
                    crashes.push_back(crash);
@@ -74,7 +73,7 @@
 }
 
 GateScene::GateScene()
-    : GateScene(node::AnyServerProtocol::Of(node::OwnServerProtocol())) {}
+    : GateScene(server::AnyServerProtocol::Of(server::OwnServerProtocol())) {}
 
 base::AttemptId GateScene::Begin(const std::string& method,
                                  base::Duration remaining) {
@@ -123,7 +122,7 @@
   head.target_in = milliseconds(1);
   head.may_move = true;
   head.may_move_if_full = inquiry_may_move;
-  net::HttpRequest request{.method = "POST", .target = node::kInquiryPath};
+  net::HttpRequest request{.method = "POST", .target = traffic::kInquiryPath};
   head.AppendTo(request.headers, kKeys.current);
   const uint64_t id = last_;
   peer_.Send(address_, std::move(request), seconds(10),
@@ -148,7 +147,7 @@
   head.attempt = attempt;
   head.target = kGateId;
   head.remaining = seconds(5);
-  net::HttpRequest request{.method = "POST", .target = node::kSettlePath};
+  net::HttpRequest request{.method = "POST", .target = traffic::kSettlePath};
   head.AppendTo(request.headers, kKeys.current);
   const nlohmann::json asked = {{"attempt", attempt.ToString()},
                                 {"cancel", cancel},
--- a/tests/support/gate_scene.h
+++ b/tests/support/gate_scene.h
@@ -10,19 +10,19 @@
 #include <vector>
 
 #include "base/attempt_id.h"
+#include "gate/gate.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "node/gate.h"
-#include "node/running_requests.h"
-#include "node/server_protocol.h"
+#include "server/server_protocol.h"
+#include "traffic/running_requests.h"
 #include "wire/peer_request_head.h"
 
 namespace chestnutport::test {
 
 class GateScene {
  public:
-  explicit GateScene(const node::AnyServerProtocol& protocol);
+  explicit GateScene(const server::AnyServerProtocol& protocol);
   // Of a server that speaks the product's own protocol.
   GateScene();
 
@@ -63,8 +63,8 @@
   std::function<void()> serving = [] {};  // Called while a request is served.
   bool silent = false;                    // The server answers nothing.
   bool inquiry_may_move = true;
-  node::ServerState state;
-  node::GateReport report;
+  server::ServerState state;
+  gate::GateReport report;
   std::vector<quarantine::ServerCrash> crashes;
   std::vector<base::RequestFingerprint> answered_suspects;
   std::vector<net::HttpRequest> served;
@@ -82,10 +82,10 @@
   net::EventLoop loop_;
 
  public:
-  node::RunningRequests running;
+  traffic::RunningRequests running;
 
  private:
-  node::Gate gate_;
+  gate::Gate gate_;
   net::HttpClient peer_;
   std::unique_ptr<net::HttpServer> server_;
   base::SocketAddress address_;
