--- a/src/libs/control_calls/control_listener.cc
+++ b/src/libs/control_calls/control_listener.cc
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include "base/encoding.h"
+#include "net/error_answer.h"
 #include "wire/header_names.h"
-#include "wire/peer_answer_head.h"
 
 namespace chestnutport::control_calls {
 namespace {
@@ -43,12 +43,12 @@
 void ControlListener::OnRequest(const net::HttpRequest& request,
                                 net::Reply reply) {
   if (request.target != kControlPath) {
-    reply.Send(wire::MakeErrorAnswer(ErrorKind::kNotFound));
+    reply.Send(net::MakeErrorAnswer(ErrorKind::kNotFound));
     return;
   }
   if (!IsSignedWith(request, keys_.current) &&
       !IsSignedWith(request, keys_.previous)) {
-    reply.Send(wire::MakeErrorAnswer(ErrorKind::kUnauthorized));
+    reply.Send(net::MakeErrorAnswer(ErrorKind::kUnauthorized));
     return;
   }
   reply.Send({.headers = {{"Content-Type", "application/json"}},
--- a/src/libs/fleet/fleet_membership.cc
+++ b/src/libs/fleet/fleet_membership.cc
@@ -65,7 +65,7 @@
 }
 
 base::Result<bool> FleetMembership::Listen(const base::SocketAddress& address) {
-  auto opened = net::UdpSocket::Open(
+  auto opened = UdpSocket::Open(
       loop_, address,
       [this](const base::SocketAddress& from, std::string_view datagram) {
         OnDatagram(from, datagram);
--- a/src/libs/fleet/fleet_membership.h
+++ b/src/libs/fleet/fleet_membership.h
@@ -17,10 +17,10 @@
 #include "control_calls/peer_keys.h"
 #include "fleet/membership_log.h"
 #include "fleet/seed_keeper.h"
+#include "fleet/udp_socket.h"
 #include "membership/gossip.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
-#include "net/udp_socket.h"
 #include "settings/node_settings.h"
 #include "store/store_client.h"
 
@@ -114,7 +114,7 @@
   base::Random random_;
   SeedKeeper seeds_;
   membership::RecordCache records_;
-  std::unique_ptr<net::UdpSocket> socket_;
+  std::unique_ptr<UdpSocket> socket_;
   std::unique_ptr<membership::Gossip> gossip_;
   Handler handler_;
   RevisionHandler revision_handler_;
--- a/src/libs/net/udp_socket.cc
+++ b/src/libs/fleet/udp_socket.cc
@@ -1,4 +1,4 @@
-#include "net/udp_socket.h"
+#include "fleet/udp_socket.h"
 
 #include <arpa/inet.h>
 #include <sys/epoll.h>
@@ -9,7 +9,7 @@
 
 #include "net/event_loop.h"
 
-namespace chestnutport::net {
+namespace chestnutport::fleet {
 namespace {
 
 // More than one round of datagrams waits for the next round, so that a flood
@@ -27,7 +27,7 @@
 }  // namespace
 
 base::Result<std::unique_ptr<UdpSocket>> UdpSocket::Open(
-    EventLoop& loop,
+    net::EventLoop& loop,
     const base::SocketAddress& address,
     Handler handler) {
   const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
@@ -46,7 +46,7 @@
   return opened;
 }
 
-UdpSocket::UdpSocket(EventLoop& loop,
+UdpSocket::UdpSocket(net::EventLoop& loop,
                      int fd,
                      const base::SocketAddress& address)
     : loop_(loop), fd_(fd), address_(address) {}
@@ -79,4 +79,4 @@
   }
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::fleet
--- a/src/libs/net/udp_socket.h
+++ b/src/libs/fleet/udp_socket.h
@@ -1,6 +1,6 @@
 // A bound UDP socket on an event loop.
-#ifndef NET_UDP_SOCKET_H_
-#define NET_UDP_SOCKET_H_
+#ifndef FLEET_UDP_SOCKET_H_
+#define FLEET_UDP_SOCKET_H_
 
 #include <functional>
 #include <memory>
@@ -10,8 +10,10 @@
 #include "base/socket_address.h"
 
 namespace chestnutport::net {
-
 class EventLoop;
+}  // namespace chestnutport::net
+
+namespace chestnutport::fleet {
 
 class UdpSocket {
  public:
@@ -23,8 +25,10 @@
   static constexpr size_t kLargestDatagram = 1400;
 
   // Port zero lets the kernel choose. `loop` must outlive the socket.
-  static base::Result<std::unique_ptr<UdpSocket>>
-  Open(EventLoop& loop, const base::SocketAddress& address, Handler handler);
+  static base::Result<std::unique_ptr<UdpSocket>> Open(
+      net::EventLoop& loop,
+      const base::SocketAddress& address,
+      Handler handler);
   ~UdpSocket();
   UdpSocket(const UdpSocket&) = delete;
   UdpSocket& operator=(const UdpSocket&) = delete;
@@ -35,15 +39,15 @@
   const base::SocketAddress& address() const { return address_; }
 
  private:
-  UdpSocket(EventLoop& loop, int fd, const base::SocketAddress& address);
+  UdpSocket(net::EventLoop& loop, int fd, const base::SocketAddress& address);
   void ReceiveAll();
 
-  EventLoop& loop_;
+  net::EventLoop& loop_;
   int fd_;
   base::SocketAddress address_;
   Handler handler_;
 };
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::fleet
 
-#endif  // NET_UDP_SOCKET_H_
+#endif  // FLEET_UDP_SOCKET_H_
--- a/src/libs/gate/gate_serving.cc
+++ b/src/libs/gate/gate_serving.cc
@@ -8,6 +8,7 @@
 #include "gate/gate.h"
 #include "gate/gate_log.h"
 #include "gate/server_answer.h"
+#include "net/error_answer.h"
 #include "traffic/answer_relay.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
@@ -114,7 +115,7 @@
   if (attempt.relay) {
     attempt.relay->End(result.end);
   } else if (error) {
-    Answer(attempt, wire::MakeErrorAnswer(*error));
+    Answer(attempt, net::MakeErrorAnswer(*error));
   } else {
     net::HttpAnswer answer =
         ForPeer(std::move(result.answer), now - *attempt.started_at);
--- a/src/libs/gate/keyed_requests.cc
+++ b/src/libs/gate/keyed_requests.cc
@@ -4,6 +4,7 @@
 
 #include "base/encoding.h"
 #include "base/error_kind.h"
+#include "net/error_answer.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
@@ -25,16 +26,16 @@
     case Standing::kRuns:
       return std::nullopt;
     case Standing::kUncertain:
-      return wire::MakeErrorAnswer(ErrorKind::kKeyUncertain,
-                                   standing.retry_after);
+      return net::MakeErrorAnswer(ErrorKind::kKeyUncertain,
+                                  standing.retry_after);
     case Standing::kSettling:
-      return wire::MakeErrorAnswer(ErrorKind::kKeyRecordUnavailable,
-                                   standing.retry_after);
+      return net::MakeErrorAnswer(ErrorKind::kKeyRecordUnavailable,
+                                  standing.retry_after);
     case Standing::kNotOwner:
     case Standing::kNoValidView:
       break;
   }
-  return wire::MakeErrorAnswer(ErrorKind::kKeyRecordUnavailable);
+  return net::MakeErrorAnswer(ErrorKind::kKeyRecordUnavailable);
 }
 
 // Nothing if the request is to be run.
@@ -45,17 +46,17 @@
     case ClaimVerdict::kAnswered:
       return *claim.answer;
     case ClaimVerdict::kInUse:
-      return wire::MakeErrorAnswer(ErrorKind::kKeyInUse);
+      return net::MakeErrorAnswer(ErrorKind::kKeyInUse);
     case ClaimVerdict::kAnsweredBefore:
-      return wire::MakeErrorAnswer(ErrorKind::kAnsweredBefore);
+      return net::MakeErrorAnswer(ErrorKind::kAnsweredBefore);
     case ClaimVerdict::kUncertain:
-      return wire::MakeErrorAnswer(ErrorKind::kKeyUncertain);
+      return net::MakeErrorAnswer(ErrorKind::kKeyUncertain);
     case ClaimVerdict::kMismatch:
-      return wire::MakeErrorAnswer(ErrorKind::kKeyMismatch);
+      return net::MakeErrorAnswer(ErrorKind::kKeyMismatch);
     case ClaimVerdict::kFull:
       break;
   }
-  return wire::MakeErrorAnswer(ErrorKind::kKeyRecordUnavailable);
+  return net::MakeErrorAnswer(ErrorKind::kKeyRecordUnavailable);
 }
 
 }  // namespace
--- a/src/libs/ingress/ingress.h
+++ b/src/libs/ingress/ingress.h
@@ -70,11 +70,11 @@
   // which it is made for: the class that it is given.
   std::string ClassOfCall(const CallerRequest& call,
                           const std::string& above) const;
-  // Answers a request that servers ended with each time. Returns whether it was
-  // one.
   // For how long the request may be handed to no server; nothing: it may.
   std::optional<base::Duration> QuarantineLeft(
       const CallerRequest& request) const;
+  // Answers a request that servers ended with each time. Returns whether it was
+  // one.
   bool RefuseQuarantined(const CallerRequest& request, net::Reply& reply);
   // Answers a request that no attempt is made for.
   void Reject(const std::string& request_id,
--- /dev/null
+++ b/src/libs/ingress/ingress_answers.cc
@@ -0,0 +1,127 @@
+// What callers are told, and what is counted of their calls.
+#include <algorithm>
+#include <utility>
+
+#include "base/error_kind.h"
+#include "calls/return_time.h"
+#include "ingress/call_log.h"
+#include "ingress/ingress.h"
+#include "wire/header_names.h"
+#include "wire/peer_answer_head.h"
+
+namespace chestnutport::ingress {
+namespace {
+
+// A verdict may have run out since it was read.
+constexpr std::chrono::milliseconds kLeastRetryAfter(1);
+constexpr int kServerError = 500;
+
+// What the caller is told. A request with a key may have run under it before,
+// so only the key's owner can say that it did not run.
+base::ErrorKind ErrorForCaller(const ActiveCall& call, base::ErrorKind error) {
+  const bool is_not_run =
+      base::AnswerTo(error).outcome == base::Outcome::kNotRun;
+  if (call.request.idempotency_key.empty() || !is_not_run ||
+      error == base::ErrorKind::kKeyMismatch) {
+    return error;
+  }
+  const bool is_new =
+      std::ranges::any_of(call.attempts, [](const SentAttempt& sent) {
+        return !net::FindHeader(sent.answer.headers, wire::kKeyNewHeader)
+                    .empty();
+      });
+  return is_new ? error : base::ErrorKind::kKeyRecordUnavailable;
+}
+
+int MovesOf(const ActiveCall& call) {
+  return static_cast<int>(
+      std::ranges::count_if(call.attempts, [](const SentAttempt& sent) {
+        return sent.end && sent.end->error == base::ErrorKind::kServerSlow;
+      }));
+}
+
+}  // namespace
+
+std::optional<base::Duration> Ingress::QuarantineLeft(
+    const CallerRequest& request) const {
+  const quarantine::VerdictUntil verdict = verdicts_->Of(request.fingerprint);
+  // What became of a key is for its owner to say.
+  const bool has_key = !request.idempotency_key.empty();
+  if (has_key || verdict.verdict != quarantine::Verdict::kQuarantined)
+    return std::nullopt;
+  return std::max<base::Duration>(verdict.until - loop_.now(),
+                                  kLeastRetryAfter);
+}
+
+bool Ingress::RefuseQuarantined(const CallerRequest& request,
+                                net::Reply& reply) {
+  const auto left = QuarantineLeft(request);
+  if (!left)
+    return false;
+  constexpr auto kError = base::ErrorKind::kRequestQuarantined;
+  recorder_.Record(
+      telemetry::CallRecord{.service = request.service,
+                            .tenant = request.tenant,
+                            .traffic_class = request.traffic_class,
+                            .outcome = base::AnswerTo(kError).outcome,
+                            .error = kError});
+  LogCallRejected(request.name, request.fingerprint, kError,
+                  snapshot_.configuration->revision);
+  if (running_.IsNested(request.name))
+    running_.OnCallFailed(request.name);
+  reply.Send(protocol_.error_answer({kError, *left, request.name}));
+  return true;
+}
+
+void Ingress::Reject(const std::string& request_id,
+                     net::Reply reply,
+                     base::ErrorKind error) {
+  recorder_.Record(telemetry::CallRecord{
+      .outcome = base::AnswerTo(error).outcome, .error = error});
+  LogCallRejected(request_id, {}, error, snapshot_.configuration->revision);
+  reply.Send(protocol_.error_answer(
+      {error, base::AnswerTo(error).retry_after, request_id}));
+}
+
+void Ingress::AnswerError(ActiveCall& call, const calls::NextStep& step) {
+  const base::ErrorKind error = ErrorForCaller(call, step.error);
+  Record(call, error, {});
+  base::Duration retry_after = step.retry_after;
+  // A quarantine lasts longer than any deadline: it is told as long as it is.
+  const bool is_held = error == base::ErrorKind::kRequestQuarantined ||
+                       error == base::ErrorKind::kRequestStopped;
+  if (protocol_.tells_return_time && !is_held) {
+    retry_after = calls::ReturnTime(
+        retry_after, call.decision.deadline() - loop_.now(), random_);
+  }
+  net::HttpAnswer answer =
+      protocol_.error_answer({error, retry_after, call.request.name});
+  LogCallEnd(
+      call,
+      {error, answer.status, retry_after, snapshot_.configuration->revision},
+      loop_.now());
+  call.reply.Send(std::move(answer));
+}
+
+void Ingress::Record(const ActiveCall& call,
+                     std::optional<base::ErrorKind> error,
+                     const net::HttpAnswer& answer) {
+  const bool is_good = !error && answer.status < kServerError;
+  if (call.is_nested && !is_good)
+    running_.OnCallFailed(call.request.name);
+  const auto outcome =
+      error ? base::AnswerTo(*error).outcome : base::Outcome::kAnswered;
+  recorder_.Record(telemetry::CallRecord{
+      .service = call.request.service,
+      .tenant = call.request.tenant,
+      .traffic_class = call.request.traffic_class,
+      .outcome = outcome,
+      .error = error,
+      .total = loop_.now() - call.arrived_at,
+      .server_time = wire::PeerAnswerHead::Read(answer.headers).server_time,
+      .attempts = call.decision.attempts(),
+      .moves = MovesOf(call),
+      .hedges = call.hedges});
+}
+
+}  // namespace chestnutport::ingress
--- a/src/libs/ingress/own_caller_protocol.cc
+++ b/src/libs/ingress/own_caller_protocol.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "wire/peer_answer_head.h"
+#include "net/error_answer.h"
 
 namespace chestnutport::ingress {
 
@@ -19,7 +19,7 @@
 }
 
 net::HttpAnswer OwnCallerProtocol::ErrorAnswer(const CallerError& error) const {
-  return wire::MakeErrorAnswer(error.kind, error.retry_after);
+  return net::MakeErrorAnswer(error.kind, error.retry_after);
 }
 
 }  // namespace chestnutport::ingress
--- a/src/libs/membership/gossip_telling.cc
+++ b/src/libs/membership/gossip_telling.cc
@@ -7,7 +7,7 @@
 namespace chestnutport::membership {
 namespace {
 
-// Fits an Ethernet frame; the same as net::UdpSocket::kLargestDatagram.
+// Fits an Ethernet frame, and what the fleet's sockets receive.
 constexpr size_t kLargestDatagram = 1400;
 constexpr size_t kLargestMessage = kLargestDatagram - DatagramSeal::kTagSize;
 // News on a ping or an ack stay small.
--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -22,8 +22,6 @@
 constexpr size_t kMostPipelined = 32;
 constexpr size_t kReadSize = 16 * 1024;
 constexpr int kReadsInRound = 8;
-// Bytes serialized ahead of the socket: about what a small window takes.
-constexpr size_t kOutputSize = 64 * 1024;
 // How long the other end may take to close after the last answer: a few round
 // trips between regions.
 constexpr std::chrono::seconds kLinger(1);
@@ -236,100 +234,6 @@
   Close(false);
 }
 
-void HttpConnection::FlushSoon() {
-  if (closed_ || std::exchange(flush_soon_, true))
-    return;
-  server_.loop().Defer(this, [this] {
-    flush_soon_ = false;
-    Flush();
-  });
-}
-
-void HttpConnection::Flush() {
-  while (!closed_ && FillOutput()) {
-    if (!WriteOutput())
-      break;
-  }
-  if (closed_)
-    return;
-  if (closes_after_out_ && !HasOutput()) {
-    CloseGently();
-    return;
-  }
-  if (!in_.empty() && MayParse())
-    Parse();
-  if (server_.IsQuiescing() && !IsBusy())
-    Quiesce();
-  Watch();
-}
-
-bool HttpConnection::FillOutput() {
-  while (!exchanges_.empty() && !closes_after_out_ && !closed_) {
-    HttpExchange& front = *exchanges_.front();
-    if (front.IsAborted()) {
-      // What was taken goes out, and then the connection ends. Where the end
-      // of the connection would tell that the answer is whole, it is reset.
-      if (!front.IsHeadTaken() && !HasOutput()) {
-        Close(false);
-        return false;
-      }
-      if (front.EndsWithConnection()) {
-        Close(true);
-        return false;
-      }
-      closes_after_out_ = true;
-      break;
-    }
-    const size_t before = out_.size();
-    front.Take(out_, out_offset_ + kOutputSize, IsLastAnswer(front));
-    const bool is_taken = front.IsTaken();
-    front.RunDrained();
-    if (closed_)
-      return false;
-    if (is_taken) {
-      EndFront();
-      continue;
-    }
-    if (out_.size() == before || out_.size() - out_offset_ >= kOutputSize)
-      break;
-  }
-  return HasOutput();
-}
-
-bool HttpConnection::IsLastAnswer(const HttpExchange& front) const {
-  return front.closes_after() || front.EndsWithConnection() ||
-         (server_.IsQuiescing() && exchanges_.size() == 1);
-}
-
-void HttpConnection::EndFront() {
-  closes_after_out_ = IsLastAnswer(*exchanges_.front());
-  const std::unique_ptr<HttpExchange> front = std::move(exchanges_.front());
-  exchanges_.pop_front();
-  server_.OnExchangeEnded(front->body_size());
-  if (exchanges_.empty())
-    close_at_ = server_.loop().now() + server_.limits().idle;
-}
-
-bool HttpConnection::WriteOutput() {
-  while (HasOutput()) {
-    const ssize_t size = send(fd_, out_.data() + out_offset_,
-                              out_.size() - out_offset_, MSG_NOSIGNAL);
-    if (size < 0 && errno == EINTR)
-      continue;
-    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-      return false;
-    if (size < 0) {
-      Close(false);
-      return false;
-    }
-    out_offset_ += static_cast<size_t>(size);
-  }
-  out_.clear();
-  out_offset_ = 0;
-  server_.CheckIdleSoon();
-  return true;
-}
-
 void HttpConnection::Quiesce() {
   if (closed_ || lingers_)
     return;
--- a/src/libs/traffic/answer_relay.cc
+++ b/src/libs/traffic/answer_relay.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "base/text.h"
-#include "wire/peer_answer_head.h"
+#include "net/error_answer.h"
 
 namespace chestnutport::traffic {
 namespace {
@@ -68,7 +68,7 @@
   else if (reply_.IsHeadTaken())
     reply_.Abort();
   else
-    reply_.Send(wire::MakeErrorAnswer(ErrorOf(end)));
+    reply_.Send(net::MakeErrorAnswer(ErrorOf(end)));
 }
 
 }  // namespace chestnutport::traffic
--- a/src/libs/wire/peer_answer_head.cc
+++ b/src/libs/wire/peer_answer_head.cc
@@ -48,14 +48,9 @@
   return head;
 }
 
-net::HttpAnswer MakeErrorAnswer(base::ErrorKind kind,
-                                base::Duration retry_after) {
-  return net::MakeErrorAnswer(kind, retry_after);
-}
-
 net::HttpAnswer MakePeerErrorAnswer(base::ErrorKind kind,
                                     base::Duration retry_after) {
-  net::HttpAnswer answer = MakeErrorAnswer(kind, retry_after);
+  net::HttpAnswer answer = net::MakeErrorAnswer(kind, retry_after);
   if (retry_after > base::Duration::zero()) {
     answer.headers.push_back(
         {kRetryInHeader, base::FormatDuration(retry_after)});
@@ -63,8 +58,4 @@
   return answer;
 }
 
-net::HttpAnswer MakeErrorAnswer(base::ErrorKind kind) {
-  return net::MakeErrorAnswer(kind);
-}
-
 }  // namespace chestnutport::wire
--- a/src/libs/wire/peer_answer_head.h
+++ b/src/libs/wire/peer_answer_head.h
@@ -22,11 +22,8 @@
   static PeerAnswerHead Read(const net::HttpHeaders& headers);
 };
 
-// The answer that tells of an error, to a caller or to another node.
-net::HttpAnswer MakeErrorAnswer(base::ErrorKind kind,
-                                base::Duration retry_after);
-net::HttpAnswer MakeErrorAnswer(base::ErrorKind kind);
-// The same to another node: with the time to the millisecond.
+// The answer that tells another node of an error: as net::MakeErrorAnswer(),
+// with the time to the millisecond.
 net::HttpAnswer MakePeerErrorAnswer(base::ErrorKind kind,
                                     base::Duration retry_after);
 
--- a/tests/auto/ingress/ingress_test.cc
+++ b/tests/auto/ingress/ingress_test.cc
@@ -8,10 +8,10 @@
 #include <vector>
 
 #include "ingress/own_caller_protocol.h"
+#include "net/error_answer.h"
 #include "rpc/dispatcher.h"
 #include "traffic/peer_paths.h"
 #include "wire/header_names.h"
-#include "wire/peer_answer_head.h"
 
 namespace chestnutport::ingress {
 namespace {
@@ -70,7 +70,7 @@
     if (request.target == traffic::kInquiryPath) {
       ++inquiries;
       if (behaviour_ == Behaviour::kRefuses)
-        reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kOverloaded));
+        reply.Send(net::MakeErrorAnswer(base::ErrorKind::kOverloaded));
       else
         reply.Send({.status = traffic::kPlaceFree});
       return;
@@ -87,13 +87,13 @@
             {.status = 500, .headers = {{wire::kOutcomeHeader, "answered"}}});
         return;
       case Behaviour::kRefuses:
-        reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kDraining));
+        reply.Send(net::MakeErrorAnswer(base::ErrorKind::kDraining));
         return;
       case Behaviour::kLoses:
-        reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kServerLost));
+        reply.Send(net::MakeErrorAnswer(base::ErrorKind::kServerLost));
         return;
       case Behaviour::kStops:
-        reply.Send(wire::MakeErrorAnswer(base::ErrorKind::kRequestStopped));
+        reply.Send(net::MakeErrorAnswer(base::ErrorKind::kRequestStopped));
         return;
       case Behaviour::kSilent:
         reply.OnGone([this] { ++gone; });
