--- a/src/libs/configuration/reader_ranks.cc
+++ b/src/libs/configuration/reader_ranks.cc
@@ -15,9 +15,9 @@
   for (const Member& member : members) {
     if (member.state != membership::MemberState::kAlive)
       continue;
-    const Ranked& ranked =
-        alive_.emplace_back(member.data_centre, StoreDutyOrder(member),
-                            duties::CanDoStoreDuty(member));
+    alive_.push_back({member.data_centre, StoreDutyOrder(member),
+                      duties::CanDoStoreDuty(member)});
+    const Ranked& ranked = alive_.back();
     data_centres.insert(ranked.data_centre);
     if (!ranked.can_read) {
       ++lost_members_;
