Send a read of the store once more when its connection may be lost

Cause: a read of the store waited on one connection for its whole time-out (1 s on the users' platform), and the next read came 0.5 to 1 s after it. When connections go silent, the read that follows a lost watch took an idle connection that had gone silent as well, or was hit by a second silence. Both last longer than the rest of the bound: 1.3 s to notice the watch, 0.2 s until the read, then 2 s. Class: a wait on one counterpart that lasts as long as the bound it serves, while another one could answer.

Readers of evacuations and of the members' entries use the same calls. Writes and watches are sent once, as before.

--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -257,6 +257,12 @@
   DestroySoon();
 }
 
+void HttpClient::CloseIdle(const base::SocketAddress& to) {
+  const std::vector<Idle> idle = hosts_[KeyOf(to)].idle;
+  for (const Idle& kept : idle)
+    Retire(*kept.connection);
+}
+
 bool HttpClient::IsSent(TransferId transfer) const {
   const auto found = transfers_.find(transfer);
   if (found == transfers_.end())
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -93,6 +93,10 @@
   // Closes the transfer's connection; `done` is not called.
   void Cancel(TransferId transfer);
 
+  // Closes the connections to an address that carry no transfer. Call if they
+  // may have been lost.
+  void CloseIdle(const base::SocketAddress& to);
+
   // Whether the other end may have seen a part of the request; false for one
   // that waits for a connection, or is not there any more.
   bool IsSent(TransferId transfer) const;
--- a/src/libs/store/store_call_counts.h
+++ b/src/libs/store/store_call_counts.h
@@ -29,7 +29,9 @@
 
 class StoreCallCounts {
  public:
-  void Add(CallKind kind, CallResult result) { ++At(kind, result); }
+  void Add(CallKind kind, CallResult result, uint64_t count = 1) {
+    At(kind, result) += count;
+  }
   uint64_t Of(CallKind kind, CallResult result) const {
     return counts_[IndexOf(kind, result)];
   }
--- a/src/libs/store/store_client.cc
+++ b/src/libs/store/store_client.cc
@@ -23,7 +23,8 @@
     : http_(http),
       addresses_(std::move(addresses)),
       timeout_(timeout),
-      form_(std::move(form)) {}
+      form_(std::move(form)),
+      reads_(http) {}
 
 void StoreClient::ListPrefix(const std::string& prefix,
                              Freshness freshness,
@@ -142,28 +143,47 @@
                        std::chrono::milliseconds timeout,
                        CallKind kind,
                        AnswerHandler handler) {
-  http_.Send(
-      addresses_[current_], std::move(request), timeout,
-      [this, kind, handler = std::move(handler)](net::TransferResult result) {
-        if (result.end == net::TransferEnd::kComplete) {
-          // The next call goes to another address if this one refuses calls.
-          const bool is_refused = result.answer.status >= kTooManyRequests;
-          calls_.Add(kind,
-                     is_refused ? CallResult::kRefused : CallResult::kAnswered);
-          if (is_refused)
-            current_ = (current_ + 1) % addresses_.size();
-          handler(std::move(result.answer));
-          return;
-        }
-        calls_.Add(kind, CallResult::kNoAnswer);
-        current_ = (current_ + 1) % addresses_.size();
-        const bool is_write =
-            kind == CallKind::kWrite || kind == CallKind::kLease;
-        const bool may_have_run =
-            is_write && result.end != net::TransferEnd::kNotSent;
-        handler(make_error_code(may_have_run ? ErrorKind::kStoreOutcomeUnknown
-                                             : ErrorKind::kStoreUnavailable));
-      });
+  const base::SocketAddress& to = addresses_[current_];
+  if (kind != CallKind::kRead && kind != CallKind::kList) {
+    http_.Send(
+        to, std::move(request), timeout,
+        [this, kind, handler = std::move(handler)](net::TransferResult result) {
+          if (result.end != net::TransferEnd::kComplete)
+            calls_.Add(kind, CallResult::kNoAnswer);
+          OnResult(std::move(result), kind, handler);
+        });
+    return;
+  }
+  const base::SocketAddress& second =
+      addresses_[(current_ + 1) % addresses_.size()];
+  reads_.Send(to, second, std::move(request), timeout,
+              [this, kind, handler = std::move(handler)](
+                  net::TransferResult result, int unanswered) {
+                calls_.Add(kind, CallResult::kNoAnswer, unanswered);
+                OnResult(std::move(result), kind, handler);
+              });
+}
+
+void StoreClient::OnResult(net::TransferResult result,
+                           CallKind kind,
+                           const AnswerHandler& handler) {
+  if (result.end == net::TransferEnd::kComplete) {
+    // The next call goes to another address if this one refuses calls.
+    const bool is_refused = result.answer.status >= kTooManyRequests;
+    calls_.Add(kind, is_refused ? CallResult::kRefused : CallResult::kAnswered);
+    if (is_refused)
+      current_ = (current_ + 1) % addresses_.size();
+    handler(std::move(result.answer));
+    return;
+  }
+  // The idle connections may have been lost with the one of this call.
+  http_.CloseIdle(addresses_[current_]);
+  current_ = (current_ + 1) % addresses_.size();
+  const bool is_write = kind == CallKind::kWrite || kind == CallKind::kLease;
+  const bool may_have_run =
+      is_write && result.end != net::TransferEnd::kNotSent;
+  handler(make_error_code(may_have_run ? ErrorKind::kStoreOutcomeUnknown
+                                       : ErrorKind::kStoreUnavailable));
 }
 
 }  // namespace chestnutport::store
--- a/src/libs/store/store_client.h
+++ b/src/libs/store/store_client.h
@@ -12,6 +12,7 @@
 #include "base/socket_address.h"
 #include "net/http_client.h"
 #include "store/etcd_protocol.h"
+#include "store/hedged_reads.h"
 #include "store/store_call_counts.h"
 #include "store/store_entry.h"
 #include "store/store_protocol.h"
@@ -89,12 +90,16 @@
             std::chrono::milliseconds timeout,
             CallKind kind,
             AnswerHandler handler);
+  void OnResult(net::TransferResult result,
+                CallKind kind,
+                const AnswerHandler& handler);
 
   net::HttpClient& http_;
   std::vector<base::SocketAddress> addresses_;
   std::chrono::milliseconds timeout_;
   AnyStoreProtocol form_;
   size_t current_ = 0;
+  HedgedReads reads_;
   StoreCallCounts calls_;
 };
 
--- a/tests/auto/store/store_client_test.cc
+++ b/tests/auto/store/store_client_test.cc
@@ -117,6 +117,53 @@
   CHECK(client.calls().Of(CallKind::kRead, CallResult::kAnswered) == 2);
 }
 
+TEST_CASE("a read on a connection that goes silent") {
+  constexpr std::chrono::seconds kTimeout(20);
+  net::EventLoop loop;
+  int received = 0;
+  const auto store =
+      net::HttpServer::Open(loop, *base::SocketAddress::Parse("127.0.0.1:0"),
+                            {}, [&](const net::HttpRequest&, net::Reply reply) {
+                              ++received;
+                              reply.Send({.status = 200, .body = "{}"});
+                            });
+  REQUIRE(store);
+  test::Relay relay(store.value()->address());
+  net::HttpClient http(loop, StoreConnections());
+  StoreClient client(http, {relay.address()}, kTimeout);
+  int results = 0;
+  const auto read = [&] {
+    client.Read("key", [&](const auto& entries) {
+      CHECK(entries);
+      ++results;
+      loop.Stop();
+    });
+    loop.CallAfter(kTimeout / 10, [&loop] { loop.Stop(); });
+    loop.Run();
+  };
+  read();
+  REQUIRE(results == 1);
+
+  SECTION("before it was sent, is sent again on another connection") {
+    relay.SilenceOpenConnections();
+    read();
+    CHECK(results == 2);
+    CHECK(received == 2);
+  }
+  SECTION("before its response, is sent again on another connection") {
+    relay.DropAnswers(true);
+    loop.CallAfter(kReadHedgeDelay / 2, [&] {
+      relay.SilenceOpenConnections();
+      relay.DropAnswers(false);
+    });
+    read();
+    CHECK(results == 2);
+    CHECK(received == 3);
+  }
+  CHECK(client.calls().Of(CallKind::kRead, CallResult::kAnswered) == 2);
+  CHECK(client.calls().Of(CallKind::kRead, CallResult::kNoAnswer) == 1);
+}
+
 TEST_CASE("a watch without a response ends soon after its wait") {
   net::EventLoop loop;
   auto silent =
