Log and measure the rate limit that a server states

No event and no metric showed that a server states a rate limit in its answers, so the hypotheses of the incident (nobody reads it, each node keeps to it by itself, it is learnt too late) could not be told apart from a gate's output.

The protocols read the two headers, hosted and native; the gate tracks what the current incarnation states and logs each change (2108 server-notice, 2109 server-notice-invalid); chestnutport_server_rate_limit is the limit in force. An answer without a limit ends it only if its request was sent after the limit was last stated, as answers may be read in another order than they were made. Nothing is decided by it yet.

--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -60,6 +60,13 @@
                [this] {
                  admission_.cold_limiter().OnHealthyWithoutReport(
                      base::Clock::now());
+               },
+           .health_checked =
+               [this](const net::HttpHeaders& headers, base::Instant sent_at) {
+                 const base::Instant now = base::Clock::now();
+                 if (notices_.OnHealthCheck(protocol_.notice(headers), sent_at,
+                                            now))
+                   OnNoticesChanged(now);
                }}),
       outputs_(std::move(outputs)),
       attempt_control_calls_([this](const AttemptControlRequest& request) {
@@ -92,8 +99,10 @@
   const base::Instant now = base::Clock::now();
   admission_.set_options(server.admission);
   observer_.SetServer(server, has_started);
-  if (has_started)
+  if (has_started) {
     admission_.OnServerStarted(now);
+    notices_.OnServerStarted();
+  }
   if (server.cold_reported_at != base::Instant()) {
     admission_.cold_limiter().OnReported(
         server.cold_until - server.cold_reported_at, server.cold_reported_at);
@@ -226,6 +235,22 @@
     listener_->Quiesce(std::exchange(on_empty_, nullptr));
 }
 
+void Gate::OnServerNotice(const net::HttpHeaders& headers,
+                          base::Instant sent_at) {
+  const base::Instant now = base::Clock::now();
+  const wire::ServerNotice notice = protocol_.notice(headers);
+  if (notice.is_rate_limit_invalid)
+    LogInvalidRateLimit(server_.instance);
+  if (notices_.OnResponse(notice, sent_at, now))
+    OnNoticesChanged(now);
+}
+
+void Gate::OnNoticesChanged(base::Instant now) {
+  LogServerNotice(server_.instance, notices_.rate_limit(),
+                  notices_.is_leaving());
+  Report(now);
+}
+
 void Gate::Report(base::Instant now) {
   reported_at_ = now;
   const admission::ProbeScheduler& probes = observer_.probes();
@@ -236,6 +261,8 @@
        .cold_until = admission_.cold_limiter().cold_until(),
        .last_answer = observer_.last_answer(),
        .load = load,
+       .rate_limit = notices_.rate_limit(),
+       .is_leaving = notices_.is_leaving(),
        .slowness_report_age =
            observer_.performance().SlownessAge(now).value_or(base::Duration()),
        .probes = probes.probes(),
--- a/src/libs/gate/gate.h
+++ b/src/libs/gate/gate.h
@@ -24,6 +24,7 @@
 #include "net/http_server.h"
 #include "quarantine/quarantine_filter.h"
 #include "quarantine/server_crash.h"
+#include "server/server_notices.h"
 #include "server/server_observer.h"
 #include "server/server_protocol.h"
 #include "server/server_state.h"
@@ -118,6 +119,10 @@
   void AddLoad(net::HttpAnswer& answer) const;
   void Tick();
   void CheckEmpty();
+  // The server responded to a request that was sent at `sent_at`.
+  void OnServerNotice(const net::HttpHeaders& headers, base::Instant sent_at);
+  // The rate limit or the leaving state of the server changed.
+  void OnNoticesChanged(base::Instant now);
   void Report(base::Instant now);
 
   // gate_serving.cc: attempts at the server.
@@ -171,6 +176,7 @@
   KeyedRequests keyed_requests_;
   net::HttpClient client_;
   server::ServerObserver observer_;
+  server::ServerNotices notices_;
   std::vector<GateArrival> waiting_for_probe_;
   quarantine::QuarantineFilter quarantine_filter_;
   Outputs outputs_;
--- a/src/libs/gate/gate_log.cc
+++ b/src/libs/gate/gate_log.cc
@@ -80,4 +80,18 @@
        {"requests", DescribeRunning(running)}});
 }
 
+void LogServerNotice(const std::string& instance,
+                     std::optional<double> rate_limit,
+                     bool is_leaving) {
+  LogRequestEvent(
+      Event::kServerNotice,
+      {{"instance", instance},
+       {"rate_limit", rate_limit ? absl::StrCat(*rate_limit) : "none"},
+       {"leaving", is_leaving ? "yes" : "no"}});
+}
+
+void LogInvalidRateLimit(const std::string& instance) {
+  LogRequestEvent(Event::kServerNoticeInvalid, {{"instance", instance}});
+}
+
 }  // namespace chestnutport::gate
--- a/src/libs/gate/gate_log.h
+++ b/src/libs/gate/gate_log.h
@@ -42,6 +42,14 @@
 void LogServerCrash(const std::string& service,
                     std::span<const admission::InterruptedRequest> running);
 
+// The server's rate limit, or whether it is leaving, changed to these values.
+void LogServerNotice(const std::string& instance,
+                     std::optional<double> rate_limit,
+                     bool is_leaving);
+
+// The server stated a rate limit that is not a number.
+void LogInvalidRateLimit(const std::string& instance);
+
 }  // namespace chestnutport::gate
 
 #endif  // GATE_GATE_LOG_H_
--- a/src/libs/gate/gate_report.h
+++ b/src/libs/gate/gate_report.h
@@ -4,6 +4,7 @@
 #define GATE_GATE_REPORT_H_
 
 #include <cstdint>
+#include <optional>
 
 #include "base/time.h"
 #include "wire/load_report.h"
@@ -15,6 +16,10 @@
   base::Instant cold_until;   // As last reported or assumed.
   base::Instant last_answer;  // To a request or a probe.
   wire::LoadReport load;
+  // Requests per second that the server accepts, as it stated; nothing if
+  // unlimited.
+  std::optional<double> rate_limit;
+  bool is_leaving = false;  // The server stated that it shuts down.
   // Age of the server's last slowness report, or zero if there was none;
   // exported as chestnutport_server_word_age_seconds.
   base::Duration slowness_report_age{};
--- a/src/libs/gate/gate_serving.cc
+++ b/src/libs/gate/gate_serving.cc
@@ -80,6 +80,8 @@
   GateAttempt& attempt = *found->second;
   if (!traffic::ShouldRelay(attempt.method, head))
     return false;
+  if (attempt.life == server_.life)
+    OnServerNotice(head.headers, *attempt.started_at);
   const base::Instant now = base::Clock::now();
   keyed_requests_.OnStreamed(id, now);
   const base::Duration server_time = now - *attempt.started_at;
@@ -111,6 +113,13 @@
           ? protocol_.classify_response(result.answer)
           : server::ServerVerdict::kUnusable;
   const bool has_failed_call = running_.OnEnded(attempt.name);
+  // Of a streamed answer, the head was evaluated when it arrived.
+  const bool has_notice = result.end == net::TransferEnd::kComplete &&
+                          verdict != server::ServerVerdict::kOtherInstance &&
+                          verdict != server::ServerVerdict::kUnusable &&
+                          attempt.life == server_.life && !attempt.relay;
+  if (has_notice)
+    OnServerNotice(result.answer.headers, *attempt.started_at);
   RecordEnd(attempt, {result.end, verdict, has_failed_call}, result, now);
   AdmissionActions actions =
       admission_.Finish(id, now, ToServerResult(result.end, verdict));
--- a/src/libs/node/control_metrics.cc
+++ b/src/libs/node/control_metrics.cc
@@ -128,6 +128,9 @@
     readings.push_back({Metric::kServerStrain, "", *counts.gate.load.strain});
   readings.push_back(
       {Metric::kServerWordAge, "", Seconds(counts.gate.slowness_report_age)});
+  if (counts.gate.rate_limit) {
+    readings.push_back({Metric::kServerRateLimit, "", *counts.gate.rate_limit});
+  }
   readings.push_back(
       {Metric::kProbes, "", static_cast<double>(counts.gate.probes)});
   readings.push_back(
--- a/src/libs/server/native_server_protocol.cc
+++ b/src/libs/server/native_server_protocol.cc
@@ -42,6 +42,13 @@
   return base::ParseDuration(net::FindHeader(headers, wire::kColdForHeader));
 }
 
+wire::ServerNotice NativeServerProtocol::Notice(
+    const net::HttpHeaders& headers) const {
+  return wire::ServerNotice::Parse(
+      net::FindHeader(headers, wire::kRateLimitHeader),
+      net::FindHeader(headers, wire::kLeavingHeader));
+}
+
 std::string NativeServerProtocol::Instance(
     const net::HttpHeaders& /*headers*/) const {
   return "";
--- a/src/libs/server/native_server_protocol.h
+++ b/src/libs/server/native_server_protocol.h
@@ -15,6 +15,7 @@
   ServerVerdict ClassifyResponse(const net::HttpAnswer& head) const;
   std::optional<wire::ServerLoad> Load(const net::HttpHeaders& headers) const;
   std::optional<base::Duration> ColdFor(const net::HttpHeaders& headers) const;
+  wire::ServerNotice Notice(const net::HttpHeaders& headers) const;
   bool ReportsColdState() const { return false; }
   std::string Instance(const net::HttpHeaders& headers) const;
   std::string AnswerTag() const { return ""; }
--- a/src/libs/server/server_observer.cc
+++ b/src/libs/server/server_observer.cc
@@ -123,6 +123,8 @@
     const auto& headers = result.answer.headers;
     if (is_own && protocol_.reports_cold_state && !protocol_.cold_for(headers))
       outputs_.warm_reported();
+    if (is_own)
+      outputs_.health_checked(headers, started_at);
   } else if (result.end == net::TransferEnd::kTimedOut) {
     performance_.OnProbeTimeout(now);
   } else {
--- a/src/libs/server/server_observer.h
+++ b/src/libs/server/server_observer.h
@@ -45,6 +45,10 @@
     std::function<void(base::Duration)> cold_reported;
     // A health response reported no cold state.
     std::function<void()> warm_reported;
+    // A health check, sent at `sent_at`, was answered by the current
+    // incarnation.
+    std::function<void(const net::HttpHeaders& headers, base::Instant sent_at)>
+        health_checked;
   };
 
   // `loop` must outlive this object.
--- a/src/libs/server/server_protocol.h
+++ b/src/libs/server/server_protocol.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "net/http_message.h"
 #include "wire/server_load.h"
+#include "wire/server_notice.h"
 
 namespace chestnutport::server {
 
@@ -44,6 +45,9 @@
   {
     protocol.ColdFor(head.headers)
     } -> std::same_as<std::optional<base::Duration>>;
+  // Returns what the response states about the server's rate limit, and whether
+  // it is leaving.
+  { protocol.Notice(head.headers) } -> std::same_as<wire::ServerNotice>;
   // Whether a cold server reports its remaining cold time in every health
   // response, so that its absence means that the server is warm.
   { protocol.ReportsColdState() } -> std::same_as<bool>;
@@ -59,26 +63,28 @@
 struct AnyServerProtocol {
   template <ServerProtocol Protocol>
   static AnyServerProtocol Of(const Protocol& protocol) {
-    return {.prepare =
-                [protocol](auto& request, const auto& info) {
-                  protocol.Prepare(request, info);
-                },
-            .classify_response =
-                [protocol](const auto& head) {
-                  return protocol.ClassifyResponse(head);
-                },
-            .load = [protocol](
-                        const auto& headers) { return protocol.Load(headers); },
-            .cold_for =
-                [protocol](const auto& headers) {
-                  return protocol.ColdFor(headers);
-                },
-            .instance =
-                [protocol](const auto& headers) {
-                  return protocol.Instance(headers);
-                },
-            .answer_tag = protocol.AnswerTag(),
-            .reports_cold_state = protocol.ReportsColdState()};
+    return {
+        .prepare = [protocol](
+                       auto& request,
+                       const auto& info) { protocol.Prepare(request, info); },
+        .classify_response =
+            [protocol](const auto& head) {
+              return protocol.ClassifyResponse(head);
+            },
+        .load =
+            [protocol](const auto& headers) { return protocol.Load(headers); },
+        .cold_for =
+            [protocol](const auto& headers) {
+              return protocol.ColdFor(headers);
+            },
+        .notice = [protocol](
+                      const auto& headers) { return protocol.Notice(headers); },
+        .instance =
+            [protocol](const auto& headers) {
+              return protocol.Instance(headers);
+            },
+        .answer_tag = protocol.AnswerTag(),
+        .reports_cold_state = protocol.ReportsColdState()};
   }
 
   std::function<void(net::HttpRequest&, const ForwardingInfo&)> prepare;
@@ -86,6 +92,7 @@
   std::function<std::optional<wire::ServerLoad>(const net::HttpHeaders&)> load;
   std::function<std::optional<base::Duration>(const net::HttpHeaders&)>
       cold_for;
+  std::function<wire::ServerNotice(const net::HttpHeaders&)> notice;
   std::function<std::string(const net::HttpHeaders&)> instance;
   std::string answer_tag;
   bool reports_cold_state = false;
--- a/src/libs/store/hedged_reads.cc
+++ b/src/libs/store/hedged_reads.cc
@@ -38,12 +38,11 @@
 
 void HedgedReads::SendCopy(uint64_t id, size_t copy) {
   Read& read = reads_[id];
-  read.transfers[copy] =
-      http_.Send(read.addresses[copy], read.request,
-                 read.deadline - base::Clock::now(),
-                 [this, id, copy](net::TransferResult result) {
-                   OnResult(id, copy, std::move(result));
-                 });
+  read.transfers[copy] = http_.Send(
+      read.addresses[copy], read.request, read.deadline - base::Clock::now(),
+      [this, id, copy](net::TransferResult result) {
+        OnResult(id, copy, std::move(result));
+      });
 }
 
 void HedgedReads::OnResult(uint64_t id,
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -149,6 +149,15 @@
         "and the fingerprints of some with how long they had run.",
         "If a fingerprint stands in the lines of several ends, "
         "look at what that request does to its server."},
+    EventDescription{Event::kServerNotice, "server-notice", Level::kInfo,
+                     "The server states another rate limit, none any more, or "
+                     "that it shuts down; the line has what is in force.",
+                     "Find out why the server needs a limit if it stays."},
+    EventDescription{Event::kServerNoticeInvalid, "server-notice-invalid",
+                     Level::kWarning,
+                     "The server states a rate limit that is no number; the "
+                     "limit before stays in force.",
+                     "Correct the server."},
     EventDescription{Event::kVerdictPassed, "verdict-passed", Level::kWarning,
                      "This node suspects a request, or holds it in quarantine, "
                      "by the ends of servers that the line names.",
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -59,6 +59,8 @@
   kAnnouncementLate = 2105,
   kAnnouncementRefused = 2106,
   kServerEnded = 2107,
+  kServerNotice = 2108,
+  kServerNoticeInvalid = 2109,
   kVerdictPassed = 2201,
   kVerdictEnded = 2202,
   kStoreUnavailable = 3001,
--- a/src/libs/telemetry/metric.cc
+++ b/src/libs/telemetry/metric.cc
@@ -96,6 +96,11 @@
                       "chestnutport_server_word_age_seconds",
                       MetricType::kGauge, "",
                       "Age of what this node's server last said of its pace."},
+    MetricDescription{
+        Metric::kServerRateLimit, "chestnutport_server_rate_limit",
+        MetricType::kGauge, "",
+        "Requests per second that this node's server states it accepts; "
+        "missing if it states none."},
     MetricDescription{Metric::kProbes, "chestnutport_probes_total",
                       MetricType::kCounter, "",
                       "Probes of servers made by this node."},
--- a/src/libs/telemetry/metric.h
+++ b/src/libs/telemetry/metric.h
@@ -35,6 +35,7 @@
   kHeldRequests,
   kServerStrain,
   kServerWordAge,
+  kServerRateLimit,
   kProbes,
   kProbeSeconds,
   kLogSuppressed,
--- a/src/libs/wire/header_names.h
+++ b/src/libs/wire/header_names.h
@@ -17,6 +17,10 @@
 
 // From the server: how much longer it stays cold, as a duration.
 inline constexpr char kColdForHeader[] = "Chestnutport-Cold-For";
+// From the server: the requests per second that it accepts from all nodes
+// together, and that it shuts down ("1").
+inline constexpr char kRateLimitHeader[] = "Chestnutport-Rate-Limit";
+inline constexpr char kLeavingHeader[] = "Chestnutport-Leaving";
 
 // On an answer to a caller.
 inline constexpr char kOutcomeHeader[] = "Chestnutport-Outcome";
--- a/tests/auto/fleet_configuration/silent_store_test.cc
+++ b/tests/auto/fleet_configuration/silent_store_test.cc
@@ -41,10 +41,10 @@
                 {relay_.address()},
                 kTimeout,
                 store::AnyStoreProtocol::Of(platform::HostedStoreProtocol())),
-        configuration_(client_,
-                       AnyConfigurationFormat::Of(
-                           platform::HostedConfigurationFormat()),
-                       "fleet"),
+        configuration_(
+            client_,
+            AnyConfigurationFormat::Of(platform::HostedConfigurationFormat()),
+            "fleet"),
         reader_(loop_,
                 configuration_,
                 local_,
@@ -129,8 +129,8 @@
 
 TEST_CASE("a change confirmed while connections to the store are silent") {
   SilentStoreFixture fixture;
-  REQUIRE(fixture.IsMetWithin(kPatience,
-                              [&] { return fixture.IsInForce(kOld); }));
+  REQUIRE(
+      fixture.IsMetWithin(kPatience, [&] { return fixture.IsInForce(kOld); }));
   REQUIRE(fixture.WaitForNextWatch());
   const auto is_new_in_force = [&] { return fixture.IsInForce(kNew); };
 
