Test that a server gets no more than the rate that it states (red)

A server that stated 2 requests a second got 360 in 4 s (17 allowed), and 99 in 4 s around a restart of the node beside it. The sections in which it states a higher rate or none pass, as nothing is limited.

--- a/tests/support/hosted_node.cc
+++ b/tests/support/hosted_node.cc
@@ -1,5 +1,6 @@
 #include "support/hosted_node.h"
 
+#include <csignal>
 #include <fstream>
 #include <stdexcept>
 #include <vector>
@@ -66,8 +67,23 @@
                        const std::filesystem::path& folder,
                        const std::string& server_address,
                        const std::string& data_centre)
-    : path_(folder / (name + ".ini")) {
-  std::ofstream(path_) << Settings(name, store, server_address, data_centre);
+    : path_(folder / (name + ".ini")),
+      settings_(Settings(name, store, server_address, data_centre)) {
+  Start();
+}
+
+void HostedNode::Restart() {
+  const std::string peer = ListenAddress("peer").ToString();
+  process_->Signal(SIGKILL);
+  process_->WaitForExit(std::chrono::seconds(10));
+  const std::string any = "peer = 127.0.0.1:0";
+  if (const size_t at = settings_.find(any); at != std::string::npos)
+    settings_.replace(at, any.size(), "peer = " + peer);
+  Start();
+}
+
+void HostedNode::Start() {
+  std::ofstream(path_) << settings_;
   process_ = std::make_unique<Process>(
       "chestnutportd",
       std::vector<std::string>{"--settings=" + path_.string()});
--- a/tests/support/hosted_node.h
+++ b/tests/support/hosted_node.h
@@ -24,6 +24,9 @@
              const std::string& data_centre = "one");
 
   Process& process() { return *process_; }
+  // Kills the node and starts it again. It serves other nodes at the same
+  // address as before.
+  void Restart();
 
   bool IsReady() const;
   // Sends an announcement of the local server; `state` is ready or draining.
@@ -36,9 +39,11 @@
                           const std::string& body = "") const;
 
  private:
+  void Start();
   base::SocketAddress ListenAddress(const std::string& name);
 
   std::filesystem::path path_;
+  std::string settings_;
   std::unique_ptr<Process> process_;
   base::SocketAddress caller_address_;
   base::SocketAddress operator_address_;
--- a/tests/support/hosted_platform.cc
+++ b/tests/support/hosted_platform.cc
@@ -36,7 +36,10 @@
 }
 
 net::HttpHeaders InstanceHeaders(const HostedServer& server) {
-  return {{"Instance-Id", server.instance}, {"Instance-Load", server.load}};
+  net::HttpHeaders headers = {{"Instance-Id", server.instance},
+                              {"Instance-Load", server.load}};
+  headers.insert(headers.end(), server.notices.begin(), server.notices.end());
+  return headers;
 }
 
 }  // namespace
@@ -154,7 +157,9 @@
     net::HttpHeaders headers = InstanceHeaders(server);
     if (server.cold_ms > 0)
       headers.push_back({"Cold-Start-Ms", std::to_string(server.cold_ms)});
-    reply.Send({.status = 200, .headers = std::move(headers), .body = ""});
+    reply.Send({.status = server.health_status,
+                .headers = std::move(headers),
+                .body = ""});
     return;
   }
   server.requests.push_back(request);
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -24,6 +24,8 @@
   std::string instance;
   std::string load = "0,0,12,100";  // Value of the load header.
   int cold_ms = 0;                  // Cold time in health responses.
+  net::HttpHeaders notices;         // Additional headers of all responses.
+  int health_status = 200;
   // Replaces the default answer, if set.
   std::function<net::HttpAnswer(const net::HttpRequest&)> answer;
   // Selects the requests that crash the server, with all other requests that it
@@ -67,6 +69,11 @@
   // Runs `task` on the thread of the store and the servers and waits until it
   // is done.
   void Run(const std::function<void()>& task);
+  // Runs `task` after `delay` on the thread of the store and the servers. Call
+  // on that thread.
+  void CallAfter(base::Duration delay, std::function<void()> task) {
+    loop_.CallAfter(delay, std::move(task));
+  }
   // Returns a successful, signed answer.
   static net::HttpAnswer DefaultAnswer(const HostedServer& server,
                                        const net::HttpRequest& request);
