Keep to the rate limit that a server states

Cause: nobody read the rate. A gate bounds how many requests run at a time; the rate was bounded for a cold server only.

Change: the gate, which every request passes, keeps to the stated rate with a token bucket, shared with the limit of a cold server; the newest statement applies, also if responses overtake each other. The rate goes to other nodes by gossip in the field that a cold server's rate has, so that they choose others. A gate that has just started learns the limit from its senders, who return what they have passed on with their requests, with instance and age.

--- a/src/libs/admission/admission_controller.cc
+++ b/src/libs/admission/admission_controller.cc
@@ -32,14 +32,14 @@
       ledger_(options.ledger),
       queue_(options.shares),
       limit_(options.slots),
-      cold_limiter_(options.cold) {
+      rate_limits_(options.cold) {
   limit_.set_warm_up_time(options.cold_start);
 }
 
 void AdmissionController::set_options(const AdmissionOptions& options) {
   limit_.SetSlots(options.slots);
   limit_.set_warm_up_time(options.cold_start);
-  cold_limiter_.set_options(options.cold);
+  rate_limits_.cold().set_options(options.cold);
   if (options.shares != options_.shares)
     queue_.SetShares(options.shares);
   options_ = options;
@@ -85,7 +85,7 @@
     return ErrorKind::kDeadlineTooClose;
   if (HasCapacityFor(waiting.flow, now))
     return std::nullopt;
-  const bool is_limited = cold_limiter_.IsLimited(now);
+  const bool is_limited = rate_limits_.IsLimited(now);
   if (waiting.target && !HasServiceTimeEstimate() && !is_limited)
     return ErrorKind::kOverloaded;
   const Duration wait = EstimateWait(queue_.RequestsAhead(waiting.flow) + 1,
@@ -171,7 +171,8 @@
 
 void AdmissionController::OnServerStarted(Instant now) {
   limit_.StartWarmUp(now);
-  cold_limiter_.OnServerStarted(now);
+  rate_limits_.cold().OnServerStarted(now);
+  rate_limits_.stated().SetRate(std::nullopt, now);
 }
 
 wire::LoadReport AdmissionController::Load(Instant now) const {
@@ -193,7 +194,7 @@
 Duration AdmissionController::RetryAfter(ErrorKind error, Instant now) const {
   const bool is_full =
       error == ErrorKind::kOverloaded || error == ErrorKind::kDeadlineTooClose;
-  if (is_full && (HasServiceTimeEstimate() || cold_limiter_.IsLimited(now)))
+  if (is_full && (HasServiceTimeEstimate() || rate_limits_.IsLimited(now)))
     return std::max(EstimateWait(Queued() + 1, 0, now), kMinRetryAfter);
   return base::AnswerTo(error).retry_after;
 }
@@ -205,7 +206,7 @@
   Running& running = running_[attempt.attempt];
   running = {attempt.flow, now, attempt.deadline, false};
   running.at_limit = !HasFreeSlot(now);
-  cold_limiter_.ConsumeToken(now);
+  rate_limits_.ConsumeTokens(now);
   return {ActionKind::kStart, attempt.attempt, ErrorKind::kInternal, {}};
 }
 
@@ -221,7 +222,7 @@
 
 void AdmissionController::StartQueued(AdmissionActions& actions, Instant now) {
   while (queue_.size() > 0 && HasFreeSlot(now)) {
-    const auto next = queue_.Pop(cold_limiter_.LeastUrgentRankAllowed(now));
+    const auto next = queue_.Pop(rate_limits_.LeastUrgentRankAllowed(now));
     if (!next)
       return;
     // It would miss its target, and others that are queued may still meet
@@ -238,14 +239,13 @@
 }
 
 bool AdmissionController::MayStart(int rank, Instant now) const {
-  return HasFreeSlot(now) && cold_limiter_.MayStart(rank, now);
+  return HasFreeSlot(now) && rate_limits_.MayStart(rank, now);
 }
 
 bool AdmissionController::HasCapacityFor(FlowId flow, Instant now) const {
   const int rank = queue_.RankOf(flow);
-  const bool is_next = cold_limiter_.IsLimited(now)
-                           ? !queue_.HasQueuedUpTo(rank)
-                           : queue_.size() == 0;
+  const bool is_next = rate_limits_.IsLimited(now) ? !queue_.HasQueuedUpTo(rank)
+                                                   : queue_.size() == 0;
   return is_next && MayStart(rank, now);
 }
 
@@ -285,7 +285,7 @@
   const Duration stuck =
       HasFreeSlot(now) ? Duration() : Duration(now - last_progress_at_);
   return std::max(
-      {expected, stuck, cold_limiter_.TimeUntilAllowed(requests, rank, now)});
+      {expected, stuck, rate_limits_.TimeUntilAllowed(requests, rank, now)});
 }
 
 }  // namespace chestnutport::admission
--- a/src/libs/admission/admission_controller.h
+++ b/src/libs/admission/admission_controller.h
@@ -13,9 +13,9 @@
 #include "admission/arrival.h"
 #include "admission/attempt_ledger.h"
 #include "admission/attempt_state.h"
-#include "admission/cold_start_limiter.h"
 #include "admission/concurrency_limit.h"
 #include "admission/fair_queue.h"
+#include "admission/rate_limits.h"
 #include "admission/server_result.h"
 #include "admission/traffic_shares.h"
 #include "base/time.h"
@@ -79,10 +79,20 @@
   // over.
   void OnServerStarted(base::Instant now);
   // Call when a probe was sent: it costs a cold server as much as a request.
-  void OnProbed(base::Instant now) { cold_limiter_.ConsumeToken(now); }
+  void OnProbed(base::Instant now) { cold_limiter().ConsumeToken(now); }
+  // Sets the requests per second that the server states it accepts; nothing if
+  // unlimited. Queued attempts that a raised limit allows start with the next
+  // Tick().
+  void SetStatedRate(std::optional<double> rate, base::Instant now) {
+    rate_limits_.stated().SetRate(rate, now);
+  }
   // Tracks how long the server reports that it stays cold.
-  ColdStartLimiter& cold_limiter() { return cold_limiter_; }
-  const ColdStartLimiter& cold_limiter() const { return cold_limiter_; }
+  ColdStartLimiter& cold_limiter() { return rate_limits_.cold(); }
+  const ColdStartLimiter& cold_limiter() const { return rate_limits_.cold(); }
+  // Whether the server's request rate is limited.
+  bool IsRateLimited(base::Instant now) const {
+    return rate_limits_.IsLimited(now);
+  }
 
   // Returns whether an attempt of the most urgent rank would start at once.
   bool HasCapacity(base::Instant now) const {
@@ -145,7 +155,7 @@
   AttemptLedger ledger_;
   FairQueue queue_;
   ConcurrencyLimit limit_;
-  ColdStartLimiter cold_limiter_;
+  RateLimits rate_limits_;
   absl::flat_hash_map<base::AttemptId, Running> running_;
   base::Instant last_progress_at_;  // When an attempt last started or ended.
 };
--- a/src/libs/admission/cold_start_limiter.cc
+++ b/src/libs/admission/cold_start_limiter.cc
@@ -20,8 +20,6 @@
 // The health check that discovers a server is sent before its gate counts
 // requests.
 constexpr double kUncountedRequests = 1;
-// Tolerance for floating-point rounding when tokens are compared.
-constexpr double kRoundingTolerance = 1e-6;
 // Minimum rate, so that a server that tolerates almost nothing is still tried.
 constexpr double kMinRate = 0.5;
 
@@ -44,15 +42,14 @@
 
 void ColdStartLimiter::set_options(const ColdStartOptions& options) {
   options_ = WithMargin(options);
-  tokens_ = std::min(tokens_, std::max(1.0, options_.burst));
+  bucket_.Configure(options_.rate, options_.burst);
 }
 
 void ColdStartLimiter::OnServerStarted(Instant now) {
   cold_until_ = now + options_.after_start;
   reported_at_ = {};
   is_assumed_ = true;
-  tokens_ = std::max(1.0, options_.burst);
-  tokens_updated_at_ = now;
+  bucket_.Fill(now);
 }
 
 void ColdStartLimiter::OnReported(Duration remaining, Instant reported_at) {
@@ -84,27 +81,7 @@
 }
 
 bool ColdStartLimiter::IsOverRateLimit(Instant now) const {
-  return IsLimited(now) && TokensAt(now) < 0;
-}
-
-double ColdStartLimiter::TokensAt(Instant now) const {
-  const double earned =
-      Seconds(std::max<Duration>(now - tokens_updated_at_, Duration()))
-          .count() *
-      options_.rate;
-  return std::min(tokens_ + earned, std::max(1.0, options_.burst));
-}
-
-double ColdStartLimiter::ReservedTokens(int rank) const {
-  return std::max(0.0, options_.burst - 1) *
-         std::clamp(rank, 0, kRankCount - 1) / kRankCount;
-}
-
-int ColdStartLimiter::LeastUrgentRankAllowed(Instant now) const {
-  int rank = kRankCount - 1;
-  while (rank >= 0 && !MayStart(rank, now))
-    --rank;
-  return rank;
+  return IsLimited(now) && bucket_.TokensAt(now) < 0;
 }
 
 Duration ColdStartLimiter::TimeUntilAllowed(double requests,
@@ -112,12 +89,7 @@
                                             Instant now) const {
   if (!IsLimited(now))
     return {};
-  const double missing =
-      requests + ReservedTokens(rank) - TokensAt(now) - kRoundingTolerance;
-  if (missing <= 0)
-    return {};
-  const auto wait =
-      std::chrono::ceil<Duration>(Seconds(missing / options_.rate));
+  const Duration wait = bucket_.TimeUntilAllowed(requests, rank, now);
   // The wait ends with the cold state: a warm server needs no tokens.
   return std::min<Duration>(wait, cold_until_ - now);
 }
@@ -129,8 +101,7 @@
   // negative. This debt is limited to the requests of one second: they count if
   // the server now reports that it is cold.
   const double least = std::min(0.0, options_.burst - options_.rate);
-  tokens_ = std::max(TokensAt(now) - 1, least);
-  tokens_updated_at_ = now;
+  bucket_.Consume(least, now);
 }
 
 }  // namespace chestnutport::admission
--- a/src/libs/admission/cold_start_limiter.h
+++ b/src/libs/admission/cold_start_limiter.h
@@ -5,6 +5,7 @@
 #ifndef ADMISSION_COLD_START_LIMITER_H_
 #define ADMISSION_COLD_START_LIMITER_H_
 
+#include "admission/token_bucket.h"
 #include "base/time.h"
 
 namespace chestnutport::admission {
@@ -22,9 +23,6 @@
 
 class ColdStartLimiter {
  public:
-  // Ranks of urgency that are distinguished; 0 is the most urgent.
-  static constexpr int kRankCount = 4;
-
   explicit ColdStartLimiter(const ColdStartOptions& options) {
     set_options(options);
   }
@@ -55,16 +53,9 @@
   // no limit.
   double rate() const { return options_.rate; }
 
-  // Returns whether a request of this rank may be sent now. Less urgent ranks
-  // leave part of the burst to more urgent ones, so that the small capacity of
-  // a cold server goes to the most urgent requests, regardless of their order
-  // of arrival.
   bool MayStart(int rank, base::Instant now) const {
     return TimeUntilAllowed(1, rank, now) == base::Duration();
   }
-  // Returns the least urgent rank that may start now, or a negative number if
-  // none may.
-  int LeastUrgentRankAllowed(base::Instant now) const;
   // Returns the time until the last of `requests` may be sent to the server,
   // one after the other; zero if no rate limit applies.
   base::Duration TimeUntilAllowed(double requests,
@@ -74,18 +65,12 @@
   void ConsumeToken(base::Instant now);
 
  private:
-  // Returns the number of tokens that a rank leaves to more urgent ranks.
-  double ReservedTokens(int rank) const;
-  double TokensAt(base::Instant now) const;
-
   ColdStartOptions options_;
   base::Instant cold_until_;
   base::Instant reported_at_;
   bool is_assumed_ = false;  // The cold state is assumed, not reported.
-  // Tokens at `tokens_updated_at_`; negative after more requests than a cold
-  // server tolerates.
-  double tokens_ = 0;
-  base::Instant tokens_updated_at_;
+  // Negative after more requests than a cold server tolerates.
+  TokenBucket bucket_;
 };
 
 }  // namespace chestnutport::admission
--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -102,6 +102,7 @@
   if (has_started) {
     admission_.OnServerStarted(now);
     notices_.OnServerStarted();
+    logged_rate_limit_.reset();
   }
   if (server.cold_reported_at != base::Instant()) {
     admission_.cold_limiter().OnReported(
@@ -198,6 +199,7 @@
   decision.load = admission_.Load(now);
   decision.slowness = observer_.performance().Slowness(now);
   decision.failure_share = observer_.performance().FailureShare(now);
+  decision.rate_limit = notices_.rate_limit();
   LogGateDecision(decision);
 }
 
@@ -210,6 +212,7 @@
   wire::LoadReport load = admission_.Load(loop_.now());
   load.strain = observer_.performance().KnownStrain(loop_.now());
   answer.headers.push_back({wire::kLoadHeader, load.ToHeader()});
+  AddServerNotice(answer);
 }
 
 void Gate::Tick() {
@@ -245,12 +248,37 @@
     OnNoticesChanged(now);
 }
 
+void Gate::OnNoticePassedOn(const wire::PeerRequestHead& head,
+                            base::Instant now) {
+  const bool is_about_server =
+      head.server_notice && head.server_notice->instance == server_.instance;
+  if (is_about_server && notices_.OnPassedOn(head.server_notice->notice,
+                                             now - head.server_notice->age)) {
+    OnNoticesChanged(now);
+  }
+}
+
 void Gate::OnNoticesChanged(base::Instant now) {
-  LogServerNotice(server_.instance, notices_.rate_limit(),
-                  notices_.is_leaving());
+  const std::optional<double> rate_limit = notices_.rate_limit();
+  admission_.SetStatedRate(rate_limit, now);
+  if (wire::AreSimilarRates(rate_limit, logged_rate_limit_))
+    return;
+  logged_rate_limit_ = rate_limit;
+  LogServerNotice(server_.instance, rate_limit, notices_.is_leaving());
   Report(now);
 }
 
+void Gate::AddServerNotice(net::HttpAnswer& answer) const {
+  if (!notices_.rate_limit())
+    return;
+  const wire::PeerServerNotice notice{
+      server_.instance,
+      {.rate_limit = notices_.rate_limit()},
+      base::Clock::now() - notices_.limit_stated_at()};
+  if (std::string header = notice.ToHeader(); !header.empty())
+    answer.headers.push_back({wire::kServerNoticeHeader, std::move(header)});
+}
+
 void Gate::Report(base::Instant now) {
   reported_at_ = now;
   const admission::ProbeScheduler& probes = observer_.probes();
--- a/src/libs/gate/gate.h
+++ b/src/libs/gate/gate.h
@@ -121,8 +121,11 @@
   void CheckEmpty();
   // The server responded to a request that was sent at `sent_at`.
   void OnServerNotice(const net::HttpHeaders& headers, base::Instant sent_at);
+  // Applies what the sender of an attempt knows of the server's notices.
+  void OnNoticePassedOn(const wire::PeerRequestHead& head, base::Instant now);
   // The rate limit or the leaving state of the server changed.
   void OnNoticesChanged(base::Instant now);
+  void AddServerNotice(net::HttpAnswer& answer) const;
   void Report(base::Instant now);
 
   // gate_serving.cc: attempts at the server.
@@ -177,6 +180,7 @@
   net::HttpClient client_;
   server::ServerObserver observer_;
   server::ServerNotices notices_;
+  std::optional<double> logged_rate_limit_;
   std::vector<GateArrival> waiting_for_probe_;
   quarantine::QuarantineFilter quarantine_filter_;
   Outputs outputs_;
--- a/src/libs/gate/gate_admission.cc
+++ b/src/libs/gate/gate_admission.cc
@@ -58,6 +58,7 @@
                    net::Reply reply) {
   const base::Instant now = base::Clock::now();
   pause_detector_.Update(now);
+  OnNoticePassedOn(head, now);
   GateArrival arrival{
       .head = head,
       .request = std::move(request),
@@ -68,11 +69,11 @@
   arrival.is_inquiry = arrival.request.target == traffic::kCapacityInquiryPath;
   // The slowness of the server at the start of a request determines how long it
   // takes, so a request that could be sent elsewhere waits for a probe if there
-  // is no recent report. A cold server is not probed: a probe costs it as much
-  // as a request.
+  // is no recent report. A server whose rate is limited is not probed: a probe
+  // costs it as much as a request.
   const bool may_wait = head.may_move && server_.AcceptsRequests() &&
                         admission_.HasCapacity(now) &&
-                        !admission_.cold_limiter().IsLimited(now);
+                        !admission_.IsRateLimited(now);
   if (may_wait && observer_.ProbeIfStale(now))
     waiting_for_probe_.push_back(std::move(arrival));
   else
--- a/src/libs/gate/gate_log.cc
+++ b/src/libs/gate/gate_log.cc
@@ -24,6 +24,10 @@
                                                         : Event::kGateDecided;
 }
 
+std::string NameOfRate(std::optional<double> rate_limit) {
+  return rate_limit ? absl::StrCat(*rate_limit) : "none";
+}
+
 // Lists the requests with their run times, as many as a log value holds.
 std::string DescribeRunning(
     std::span<const admission::InterruptedRequest> running) {
@@ -67,7 +71,8 @@
        {"waiting", absl::StrCat(decision.load.queued)},
        {"expected_wait", base::FormatDuration(decision.load.expected_wait)},
        {"slowness", absl::StrFormat("%.2f", decision.slowness)},
-       {"failing", absl::StrFormat("%.2f", decision.failure_share)}});
+       {"failing", absl::StrFormat("%.2f", decision.failure_share)},
+       {"rate_limit", NameOfRate(decision.rate_limit)}});
 }
 
 void LogServerCrash(const std::string& service,
@@ -83,11 +88,10 @@
 void LogServerNotice(const std::string& instance,
                      std::optional<double> rate_limit,
                      bool is_leaving) {
-  LogRequestEvent(
-      Event::kServerNotice,
-      {{"instance", instance},
-       {"rate_limit", rate_limit ? absl::StrCat(*rate_limit) : "none"},
-       {"leaving", is_leaving ? "yes" : "no"}});
+  LogRequestEvent(Event::kServerNotice,
+                  {{"instance", instance},
+                   {"rate_limit", NameOfRate(rate_limit)},
+                   {"leaving", is_leaving ? "yes" : "no"}});
 }
 
 void LogInvalidRateLimit(const std::string& instance) {
--- a/src/libs/gate/gate_log.h
+++ b/src/libs/gate/gate_log.h
@@ -33,6 +33,7 @@
   wire::LoadReport load;
   double slowness = 1;
   double failure_share = 0;
+  std::optional<double> rate_limit;  // As the server stated; unset: none.
 };
 
 // Call for an attempt that the server did not answer, or answered late.
--- a/src/libs/gate/server_answer.cc
+++ b/src/libs/gate/server_answer.cc
@@ -13,10 +13,11 @@
 using admission::ServerResult;
 using base::ErrorKind;
 
-// Headers that only nodes may set on an answer.
+// Headers that only nodes may set on an answer, or that are meant for them.
 constexpr const char* kNodeAnswerHeaders[] = {
-    wire::kOutcomeHeader, wire::kErrorHeader, wire::kLoadHeader,
-    wire::kServerTimeHeader};
+    wire::kOutcomeHeader,    wire::kErrorHeader,        wire::kLoadHeader,
+    wire::kServerTimeHeader, wire::kServerNoticeHeader, wire::kRateLimitHeader,
+    wire::kLeavingHeader};
 
 }  // namespace
 
--- a/src/libs/ingress/attempt_sender.cc
+++ b/src/libs/ingress/attempt_sender.cc
@@ -99,10 +99,12 @@
   InFlight& sent = in_flight_[head.attempt];
   sent.service = &service;
   sent.node = server.node;
+  sent.to = server.peer_address;
   sent.sent_at = now;
   sent.method = request.method;
   sent.handler = std::move(handler);
   PendingRequest pending{head, server.peer_address, std::move(request)};
+  pending.head.server_notice = notices_.Find(server.peer_address, now);
   if (pending.request.body.size() >= kMinInquiryBytes) {
     sent.pending = std::make_unique<PendingRequest>(std::move(pending));
     InquireCapacity(sent);
@@ -198,6 +200,7 @@
   // A failure is not relayed yet: a retry at another server may succeed.
   if (end.verdict != AttemptVerdict::kAnswered)
     return false;
+  notices_.OnAnswer(found->second.to, head.headers, true, loop_.now());
   found->second.is_streamed = true;
   const Handler handler = std::exchange(found->second.handler, nullptr);
   if (handler)
@@ -255,6 +258,11 @@
   const base::Duration latency = now - sent.sent_at;
   const auto head = wire::PeerAnswerHead::Read(result.answer.headers);
   const calls::AttemptEnd end = ReadEnd(result, head);
+  if (!sent.is_streamed) {
+    const bool is_from_server = end.verdict == AttemptVerdict::kAnswered ||
+                                end.verdict == AttemptVerdict::kFailed;
+    notices_.OnAnswer(sent.to, result.answer.headers, is_from_server, now);
+  }
   const bool is_cancelled = !sent.handler && !sent.is_streamed &&
                             end.verdict != AttemptVerdict::kAnswered;
   auto kind = is_cancelled ? routing::AttemptResultKind::kCancelled
--- a/src/libs/ingress/attempt_sender.h
+++ b/src/libs/ingress/attempt_sender.h
@@ -12,6 +12,7 @@
 #include "base/attempt_id.h"
 #include "calls/attempt_end.h"
 #include "control_calls/peer_keys.h"
+#include "ingress/known_server_notices.h"
 #include "ingress/service_traffic.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
@@ -64,6 +65,7 @@
   struct InFlight {
     ServiceTraffic* service = nullptr;
     base::NodeId node;
+    base::SocketAddress to;
     base::Instant sent_at;
     net::HttpClient::TransferId transfer = 0;
     std::string method;
@@ -89,6 +91,7 @@
   net::EventLoop& loop_;
   control_calls::PeerKeys keys_;
   net::HttpClient client_;
+  KnownServerNotices notices_;
   absl::flat_hash_map<base::AttemptId, InFlight> in_flight_;
 };
 
--- a/src/libs/ingress/caller_request.cc
+++ b/src/libs/ingress/caller_request.cc
@@ -16,13 +16,16 @@
 // Headers removed from callers' requests: only nodes may set them, or the node
 // replaces them.
 constexpr const char* kNodeOnlyHeaders[] = {
-    wire::kAttemptHeader,     wire::kTargetHeader,        wire::kServiceHeader,
-    wire::kSignatureHeader,   wire::kLoadHeader,          wire::kDeadlineHeader,
-    wire::kTargetInHeader,    wire::kMayMoveHeader,       wire::kMayStopHeader,
-    wire::kRequestNameHeader, wire::kFingerprintHeader,   wire::kSuspectHeader,
-    wire::kTenantHeader,      wire::kClassHeader,         wire::kDepthHeader,
-    wire::kRetryLevelHeader,  wire::kAttemptNumberHeader, wire::kKeyAgeHeader,
-    "Content-Length"};
+    wire::kAttemptHeader,       wire::kTargetHeader,
+    wire::kServiceHeader,       wire::kSignatureHeader,
+    wire::kLoadHeader,          wire::kDeadlineHeader,
+    wire::kTargetInHeader,      wire::kMayMoveHeader,
+    wire::kMayStopHeader,       wire::kRequestNameHeader,
+    wire::kFingerprintHeader,   wire::kSuspectHeader,
+    wire::kTenantHeader,        wire::kClassHeader,
+    wire::kDepthHeader,         wire::kRetryLevelHeader,
+    wire::kAttemptNumberHeader, wire::kKeyAgeHeader,
+    wire::kServerNoticeHeader,  "Content-Length"};
 
 constexpr size_t kMaxKeyLength = 200;
 
--- a/src/libs/ingress/ingress.cc
+++ b/src/libs/ingress/ingress.cc
@@ -41,6 +41,7 @@
 
 net::HttpAnswer ForCaller(net::HttpAnswer answer) {
   net::RemoveHeader(answer.headers, wire::kLoadHeader);
+  net::RemoveHeader(answer.headers, wire::kServerNoticeHeader);
   net::RemoveHeader(answer.headers, wire::kServerTimeHeader);
   net::RemoveHeader(answer.headers, wire::kKeyNewHeader);
   net::RemoveHeader(answer.headers, wire::kRetryInHeader);
--- a/src/libs/membership/member.cc
+++ b/src/libs/membership/member.cc
@@ -36,7 +36,7 @@
     object["service"] = server->service;
     object["slots"] = server->slots;
     object["draining"] = server->draining;
-    object["cold_rate"] = server->cold_rate;
+    object["cold_rate"] = server->rate_limit;
   }
   return object.dump();
 }
--- a/src/libs/membership/member.h
+++ b/src/libs/membership/member.h
@@ -24,8 +24,9 @@
   std::string service;
   int slots = 1;
   bool draining = false;
-  // Requests per second that it is sent while it is cold; zero if it is warm.
-  double cold_rate = 0;
+  // Requests per second that it accepts: while it is cold, or as it states.
+  // Zero if unlimited.
+  double rate_limit = 0;
 
   bool operator==(const ServerAnnouncement&) const = default;
 };
--- a/src/libs/membership/member_record.cc
+++ b/src/libs/membership/member_record.cc
@@ -115,7 +115,7 @@
       ServerOf(member).draining = value.as<bool>();
       break;
     case kColdRate:
-      ServerOf(member).cold_rate = ReadColdRate(value);
+      ServerOf(member).rate_limit = ReadColdRate(value);
       break;
     case kHasLostStore:
       member.has_lost_store = value.as<bool>();
@@ -154,7 +154,7 @@
     packer.pack(static_cast<uint32_t>(kDraining));
     packer.pack(member.server->draining);
     packer.pack(static_cast<uint32_t>(kColdRate));
-    packer.pack(member.server->cold_rate);
+    packer.pack(member.server->rate_limit);
   }
   if (member.has_lost_store) {
     packer.pack(static_cast<uint32_t>(kHasLostStore));
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -274,7 +274,7 @@
   if (server.announced) {
     self_.server =
         membership::ServerAnnouncement{server.service, server.admission.slots,
-                                       server.draining, LocalServerColdRate()};
+                                       server.draining, LocalServerRateLimit()};
   }
   membership_.Update(self_);
   PublishServer();
@@ -301,6 +301,10 @@
 
 void ControlPlane::OnGateReport(const gate::GateReport& report) {
   gate_report_ = report;
+  if (!wire::AreSimilarRates(published_rate_limit_, report.rate_limit)) {
+    published_rate_limit_ = report.rate_limit;
+    OnLocalServerChanged();
+  }
   local_server_.OnAnswer(report.last_answer);
   local_server_.OnColdReported(report.life, report.cold_until);
 }
--- a/src/libs/node/control_plane.h
+++ b/src/libs/node/control_plane.h
@@ -102,7 +102,7 @@
   bool IsDeclared(const std::string& service) const;
   // Returns the rate limit of the local server in requests per second while it
   // is cold; zero if it is warm or the rate is not limited.
-  double LocalServerColdRate() const;
+  double LocalServerRateLimit() const;
   void PublishServer();
   void PublishSnapshot();
   void StartServerDiscovery();
@@ -134,6 +134,8 @@
   std::vector<membership::Member> members_;
   size_t max_members_seen_ = 1;
   gate::GateReport gate_report_;
+  // The stated rate limit of the local server that others were told last.
+  std::optional<double> published_rate_limit_;
   bool stopping_ = false;
   net::EventLoop::TimerId key_view_timer_ = 0;
 };
--- a/src/libs/node/control_plane_publishing.cc
+++ b/src/libs/node/control_plane_publishing.cc
@@ -12,6 +12,8 @@
 
 // A view stays valid for several of these intervals.
 constexpr std::chrono::milliseconds kKeyViewInterval(500);
+// Published for a server that accepts nothing, as zero means unlimited.
+constexpr double kMinPublishedRate = 0.01;
 
 routing::ServerCandidate ToCandidate(
     const membership::Member& member,
@@ -22,7 +24,7 @@
   candidate.data_centre = member.data_centre;
   candidate.region = member.region;
   candidate.slots = member.server->slots;
-  candidate.cold_rate = member.server->cold_rate;
+  candidate.rate_limit = member.server->rate_limit;
   if (member.server->draining || evacuations.Contains(member.data_centre))
     candidate.state = routing::ServerState::kDraining;
   else if (member.state == membership::MemberState::kSuspected)
@@ -62,13 +64,18 @@
 
 }  // namespace
 
-double ControlPlane::LocalServerColdRate() const {
+double ControlPlane::LocalServerRateLimit() const {
   const server::ServerState& server = local_server_.state();
   const auto* declared =
       configuration_.configuration().FindService(server.service);
-  if (!declared || base::Clock::now() >= server.cold_until)
-    return 0;
-  return ColdOptionsOf(*declared, settings_).rate;
+  const bool is_cold = declared && base::Clock::now() < server.cold_until;
+  const double cold = is_cold ? ColdOptionsOf(*declared, settings_).rate : 0;
+  const bool is_stated =
+      gate_report_.rate_limit && gate_report_.life == server.life;
+  if (!is_stated)
+    return cold;
+  const double stated = std::max(*gate_report_.rate_limit, kMinPublishedRate);
+  return cold > 0 ? std::min(cold, stated) : stated;
 }
 
 void ControlPlane::PublishServer() {
--- a/src/libs/routing/server_candidate.h
+++ b/src/libs/routing/server_candidate.h
@@ -23,9 +23,8 @@
   std::string region;
   ServerState state = ServerState::kServing;
   int slots = 1;  // Requests that the server runs concurrently.
-  // Limit in requests per second while the server is cold; zero once it is
-  // warm.
-  double cold_rate = 0;
+  // Requests per second that the server accepts; zero if unlimited.
+  double rate_limit = 0;
 };
 
 }  // namespace chestnutport::routing
--- a/src/libs/routing/server_chooser.cc
+++ b/src/libs/routing/server_chooser.cc
@@ -160,10 +160,10 @@
 
 int ServerChooser::EffectiveSlots(const ServerCandidate& candidate) const {
   const int slots = std::max(1, candidate.slots);
-  if (candidate.cold_rate <= 0)
+  if (candidate.rate_limit <= 0)
     return slots;
   const double concurrency =
-      candidate.cold_rate * service_.typical_latency().count();
+      candidate.rate_limit * service_.typical_latency().count();
   return std::clamp(static_cast<int>(concurrency), 1, slots);
 }
 
--- a/src/libs/routing/server_chooser.h
+++ b/src/libs/routing/server_chooser.h
@@ -94,7 +94,7 @@
                 BestCandidate& best) const;
   void AddToIndexes(uint32_t position);
   // Returns how many requests the server may run concurrently; fewer than its
-  // slots while it is cold.
+  // slots while its request rate is limited.
   int EffectiveSlots(const ServerCandidate& candidate) const;
 
   Locality own_locality_;
--- a/src/libs/server/native_server_protocol.cc
+++ b/src/libs/server/native_server_protocol.cc
@@ -10,8 +10,8 @@
 constexpr int kUnavailable = 503;
 
 // Headers exchanged between nodes, which are removed before forwarding.
-constexpr const char* kPeerOnlyHeaders[] = {wire::kTargetHeader,
-                                            wire::kSignatureHeader};
+constexpr const char* kPeerOnlyHeaders[] = {
+    wire::kTargetHeader, wire::kSignatureHeader, wire::kServerNoticeHeader};
 
 }  // namespace
 
@@ -44,9 +44,8 @@
 
 wire::ServerNotice NativeServerProtocol::Notice(
     const net::HttpHeaders& headers) const {
-  return wire::ServerNotice::Parse(
-      net::FindHeader(headers, wire::kRateLimitHeader),
-      net::FindHeader(headers, wire::kLeavingHeader));
+  return wire::ServerNotice::Read(headers, wire::kRateLimitHeader,
+                                  wire::kLeavingHeader);
 }
 
 std::string NativeServerProtocol::Instance(
--- a/src/libs/server/server_notices.cc
+++ b/src/libs/server/server_notices.cc
@@ -1,10 +1,13 @@
 #include "server/server_notices.h"
 
+#include <utility>
+
 namespace chestnutport::server {
 
 bool ServerNotices::OnResponse(const wire::ServerNotice& notice,
                                base::Instant sent_at,
                                base::Instant now) {
+  has_responded_ = true;
   return Update(notice, sent_at > limit_stated_at_, now);
 }
 
@@ -17,6 +20,15 @@
                 is_limit_in_health_checks_ && sent_at > limit_stated_at_, now);
 }
 
+bool ServerNotices::OnPassedOn(const wire::ServerNotice& notice,
+                               base::Instant stated_at) {
+  const bool is_newer = !rate_limit_ || stated_at > limit_stated_at_;
+  if (has_responded_ || !notice.rate_limit || !is_newer)
+    return false;
+  limit_stated_at_ = stated_at;
+  return std::exchange(rate_limit_, notice.rate_limit) != notice.rate_limit;
+}
+
 bool ServerNotices::Update(const wire::ServerNotice& notice,
                            bool may_end_limit,
                            base::Instant now) {
--- a/src/libs/server/server_notices.h
+++ b/src/libs/server/server_notices.h
@@ -30,10 +30,16 @@
                      base::Instant sent_at,
                      base::Instant now);
 
+  // A sender passes on what this incarnation stated at `stated_at`, before this
+  // node started. Ignored once the incarnation has responded to a request.
+  bool OnPassedOn(const wire::ServerNotice& notice, base::Instant stated_at);
+
   // The requests per second that the server accepts; nothing if unlimited.
   std::optional<double> rate_limit() const { return rate_limit_; }
   // A server that has stated that it leaves does not return.
   bool is_leaving() const { return is_leaving_; }
+  // When rate_limit() was last stated.
+  base::Instant limit_stated_at() const { return limit_stated_at_; }
 
  private:
   // Applies `notice`; `may_end_limit` if its silence about a limit counts.
@@ -43,6 +49,7 @@
 
   std::optional<double> rate_limit_;
   base::Instant limit_stated_at_;
+  bool has_responded_ = false;
   bool is_limit_in_health_checks_ = false;
   bool is_leaving_ = false;
 };
--- a/src/libs/wire/peer_request_head.cc
+++ b/src/libs/wire/peer_request_head.cc
@@ -53,6 +53,9 @@
     headers.push_back({kFingerprintHeader, fingerprint.ToString()});
   if (is_suspect)
     headers.push_back({kSuspectHeader, kYes});
+  const std::string notice = server_notice ? server_notice->ToHeader() : "";
+  if (!notice.empty())
+    headers.push_back({kServerNoticeHeader, notice});
   headers.push_back({kSignatureHeader, Signature(key)});
 }
 
@@ -82,6 +85,8 @@
       base::RequestFingerprint::Parse(FindHeader(headers, kFingerprintHeader))
           .value_or(base::RequestFingerprint());
   head.is_suspect = FindHeader(headers, kSuspectHeader) == kYes;
+  head.server_notice =
+      PeerServerNotice::FromHeader(FindHeader(headers, kServerNoticeHeader));
   head.service = FindHeader(headers, kServiceHeader);
   head.tenant = FindHeader(headers, kTenantHeader);
   head.traffic_class = FindHeader(headers, kClassHeader);
--- a/src/libs/wire/peer_request_head.h
+++ b/src/libs/wire/peer_request_head.h
@@ -11,6 +11,7 @@
 #include "base/request_fingerprint.h"
 #include "base/time.h"
 #include "net/http_message.h"
+#include "wire/peer_server_notice.h"
 
 namespace chestnutport::wire {
 
@@ -41,6 +42,8 @@
   base::RequestFingerprint fingerprint;
   // Servers ended with it twice, as far as the sender knows.
   bool is_suspect = false;
+  // What the sender knows of the server beside the gate.
+  std::optional<PeerServerNotice> server_notice;
 
   // Adds the head to `headers`, signed with `key`.
   void AppendTo(net::HttpHeaders& headers, std::string_view key) const;
--- a/src/libs/wire/server_notice.h
+++ b/src/libs/wire/server_notice.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string_view>
 
+#include "net/http_message.h"
+
 namespace chestnutport::wire {
 
 struct ServerNotice {
@@ -16,11 +18,17 @@
   // The server shuts down and must get no new requests.
   bool is_leaving = false;
 
-  // Parses the values of the two headers; empty if the header is missing.
-  static ServerNotice Parse(std::string_view rate_limit,
-                            std::string_view leaving);
+  // Reads the two named headers. If a rate limit is stated several times, the
+  // lowest valid one applies.
+  static ServerNotice Read(const net::HttpHeaders& headers,
+                           std::string_view rate_limit_name,
+                           std::string_view leaving_name);
 };
 
+// Whether two rate limits differ so little that the change need not be
+// announced; nothing means unlimited.
+bool AreSimilarRates(std::optional<double> one, std::optional<double> other);
+
 }  // namespace chestnutport::wire
 
 #endif  // WIRE_SERVER_NOTICE_H_
--- a/tests/auto/platform/hosted_server_protocol_test.cc
+++ b/tests/auto/platform/hosted_server_protocol_test.cc
@@ -63,5 +63,36 @@
   CHECK_FALSE(protocol.Load({}));
 }
 
+TEST_CASE("a server states its rate limit and that it leaves") {
+  const HostedServerProtocol protocol;
+  const auto limit = [&](const net::HttpHeaders& headers) {
+    return protocol.Notice(headers).rate_limit;
+  };
+  CHECK_FALSE(limit({}));
+  CHECK(limit({{"Server-Limit", "14.2"}}) == 14.2);
+  CHECK(limit({{"Server-Limit", " 0 "}}) == 0);
+
+  SECTION("the lowest of several limits applies") {
+    CHECK(limit({{"Server-Limit", "9"}, {"Server-Limit", "4"}}) == 4);
+    CHECK(limit({{"Server-Limit", "none"}, {"Server-Limit", "4"}}) == 4);
+  }
+  SECTION("what is no rate is invalid") {
+    for (const std::string& text :
+         {std::string(), std::string("-1"), std::string("nan"),
+          std::string("inf"), std::string("1,5"), std::string("many"),
+          std::string(400, '9')}) {
+      INFO(text);
+      const auto notice = protocol.Notice({{"Server-Limit", text}});
+      CHECK_FALSE(notice.rate_limit);
+      CHECK(notice.is_rate_limit_invalid);
+    }
+  }
+  SECTION("only 1 says that it leaves") {
+    CHECK(protocol.Notice({{"Server-Leaving", "1"}}).is_leaving);
+    CHECK_FALSE(protocol.Notice({{"Server-Leaving", "0"}}).is_leaving);
+    CHECK_FALSE(protocol.Notice({}).is_leaving);
+  }
+}
+
 }  // namespace
 }  // namespace chestnutport::platform
--- a/tests/auto/routing/server_chooser_test.cc
+++ b/tests/auto/routing/server_chooser_test.cc
@@ -220,7 +220,7 @@
 TEST_CASE("A cold server gets no more requests than its limit") {
   auto servers = Servers(4);
   // At the usual latency of 10 ms, this rate keeps less than one slot in use.
-  servers[0].cold_rate = 24;
+  servers[0].rate_limit = 24;
   ChooserFixture fixture(servers);
   fixture.Serve(100, [](NodeId) { return Answered(); });
   std::vector<NodeId> busy;
--- a/tests/support/gate_fixture.cc
+++ b/tests/support/gate_fixture.cc
@@ -104,11 +104,12 @@
     gate_.SetKeyView({{kGateId}}, at);
 }
 
-base::AttemptId GateFixture::Send(const wire::PeerRequestHead& head,
+base::AttemptId GateFixture::Send(wire::PeerRequestHead head,
                                   const std::string& method,
                                   net::HttpHeaders headers) {
   net::HttpRequest request{
       .method = method, .target = "/1", .headers = std::move(headers)};
+  head.server_notice = passed_on;
   head.AppendTo(request.headers, kKeys.current);
   transfers.push_back(
       peer_.Send(address_, std::move(request), seconds(10),
--- a/tests/support/gate_fixture.h
+++ b/tests/support/gate_fixture.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,8 @@
   std::function<void()> on_request = [] {};
   bool is_silent = false;  // The server does not answer.
   bool inquiry_may_move = true;
+  // What the peer knows of the server; sent with each attempt.
+  std::optional<wire::PeerServerNotice> passed_on;
   server::ServerState state;
   gate::GateReport report;
   std::vector<quarantine::ServerCrash> crashes;
@@ -77,7 +80,7 @@
 
  private:
   void OnServed(net::HttpRequest request, net::Reply reply);
-  base::AttemptId Send(const wire::PeerRequestHead& head,
+  base::AttemptId Send(wire::PeerRequestHead head,
                        const std::string& method,
                        net::HttpHeaders headers = {});
 
