Test that a server that states it is leaving gets no new requests (red)

A server that said in all its answers that it leaves got 277 requests in the 3 s that begin 2 s later (DRAIN: none); the same while it still announces itself as ready, and when the node beside it is killed and started again. The sections with a new incarnation pass.

--- a/tests/auto/admission/server_notice_gate_test.cc
+++ b/tests/auto/admission/server_notice_gate_test.cc
@@ -66,9 +66,9 @@
     BeginMany(fixture);
     CHECK(fixture.served.size() <= kBurst);
     SECTION("and is passed on with refusals") {
-      const auto notice = wire::PeerServerNotice::FromHeader(net::FindHeader(
-          fixture.results[kRequests].answer.headers,
-          wire::kServerNoticeHeader));
+      const auto notice = wire::PeerServerNotice::FromHeader(
+          net::FindHeader(fixture.results[kRequests].answer.headers,
+                          wire::kServerNoticeHeader));
       REQUIRE(notice);
       CHECK(notice->instance == "i-1");
       CHECK(notice->notice.rate_limit == 1);
--- a/tests/auto/admission/stated_rate_test.cc
+++ b/tests/auto/admission/stated_rate_test.cc
@@ -149,8 +149,8 @@
 
 TEST_CASE("a rate that changes all the time is kept to") {
   rc::prop("in any window, for any order of rates and loads", [] {
-    const auto rates = *rc::gen::container<std::vector<int>>(
-        24, rc::gen::inRange(0, 60));
+    const auto rates =
+        *rc::gen::container<std::vector<int>>(24, rc::gen::inRange(0, 60));
     const auto gap = *rc::gen::inRange(1, 40);
     StatedRateSimulation simulation(FifteenSlots());
     std::vector<Instant> changes;
--- /dev/null
+++ b/tests/auto/platform/server_leaving_test.cc
@@ -0,0 +1,69 @@
+// Guards against requests to a server that has stated that it is leaving.
+#include <catch2/catch.hpp>
+
+#include "support/hosted_pair.h"
+#include "support/wait.h"
+
+namespace chestnutport::test {
+namespace {
+
+using base::Instant;
+using std::chrono::seconds;
+
+constexpr int kUnavailable = 503;
+// No request that a caller sends this long after a node passed on the statement
+// may reach the server.
+constexpr seconds kDrainTime(2);
+constexpr seconds kObserved(3);
+
+bool WaitUntilTime(Instant time) {
+  return WaitUntil([&] { return base::Clock::now() >= time; });
+}
+
+TEST_CASE("a server states in its responses that it is leaving") {
+  HostedPair pair("leaving");
+  pair.State({{"Server-Leaving", "1"}}, kUnavailable);
+  pair.StartCalls();
+  REQUIRE(pair.WaitForRequests(1));
+  const Instant drained_at =
+      base::Clock::now() + HostedPair::kWork + kDrainTime;
+  REQUIRE(WaitUntilTime(drained_at));
+  const size_t before = pair.Arrivals().size();
+
+  SECTION("and gets no new requests") {
+    REQUIRE(WaitUntilTime(drained_at + kObserved));
+    pair.StopCalls();
+    CHECK(pair.Arrivals().size() == before);
+  }
+  SECTION("and gets none while it announces itself as ready") {
+    pair.Announce();
+    REQUIRE(WaitUntilTime(drained_at + kObserved));
+    pair.StopCalls();
+    CHECK(pair.Arrivals().size() == before);
+  }
+  SECTION("and gets none when the node beside it restarts") {
+    pair.RestartServerNode();
+    REQUIRE(WaitUntilTime(base::Clock::now() + kObserved));
+    pair.StopCalls();
+    CHECK(pair.Arrivals().size() == before);
+  }
+  SECTION("until another server has taken its address") {
+    pair.State({});
+    pair.RestartServer("i-2", 0);
+    CHECK(pair.WaitForRequests(100));
+  }
+  SECTION("until it has started again under the same name") {
+    pair.Announce(1000);
+    pair.State({});
+    pair.RestartServer("i-1", 2000);
+    CHECK(pair.WaitForRequests(100));
+    SECTION("also if the node beside it has restarted since") {
+      pair.RestartServerNode();
+      pair.Announce(2000);
+      CHECK(pair.WaitForRequests(100));
+    }
+  }
+}
+
+}  // namespace
+}  // namespace chestnutport::test
--- a/tests/auto/server/server_notices_test.cc
+++ b/tests/auto/server/server_notices_test.cc
@@ -38,8 +38,8 @@
     CHECK_FALSE(notices.rate_limit());
   }
   SECTION("an invalid limit changes nothing") {
-    CHECK_FALSE(notices.OnResponse({.is_rate_limit_invalid = true}, At(101),
-                                   At(200)));
+    CHECK_FALSE(
+        notices.OnResponse({.is_rate_limit_invalid = true}, At(101), At(200)));
     CHECK(notices.rate_limit() == 12);
   }
   SECTION("a health check without a limit does not end it") {
--- a/tests/support/hosted_node.cc
+++ b/tests/support/hosted_node.cc
@@ -98,12 +98,14 @@
 
 void HostedNode::Announce(HostedServer& server,
                           const std::string& state,
-                          int sequence) {
+                          int sequence,
+                          int born) {
   const std::string body =
       absl::StrCat(R"({"service":")", server.service, R"(","address":")",
                    server.address.ToString(),
                    R"(","zone":"z","version":"v1","slots":12,"state":")", state,
-                   R"(","cold_for":"0ms","sequence":)", sequence, "}");
+                   R"(","cold_for":"0ms","sequence":)", sequence,
+                   born > 0 ? absl::StrCat(R"(,"born":)", born) : "", "}");
   const auto answer = SendRequest(server_api_address_, "POST",
                                   "/v1/server/" + server.instance, body);
   if (answer.status != kOk)
--- a/tests/support/hosted_node.h
+++ b/tests/support/hosted_node.h
@@ -30,7 +30,11 @@
 
   bool IsReady() const;
   // Sends an announcement of the local server; `state` is ready or draining.
-  void Announce(HostedServer& server, const std::string& state, int sequence);
+  // `born` is its start time; zero: not sent.
+  void Announce(HostedServer& server,
+                const std::string& state,
+                int sequence,
+                int born = 0);
   // Sends a caller's GET request for `path` with the request id `id`.
   net::HttpAnswer Call(const std::string& path, const std::string& id) const;
   // Sends a request to the operators' API.
