Send nothing to a server that states it is leaving

What callers and servers saw: a server that said in all its answers that it leaves went on getting requests (DRAIN), unless it announced that as well.

Cause: nobody read the statement.

Change: the gate drains at once, whatever later announcements say, and the control thread publishes the server as draining. A sender that has passed the statement on returns it with its requests, with the server's instance and start time; a gate that has started since refuses these requests. Both end with a new incarnation, also under the same name.

Looked for elsewhere: what nodes forget by restarting while others are bound.

--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -95,6 +95,7 @@
 void Gate::SetServer(const server::ServerState& server) {
   const bool has_started = server.life != server_.life;
   const bool was_evacuated = server.evacuations != server_.evacuations;
+  const bool was_undrained = server_.draining && !server.draining;
   server_ = server;
   const base::Instant now = base::Clock::now();
   admission_.set_options(server.admission);
@@ -103,6 +104,8 @@
     admission_.OnServerStarted(now);
     notices_.OnServerStarted();
     logged_rate_limit_.reset();
+  } else if (was_undrained) {
+    notices_.OnUndrained();
   }
   if (server.cold_reported_at != base::Instant()) {
     admission_.cold_limiter().OnReported(
@@ -110,7 +113,7 @@
   }
   if (was_evacuated)
     admission_.cold_limiter().AssumeCold(now);
-  if (server.AcceptsRequests()) {
+  if (server.AcceptsRequests() && !notices_.is_leaving()) {
     is_empty_logged_ = false;
     if (!on_empty_)
       admission_.StopDrain();
@@ -250,18 +253,25 @@
 
 void Gate::OnNoticePassedOn(const wire::PeerRequestHead& head,
                             base::Instant now) {
-  const bool is_about_server =
-      head.server_notice && head.server_notice->instance == server_.instance;
-  if (is_about_server && notices_.OnPassedOn(head.server_notice->notice,
-                                             now - head.server_notice->age)) {
+  if (IsNoticeAboutServer(head) &&
+      notices_.OnPassedOn(head.server_notice->notice,
+                          now - head.server_notice->age)) {
     OnNoticesChanged(now);
   }
 }
 
+bool Gate::IsNoticeAboutServer(const wire::PeerRequestHead& head) const {
+  return head.server_notice &&
+         head.server_notice->IsAbout(server_.instance, server_.started_at);
+}
+
 void Gate::OnNoticesChanged(base::Instant now) {
   const std::optional<double> rate_limit = notices_.rate_limit();
   admission_.SetStatedRate(rate_limit, now);
-  if (wire::AreSimilarRates(rate_limit, logged_rate_limit_))
+  const bool starts_drain = notices_.is_leaving() && !admission_.IsDraining();
+  if (starts_drain)
+    Perform(admission_.StartDrain(now));
+  if (!starts_drain && wire::AreSimilarRates(rate_limit, logged_rate_limit_))
     return;
   logged_rate_limit_ = rate_limit;
   LogServerNotice(server_.instance, rate_limit, notices_.is_leaving());
@@ -269,12 +279,16 @@
 }
 
 void Gate::AddServerNotice(net::HttpAnswer& answer) const {
-  if (!notices_.rate_limit())
+  if (!notices_.rate_limit() && !notices_.is_leaving())
     return;
-  const wire::PeerServerNotice notice{
-      server_.instance,
-      {.rate_limit = notices_.rate_limit()},
-      base::Clock::now() - notices_.limit_stated_at()};
+  const base::Instant now = base::Clock::now();
+  const base::Instant stated_at =
+      notices_.rate_limit() ? notices_.limit_stated_at() : now;
+  const wire::PeerServerNotice notice{server_.instance,
+                                      server_.started_at,
+                                      {.rate_limit = notices_.rate_limit(),
+                                       .is_leaving = notices_.is_leaving()},
+                                      now - stated_at};
   if (std::string header = notice.ToHeader(); !header.empty())
     answer.headers.push_back({wire::kServerNoticeHeader, std::move(header)});
 }
--- a/src/libs/gate/gate.h
+++ b/src/libs/gate/gate.h
@@ -123,6 +123,8 @@
   void OnServerNotice(const net::HttpHeaders& headers, base::Instant sent_at);
   // Applies what the sender of an attempt knows of the server's notices.
   void OnNoticePassedOn(const wire::PeerRequestHead& head, base::Instant now);
+  // Whether the sender of an attempt has a notice of the current incarnation.
+  bool IsNoticeAboutServer(const wire::PeerRequestHead& head) const;
   // The rate limit or the leaving state of the server changed.
   void OnNoticesChanged(base::Instant now);
   void AddServerNotice(net::HttpAnswer& answer) const;
--- a/src/libs/gate/gate_admission.cc
+++ b/src/libs/gate/gate_admission.cc
@@ -120,6 +120,15 @@
     SendAnswer(arrival.reply, net::MakeErrorAnswer(ErrorKind::kNoServer));
     return true;
   }
+  // The sender has passed on that the server is leaving. This gate may have
+  // started since.
+  if (IsNoticeAboutServer(head) && head.server_notice->notice.is_leaving) {
+    LogDecision({.request = head.request_name,
+                 .fingerprint = head.fingerprint,
+                 .error = ErrorKind::kDraining});
+    SendAnswer(arrival.reply, net::MakeErrorAnswer(ErrorKind::kDraining));
+    return true;
+  }
   if (const auto refusal = QuarantineRefusal(arrival, now)) {
     LogDecision({.request = head.request_name,
                  .fingerprint = head.fingerprint,
--- a/src/libs/ingress/attempt_sender.cc
+++ b/src/libs/ingress/attempt_sender.cc
@@ -200,7 +200,8 @@
   // A failure is not relayed yet: a retry at another server may succeed.
   if (end.verdict != AttemptVerdict::kAnswered)
     return false;
-  notices_.OnAnswer(found->second.to, head.headers, true, loop_.now());
+  notices_.OnAnswer(found->second.to, head.headers, true, found->second.sent_at,
+                    loop_.now());
   found->second.is_streamed = true;
   const Handler handler = std::exchange(found->second.handler, nullptr);
   if (handler)
@@ -261,7 +262,8 @@
   if (!sent.is_streamed) {
     const bool is_from_server = end.verdict == AttemptVerdict::kAnswered ||
                                 end.verdict == AttemptVerdict::kFailed;
-    notices_.OnAnswer(sent.to, result.answer.headers, is_from_server, now);
+    notices_.OnAnswer(sent.to, result.answer.headers, is_from_server,
+                      sent.sent_at, now);
   }
   const bool is_cancelled = !sent.handler && !sent.is_streamed &&
                             end.verdict != AttemptVerdict::kAnswered;
--- a/src/libs/ingress/known_server_notices.cc
+++ b/src/libs/ingress/known_server_notices.cc
@@ -16,15 +16,20 @@
 void KnownServerNotices::OnAnswer(const base::SocketAddress& peer,
                                   const net::HttpHeaders& headers,
                                   bool is_from_server,
+                                  base::Instant sent_at,
                                   base::Instant now) {
   auto notice = wire::PeerServerNotice::FromHeader(
       net::FindHeader(headers, wire::kServerNoticeHeader));
   if (notice) {
     Prune(now);
     const base::Instant stated_at = now - notice->age;
-    notices_[peer] = {*std::move(notice), stated_at};
-  } else if (is_from_server) {
-    notices_.erase(peer);
+    notices_[peer] = {*std::move(notice), stated_at, now};
+    return;
+  }
+  const auto known = notices_.find(peer);
+  if (is_from_server && known != notices_.end() &&
+      sent_at > known->second.received_at) {
+    notices_.erase(known);
   }
 }
 
--- a/src/libs/ingress/known_server_notices.h
+++ b/src/libs/ingress/known_server_notices.h
@@ -16,12 +16,14 @@
 
 class KnownServerNotices {
  public:
-  // The gate at `peer` sent an answer with these headers. `is_from_server` if
-  // it passes on a response of its server; without a notice, that response ends
-  // the earlier one.
+  // The gate at `peer` sent an answer with these headers to a request that was
+  // sent at `sent_at`. `is_from_server` if it passes on a response of its
+  // server; without a notice, that response ends one that was received before
+  // `sent_at`.
   void OnAnswer(const base::SocketAddress& peer,
                 const net::HttpHeaders& headers,
                 bool is_from_server,
+                base::Instant sent_at,
                 base::Instant now);
   // Returns the notice of the server behind the gate, with its age; nothing if
   // there is none.
@@ -32,6 +34,7 @@
   struct Known {
     wire::PeerServerNotice notice;
     base::Instant stated_at;
+    base::Instant received_at;
   };
 
   void Prune(base::Instant now);
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -307,6 +307,7 @@
   }
   local_server_.OnAnswer(report.last_answer);
   local_server_.OnColdReported(report.life, report.cold_until);
+  local_server_.OnLeavingReported(report.life, report.is_leaving);
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -160,13 +160,15 @@
   const bool is_changed = has_started ||
                           state_.service != announcement.service ||
                           state_.admission.slots != announcement.slots ||
-                          state_.health_path != announcement.health_path;
+                          state_.health_path != announcement.health_path ||
+                          state_.started_at != announcement.started_at;
   state_.announced = true;
   state_.service = announcement.service;
   state_.address = announcement.address;
   state_.admission.slots = announcement.slots;
   state_.health_path = announcement.health_path;
   state_.instance = announcement.instance;
+  state_.started_at = announcement.started_at;
   if (has_started)
     OnNewIncarnation(announcement);
   const bool is_cold_new = UpdateColdUntil(announcement, now);
@@ -183,6 +185,7 @@
   state_.cold_until = {};
   state_.cold_reported_at = {};
   drain_sources_.erase(DrainSource::kServer);
+  was_leaving_reported_ = false;
   const std::string started_at =
       absl::StrCat(announcement.started_at.count(), "ms");
   LogEvent(Event::kServerAnnounced, {{"service", state_.service},
@@ -213,6 +216,14 @@
     changed_();
 }
 
+void LocalServer::OnLeavingReported(uint64_t life, bool is_leaving) {
+  if (life != state_.life)
+    return;
+  if (is_leaving && !std::exchange(was_leaving_reported_, true))
+    Drain(DrainSource::kServer);
+  was_leaving_reported_ = is_leaving;
+}
+
 bool LocalServer::HandleDeregistration(const net::HttpRequest& request,
                                        std::string_view instance) {
   const auto started_at = ReadStartedAt(request.body);
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -63,6 +63,10 @@
   // one.
   void OnColdReported(uint64_t life, base::Instant cold_until);
 
+  // Called with each report of the gate: whether incarnation `life` of the
+  // server has stated that it is leaving.
+  void OnLeavingReported(uint64_t life, bool is_leaving);
+
   const ServerState& state() const { return state_; }
   const base::SocketAddress& address() const { return listener_->address(); }
 
@@ -95,6 +99,7 @@
   ChangedHandler changed_;
   ServerState state_;
   bool was_cold_reported_ = false;  // As of the last report that was published.
+  bool was_leaving_reported_ = false;  // As of the gate's last report.
   ServerIncarnationTracker incarnations_;
   std::string last_fault_;  // Repeated faults are logged once.
   std::set<DrainSource> drain_sources_;
--- a/src/libs/server/server_discovery.cc
+++ b/src/libs/server/server_discovery.cc
@@ -70,6 +70,7 @@
   found.address = expected_.address;
   found.slots = load->slots;
   found.instance = instance;
+  found.draining = protocol_.notice(result.answer.headers).is_leaving;
   found.cold_for = protocol_.ColdForFromHealthCheck(result.answer.headers);
   handler_(found);
 }
--- a/src/libs/server/server_notices.h
+++ b/src/libs/server/server_notices.h
@@ -14,6 +14,8 @@
  public:
   // Forgets what the previous incarnation stated.
   void OnServerStarted() { *this = {}; }
+  // The server has announced that it accepts requests again.
+  void OnUndrained() { is_leaving_ = false; }
 
   // Each of the following returns whether the rate limit or is_leaving()
   // changed.
@@ -36,7 +38,7 @@
 
   // The requests per second that the server accepts; nothing if unlimited.
   std::optional<double> rate_limit() const { return rate_limit_; }
-  // A server that has stated that it leaves does not return.
+  // Remains true without further statements.
   bool is_leaving() const { return is_leaving_; }
   // When rate_limit() was last stated.
   base::Instant limit_stated_at() const { return limit_stated_at_; }
--- a/src/libs/server/server_state.h
+++ b/src/libs/server/server_state.h
@@ -2,6 +2,7 @@
 #ifndef SERVER_SERVER_STATE_H_
 #define SERVER_SERVER_STATE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -19,8 +20,9 @@
   // Incarnation number. Incremented with each new incarnation, and if the
   // server announces itself after a withdrawal or with another address.
   uint64_t life = 0;
-  std::string instance;     // Instance name, if the server sends one.
-  std::string health_path;  // Not probed if empty.
+  std::string instance;  // Instance name, if the server sends one.
+  std::chrono::milliseconds started_at{};  // Since the epoch; zero if unknown.
+  std::string health_path;                 // Not probed if empty.
   admission::AdmissionOptions admission;
   admission::ProbeOptions probes;
   bool draining = false;
--- a/src/libs/wire/header_names.h
+++ b/src/libs/wire/header_names.h
@@ -59,7 +59,7 @@
 // On an answer between nodes: a call failed that the server made for it.
 inline constexpr char kCallFailedHeader[] = "Chestnutport-Call-Failed";
 // Between nodes, on requests and answers: what the server last stated of its
-// rate limit; see PeerServerNotice.
+// rate limit and of leaving; see PeerServerNotice.
 inline constexpr char kServerNoticeHeader[] = "Chestnutport-Server-Notice";
 inline constexpr char kServerTimeHeader[] = "Chestnutport-Server-Time";
 
