--- a/tests/auto/admission/server_notice_gate_test.cc
+++ b/tests/auto/admission/server_notice_gate_test.cc
@@ -1,5 +1,5 @@
-// A gate whose server states a rate limit in its responses, and senders that
-// pass on what an earlier process of the node told them.
+// A gate whose server states a rate limit, or that it leaves, in its responses,
+// and senders that pass on what an earlier process of the node told them.
 #include <catch2/catch.hpp>
 
 #include "support/gate_fixture.h"
@@ -91,5 +91,65 @@
   }
 }
 
+TEST_CASE("a server of the native protocol states that it is leaving") {
+  GateFixture fixture;
+  fixture.answer.headers = {{"Chestnutport-Leaving", "1"}};
+  CHECK(Outcome(fixture.Run("GET")) == "answered");
+
+  SECTION("it gets no more requests, and the control thread is told") {
+    CHECK(Error(fixture.Run("GET")) == "draining");
+    CHECK(fixture.served.size() == 1);
+    CHECK(fixture.report.is_leaving);
+  }
+  SECTION("also after a change that has nothing to do with it") {
+    fixture.state.admission.slots = 3;
+    fixture.Apply();
+    CHECK(Error(fixture.Run("GET")) == "draining");
+  }
+  SECTION("until it is a new incarnation") {
+    fixture.answer.headers.clear();
+    ++fixture.state.life;
+    fixture.Apply();
+    CHECK(Outcome(fixture.Run("GET")) == "answered");
+  }
+  SECTION("until it undrains itself") {
+    fixture.answer.headers.clear();
+    fixture.state.draining = true;
+    fixture.Apply();
+    fixture.state.draining = false;
+    fixture.Apply();
+    CHECK(Outcome(fixture.Run("GET")) == "answered");
+  }
+}
+
+TEST_CASE("a sender has passed on that a server is leaving") {
+  GateFixture fixture;
+  fixture.state.instance = "i-1";
+  fixture.state.started_at = milliseconds(1000);
+  ++fixture.state.life;
+  fixture.Apply();
+  const auto pass_on = [&](const std::string& instance, int started_at) {
+    fixture.passed_on =
+        wire::PeerServerNotice{.instance = instance,
+                               .started_at = milliseconds(started_at),
+                               .notice = {.is_leaving = true},
+                               .age = std::chrono::seconds(3)};
+  };
+
+  SECTION("its requests are refused by a gate that has not heard it") {
+    pass_on("i-1", 1000);
+    CHECK(Error(fixture.Run("GET")) == "draining");
+    CHECK(fixture.served.empty());
+    SECTION("those of other senders are not") {
+      fixture.passed_on.reset();
+      CHECK(Outcome(fixture.Run("GET")) == "answered");
+    }
+  }
+  SECTION("its requests run if the server has started again since") {
+    pass_on("i-1", 999);
+    CHECK(Outcome(fixture.Run("GET")) == "answered");
+  }
+}
+
 }  // namespace
 }  // namespace chestnutport::test
