Refuse what a sender knows to be leaving only if it is new to the gate

Found when the change was read again: a gate refused a request whose sender had passed on that the server leaves as "not run" before it looked whether it knew the attempt, or a record of its idempotency key. A second arrival of an attempt that runs could be told that it had not run. The refusal is a decision of the admission now, after both; inquiries for capacity get it too.

--- a/src/libs/admission/admission_controller.cc
+++ b/src/libs/admission/admission_controller.cc
@@ -53,6 +53,8 @@
     return {{ActionKind::kRefuse, attempt, ErrorKind::kCancelled, {}}};
   if (known != AttemptState::kUnknown || !ledger_.IsNew(attempt, now))
     return {{ActionKind::kRefuse, attempt, ErrorKind::kDuplicateAttempt, {}}};
+  if (arrival.is_server_leaving)
+    return {Refuse(attempt, ErrorKind::kDraining, now)};
   const QueuedAttempt waiting{
       attempt, queue_.FlowFor(arrival.traffic_class, arrival.tenant),
       arrival.deadline, arrival.target, arrival.may_stop};
@@ -69,7 +71,8 @@
   const QueuedAttempt waiting{
       arrival.attempt, queue_.FlowFor(arrival.traffic_class, arrival.tenant),
       arrival.deadline, arrival.target, arrival.may_stop};
-  const auto refusal = FindRefusal(waiting, now);
+  const auto refusal = arrival.is_server_leaving ? ErrorKind::kDraining
+                                                 : FindRefusal(waiting, now);
   if (!refusal)
     return std::nullopt;
   return AdmissionAction{ActionKind::kRefuse, arrival.attempt, *refusal,
--- a/src/libs/admission/arrival.h
+++ b/src/libs/admission/arrival.h
@@ -21,6 +21,8 @@
   // The attempt may be interrupted while it runs, so it may also start with too
   // little time left to finish.
   bool may_stop = false;
+  // The sender has passed on that the server is leaving.
+  bool is_server_leaving = false;
 };
 
 }  // namespace chestnutport::admission
--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -265,6 +265,10 @@
          head.server_notice->IsAbout(server_.instance, server_.started_at);
 }
 
+bool Gate::IsServerLeavingFor(const wire::PeerRequestHead& head) const {
+  return IsNoticeAboutServer(head) && head.server_notice->notice.is_leaving;
+}
+
 void Gate::OnNoticesChanged(base::Instant now) {
   const std::optional<double> rate_limit = notices_.rate_limit();
   admission_.SetStatedRate(rate_limit, now);
--- a/src/libs/gate/gate.h
+++ b/src/libs/gate/gate.h
@@ -125,6 +125,9 @@
   void OnNoticePassedOn(const wire::PeerRequestHead& head, base::Instant now);
   // Whether the sender of an attempt has a notice of the current incarnation.
   bool IsNoticeAboutServer(const wire::PeerRequestHead& head) const;
+  // Whether the sender of an attempt has passed on that the server is leaving.
+  // This gate may have started since, and not know it.
+  bool IsServerLeavingFor(const wire::PeerRequestHead& head) const;
   // The rate limit or the leaving state of the server changed.
   void OnNoticesChanged(base::Instant now);
   void AddServerNotice(net::HttpAnswer& answer) const;
--- a/src/libs/gate/gate_admission.cc
+++ b/src/libs/gate/gate_admission.cc
@@ -70,7 +70,7 @@
   // The slowness of the server at the start of a request determines how long it
   // takes, so a request that could be sent elsewhere waits for a probe if there
   // is no recent report. A server whose rate is limited is not probed: a probe
-  // costs it as much as a request.
+  // costs a cold server as much as a request.
   const bool may_wait = head.may_move && server_.AcceptsRequests() &&
                         admission_.HasCapacity(now) &&
                         !admission_.IsRateLimited(now);
@@ -90,9 +90,9 @@
   if (RejectIfUnservable(arrival, now))
     return;
   const wire::PeerRequestHead& head = arrival.head;
-  const admission::Arrival asked{head.attempt,       head.tenant,
-                                 head.traffic_class, arrival.deadline,
-                                 arrival.target,     head.may_stop};
+  const admission::Arrival asked{
+      head.attempt,   head.tenant,   head.traffic_class,      arrival.deadline,
+      arrival.target, head.may_stop, IsServerLeavingFor(head)};
   if (arrival.is_inquiry) {
     AnswerInquiry(asked, arrival.reply);
     return;
@@ -120,15 +120,6 @@
     SendAnswer(arrival.reply, net::MakeErrorAnswer(ErrorKind::kNoServer));
     return true;
   }
-  // The sender has passed on that the server is leaving. This gate may have
-  // started since.
-  if (IsNoticeAboutServer(head) && head.server_notice->notice.is_leaving) {
-    LogDecision({.request = head.request_name,
-                 .fingerprint = head.fingerprint,
-                 .error = ErrorKind::kDraining});
-    SendAnswer(arrival.reply, net::MakeErrorAnswer(ErrorKind::kDraining));
-    return true;
-  }
   if (const auto refusal = QuarantineRefusal(arrival, now)) {
     LogDecision({.request = head.request_name,
                  .fingerprint = head.fingerprint,
--- a/tests/auto/admission/server_notice_gate_test.cc
+++ b/tests/auto/admission/server_notice_gate_test.cc
@@ -140,11 +140,21 @@
     pass_on("i-1", 1000);
     CHECK(Error(fixture.Run("GET")) == "draining");
     CHECK(fixture.served.empty());
+    SECTION("also an inquiry for capacity") {
+      CHECK(Error(fixture.InquireCapacity()) == "draining");
+    }
     SECTION("those of other senders are not") {
       fixture.passed_on.reset();
       CHECK(Outcome(fixture.Run("GET")) == "answered");
     }
   }
+  SECTION("a request that was sent to the server is not reported as not run") {
+    fixture.is_silent = true;
+    const base::AttemptId attempt = fixture.Begin("GET");
+    REQUIRE(fixture.RunUntil([&] { return fixture.served.size() == 1; }));
+    pass_on("i-1", 1000);
+    CHECK(Outcome(fixture.Repeat(attempt)) != "not-run");
+  }
   SECTION("its requests run if the server has started again since") {
     pass_on("i-1", 999);
     CHECK(Outcome(fixture.Run("GET")) == "answered");
--- a/tests/support/gate_fixture.cc
+++ b/tests/support/gate_fixture.cc
@@ -127,6 +127,7 @@
   head.target_in = milliseconds(1);
   head.may_move = true;
   head.may_move_if_full = inquiry_may_move;
+  head.server_notice = passed_on;
   net::HttpRequest request{.method = "POST",
                            .target = traffic::kCapacityInquiryPath};
   head.AppendTo(request.headers, kKeys.current);
@@ -145,6 +146,14 @@
   return results[id];
 }
 
+net::TransferResult GateFixture::Repeat(const base::AttemptId& attempt) {
+  results.erase(attempt.sequence);
+  Send(MakeHead(attempt.sequence), "GET");
+  if (!RunUntil([&] { return results.contains(attempt.sequence); }))
+    throw std::runtime_error("the repeated attempt did not end");
+  return results[attempt.sequence];
+}
+
 std::string GateFixture::ControlAttempt(const base::AttemptId& attempt,
                                         bool cancel,
                                         bool stop_running) {
--- a/tests/support/gate_fixture.h
+++ b/tests/support/gate_fixture.h
@@ -49,6 +49,8 @@
   // Sends a capacity inquiry and returns its result.
   net::TransferResult InquireCapacity(
       const quarantine::IncomingRequest& guarded = {});
+  // Sends an attempt again, with the same id, and waits for its result.
+  net::TransferResult Repeat(const base::AttemptId& attempt);
   // Starts an attempt and waits for its result.
   net::TransferResult Run(const std::string& method);
   // Queries or cancels the attempt and returns its state.
