Count the requests of the leaving server's test before its callers start

Cause, in the test: it started 16 callers, then counted the requests so far and waited for one more. The server states with its first response, 100 ms later, that it leaves, so all requests that it ever gets arrive within the first milliseconds. If the test's thread did not run in that time, as on a busy machine, it counted them all as earlier ones. Ruled out: health checks that answer 503 before the first request (passes with 400 ms between the two).

Change: HostedPair::StartCalls() counts before it starts callers, and throws if none of their requests arrives; both tests of a pair relied on the other order. No check after it changes: times are taken from the first arrival, as before.

--- a/tests/auto/platform/server_leaving_test.cc
+++ b/tests/auto/platform/server_leaving_test.cc
@@ -24,7 +24,6 @@
   HostedPair pair("leaving", 1000);
   pair.State({{"Server-Leaving", "1"}}, kUnavailable);
   pair.StartCalls();
-  REQUIRE(pair.WaitForRequests(1));
   const Instant drained_at =
       base::Clock::now() + HostedPair::kWork + kDrainTime;
   REQUIRE(WaitUntilTime(drained_at));
--- a/tests/auto/platform/server_rate_limit_test.cc
+++ b/tests/auto/platform/server_rate_limit_test.cc
@@ -49,7 +49,6 @@
   HostedPair pair("rate-limit");
   pair.State(Limit("0.5"));
   pair.StartCalls();
-  REQUIRE(pair.WaitForRequests(1));
   const Instant stated_at = base::Clock::now() + HostedPair::kWork + kNotice;
 
   SECTION("and gets no more") {
--- a/tests/support/hosted_pair.cc
+++ b/tests/support/hosted_pair.cc
@@ -88,6 +88,9 @@
 }
 
 void HostedPair::StartCalls() {
+  // Counted before the first call: what the server states in its first
+  // responses may keep further requests away.
+  const size_t before = Arrivals().size();
   is_calling_ = true;
   for (int i = 0; i < kCallers; ++i) {
     callers_.emplace_back([this, i] {
@@ -100,6 +103,8 @@
       }
     });
   }
+  Require(WaitUntil([&] { return Arrivals().size() > before; }),
+          "no call reached the server");
 }
 
 void HostedPair::StopCalls() {
