--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -180,7 +180,8 @@
   telemetry::AttemptRecord record{.service = attempt.service,
                                   .tenant = attempt.tenant,
                                   .traffic_class = attempt.traffic_class,
-                                  .error = error};
+                                  .error = error,
+                                  .is_rate_limited = IsRateLimited(error)};
   record.queued = attempt.started_at.value_or(now) - attempt.arrived_at;
   if (attempt.started_at)
     record.serving = now - *attempt.started_at;
@@ -196,6 +197,11 @@
                  .slowness_age = attempt.slowness_age});
 }
 
+bool Gate::IsRateLimited(std::optional<ErrorKind> error) const {
+  return notices_.rate_limit() && (error == ErrorKind::kOverloaded ||
+                                   error == ErrorKind::kDeadlineTooClose);
+}
+
 void Gate::LogDecision(GateDecision decision) const {
   const base::Instant now = loop_.now();
   decision.instance = server_.instance;
--- a/src/libs/gate/gate.h
+++ b/src/libs/gate/gate.h
@@ -112,6 +112,9 @@
               base::Instant now);
   // Logs why the server did not answer an attempt, or answered it late. Adds
   // the state of the server to `decision`.
+  // Whether an attempt that ended with `error` was refused for lack of capacity
+  // while the server stated a rate limit.
+  bool IsRateLimited(std::optional<base::ErrorKind> error) const;
   void LogDecision(GateDecision decision) const;
   // Sends the answer that ends an attempt.
   void Answer(GateAttempt& attempt, net::HttpAnswer answer);
--- a/src/libs/telemetry/attempt_series.h
+++ b/src/libs/telemetry/attempt_series.h
@@ -15,6 +15,7 @@
   void Add(const AttemptRecord& record) {
     if (record.error)
       errors.Count(*record.error);
+    rate_limited += record.is_rate_limited;
     queued.Record(record.queued);
     if (record.serving)
       serving.Record(*record.serving);
@@ -24,6 +25,7 @@
   LatencyHistogram queued;
   LatencyHistogram serving;  // Of attempts that were handed to the server.
   ErrorCounts errors;
+  uint64_t rate_limited = 0;
 };
 
 }  // namespace chestnutport::telemetry
--- a/src/libs/telemetry/call_record.h
+++ b/src/libs/telemetry/call_record.h
@@ -35,6 +35,8 @@
   base::Duration queued{};  // Before it was handed over or refused.
   // From there to the end of the answer; none if the server did not get it.
   std::optional<base::Duration> serving;
+  // Refused for lack of capacity while the server stated a rate limit.
+  bool is_rate_limited = false;
 };
 
 }  // namespace chestnutport::telemetry
--- a/src/libs/telemetry/exposition.cc
+++ b/src/libs/telemetry/exposition.cc
@@ -100,14 +100,23 @@
                });
 }
 
+bool HasRecords(const CallSeries& series) {
+  return series.total.count() > 0;
+}
+
+bool HasRecords(const AttemptSeries& series) {
+  return series.queued.count() > 0;
+}
+
+template <typename Series>
 void AppendCounts(std::string& text,
                   Metric metric,
-                  const std::vector<CallSeries>& all,
-                  uint64_t CallSeries::*member) {
+                  const std::vector<Series>& all,
+                  uint64_t Series::*member) {
   AppendSeries(text, metric, all,
-               [&](const CallSeries& series, const std::string& name,
+               [&](const Series& series, const std::string& name,
                    const std::string& labels) {
-                 if (series.total.count() > 0)
+                 if (HasRecords(series))
                    AppendSample(text, name, labels, series.*member);
                });
 }
@@ -188,6 +197,8 @@
   AppendCounts(text, Metric::kRetries, report.calls, &CallSeries::retries);
   AppendCounts(text, Metric::kMoves, report.calls, &CallSeries::moves);
   AppendCounts(text, Metric::kHedges, report.calls, &CallSeries::hedges);
+  AppendCounts(text, Metric::kAttemptsRateLimited, report.attempts,
+               &AttemptSeries::rate_limited);
   AppendHistograms(text, Metric::kCallSeconds, report.calls,
                    &CallSeries::total);
   AppendHistograms(text, Metric::kCallAddedSeconds, report.calls,
--- a/src/libs/telemetry/metric.cc
+++ b/src/libs/telemetry/metric.cc
@@ -46,6 +46,11 @@
                       "chestnutport_attempt_errors_total", MetricType::kCounter,
                       "service,tenant,class,error",
                       "Attempts that this node's gate refused or lost."},
+    MetricDescription{Metric::kAttemptsRateLimited,
+                      "chestnutport_attempts_rate_limited_total",
+                      MetricType::kCounter, kSeries,
+                      "Attempts that this node's gate refused for lack of "
+                      "capacity while its server stated a rate limit."},
     MetricDescription{Metric::kInFlight, "chestnutport_in_flight",
                       MetricType::kGauge, "role",
                       "Requests in flight: callers' (ingress), and attempts "
--- a/src/libs/telemetry/metric.h
+++ b/src/libs/telemetry/metric.h
@@ -22,6 +22,7 @@
   kAttemptQueueSeconds,
   kAttemptServerSeconds,
   kAttemptErrors,
+  kAttemptsRateLimited,
   kInFlight,
   kMembers,
   kRevision,
--- a/src/libs/telemetry/metrics_json.cc
+++ b/src/libs/telemetry/metrics_json.cc
@@ -100,6 +100,8 @@
     AppendHistogram(histograms, Metric::kAttemptServerSeconds, labels,
                     series.serving);
     AppendErrors(counts, Metric::kAttemptErrors, labels, series.errors);
+    AppendCount(counts, Metric::kAttemptsRateLimited, labels, "",
+                series.rate_limited);
   }
   json readings = json::array();
   for (const Reading& reading : report.readings) {
--- a/tests/auto/admission/server_notice_gate_test.cc
+++ b/tests/auto/admission/server_notice_gate_test.cc
@@ -25,6 +25,14 @@
   REQUIRE(fixture.RunUntil([&] { return fixture.results.size() == expected; }));
 }
 
+uint64_t RateLimited(const GateFixture& fixture) {
+  const auto& attempts = fixture.metrics().attempts();
+  uint64_t count = 0;
+  for (const auto& series : attempts.Copy(0, attempts.size()).series)
+    count += series.rate_limited;
+  return count;
+}
+
 TEST_CASE("a server of the native protocol states a rate limit") {
   GateFixture fixture;
   fixture.answer.headers = {{"Chestnutport-Rate-Limit", "1"}};
@@ -34,6 +42,10 @@
     const size_t before = fixture.served.size();
     BeginMany(fixture);
     CHECK(fixture.served.size() <= before + kBurst);
+    SECTION("and the metrics count what it did not get") {
+      const auto refused = before + kRequests - fixture.served.size();
+      CHECK(RateLimited(fixture) == refused);
+    }
     SECTION("until it is a new incarnation") {
       fixture.answer.headers.clear();
       ++fixture.state.life;
--- a/tests/support/gate_fixture.h
+++ b/tests/support/gate_fixture.h
@@ -57,6 +57,7 @@
   std::string ControlAttempt(const base::AttemptId& attempt,
                              bool cancel,
                              bool stop_running = true);
+  const telemetry::TrafficMetrics& metrics() const { return gate_.metrics(); }
   // Closes the peer's connection.
   void DisconnectPeer(size_t transfer) { peer_.Cancel(transfers.at(transfer)); }
 
