Show the rate limit of servers in `chestnutport servers`

The members' records have had the rate for the choice of servers; the command now prints it in a column of its own.

--- a/src/app/chestnutport/command_servers.cc
+++ b/src/app/chestnutport/command_servers.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <iostream>
 
+#include "absl/strings/str_cat.h"
 #include "api_client.h"
 #include "commands.h"
 #include "output.h"
@@ -21,6 +22,10 @@
                        : state == 0                    ? "serving"
                        : state == 1                    ? "suspected"
                                                        : "gone";
+    // A cold server has one too.
+    const double rate_limit = member.value("cold_rate", 0.0);
+    member["rate_limit"] =
+        rate_limit > 0 ? absl::StrCat(rate_limit, "/s") : "none";
     servers.push_back(std::move(member));
   }
   std::ranges::sort(servers, {}, [](const json& server) {
@@ -44,6 +49,7 @@
                         {"NAME", "name"},
                         {"DATA CENTRE", "data_centre"},
                         {"SLOTS", "slots"},
+                        {"RATE LIMIT", "rate_limit"},
                         {"STATUS", "status"},
                         {"NODE", "id"}},
                        answer.body.at("servers"));
--- a/tests/auto/operators/command_test.cc
+++ b/tests/auto/operators/command_test.cc
@@ -180,6 +180,14 @@
     CHECK(Contains(RunCommand({node, "servers"}).output, "serving"));
     CHECK(Contains(RunCommand({node, "history"}).output, "alice"));
   }
+  SECTION("servers are printed with the rate limit that they state") {
+    fleet.CommandServer(b, R"({"rate_limit": 7})");
+    int calls = 0;
+    CHECK(WaitUntil([&] {
+      fleet.Call(a, "GET", "/dossie/1", std::to_string(++calls));
+      return Contains(RunCommand({node, "servers"}).output, "7/s");
+    }));
+  }
   SECTION("a node that does not respond is counted separately") {
     b.node->Signal(SIGSTOP);
     const CommandResult result = RunCommand({node, "status"});
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -6,13 +6,16 @@
 // flight, then exits.
 //
 // POST /standin switches faults on and off: {"straggle_ms": N, "shed": BOOL,
-// "fail": BOOL, "announce": BOOL, "draining": BOOL,
-// "health": "well" | "ill" | "silent"}. It returns the counters, as does GET.
+// "fail": BOOL, "announce": BOOL, "draining": BOOL, "rate_limit": N,
+// "leaving": BOOL, "health": "well" | "ill" | "silent"}. It returns the
+// counters, as does GET; "most_in_window" is the largest number of requests in
+// 4 s while it states the rate limit.
 #include <fcntl.h>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <deque>
 #include <iostream>
@@ -49,6 +52,7 @@
           mix_up,
           false,
           "Injected fault: answers with the id of another request.");
+ABSL_FLAG(bool, announce_start, false, "Announces when the server started.");
 ABSL_FLAG(int, slots, 12, "Maximum number of concurrent requests.");
 
 namespace {
@@ -59,6 +63,9 @@
 
 constexpr std::chrono::milliseconds kAnnounceInterval(200);
 constexpr std::chrono::seconds kAnnounceTimeout(1);
+constexpr std::chrono::seconds kRateWindow(4);
+// Time after which all nodes have to keep to a rate limit.
+constexpr std::chrono::seconds kRateNotice(1);
 
 int QueryNumber(const std::string& target, const std::string& name) {
   const size_t at = target.find(name + "=");
@@ -90,11 +97,13 @@
       AnswerProbe(std::move(reply));
       return;
     }
+    CountInWindow();
     if (faults_.value("shed", false)) {
       ++shed_;
-      reply.Send(
-          {.status = 503,
-           .headers = {{chestnutport::wire::kOutcomeHeader, "not-run"}}});
+      net::HttpHeaders headers = {
+          {chestnutport::wire::kOutcomeHeader, "not-run"}};
+      AddNotices(headers);
+      reply.Send({.status = 503, .headers = std::move(headers)});
       return;
     }
     queue_.push_back({std::move(request), std::move(reply)});
@@ -115,12 +124,14 @@
 
   void Announce(const base::SocketAddress& node, const std::string& address) {
     const bool is_draining = faults_.value("draining", false);
-    const json body = {{"service", absl::GetFlag(FLAGS_service)},
-                       {"draining", is_draining},
-                       {"address", address},
-                       {"slots", absl::GetFlag(FLAGS_slots)},
-                       {"health", "/health"},
-                       {"instance", address}};
+    json body = {{"service", absl::GetFlag(FLAGS_service)},
+                 {"draining", is_draining},
+                 {"address", address},
+                 {"slots", absl::GetFlag(FLAGS_slots)},
+                 {"health", "/health"},
+                 {"instance", address}};
+    if (absl::GetFlag(FLAGS_announce_start))
+      body["born"] = started_at_.count();
     if (faults_.value("announce", true) && !is_stopping_) {
       client_.Send(
           node, {.method = "POST", .target = "/v1/server", .body = body.dump()},
@@ -145,14 +156,44 @@
     const json command = json::parse(request.body, nullptr, false);
     if (command.is_object())
       faults_.update(command);
+    if (command.is_object() && command.contains("rate_limit")) {
+      limited_from_ = base::Clock::now() + kRateNotice;
+      most_in_window_ = 0;
+    }
     const json counts = {{"running", running_ + queue_.size()},
                          {"started", started_},
                          {"finished", finished_},
                          {"shed", shed_},
+                         {"most_in_window", most_in_window_},
                          {"probes", probes_}};
     reply.Send({.body = counts.dump()});
   }
 
+  bool IsRateLimited() const { return faults_.value("rate_limit", 0) > 0; }
+
+  void CountInWindow() {
+    const base::Instant now = base::Clock::now();
+    if (!IsRateLimited() || now < limited_from_)
+      return;
+    arrivals_.push_back(now);
+    while (arrivals_.front() <= now - kRateWindow)
+      arrivals_.pop_front();
+    most_in_window_ = std::max(most_in_window_, arrivals_.size());
+  }
+
+  // Adds what the server states about itself; a "X-Leaving" with its process is
+  // for callers.
+  void AddNotices(net::HttpHeaders& headers) const {
+    if (IsRateLimited()) {
+      headers.push_back({chestnutport::wire::kRateLimitHeader,
+                         absl::StrCat(faults_.value("rate_limit", 0))});
+    }
+    if (faults_.value("leaving", false)) {
+      headers.push_back({chestnutport::wire::kLeavingHeader, "1"});
+      headers.push_back({"X-Leaving", absl::StrCat(getpid())});
+    }
+  }
+
   void RunQueued() {
     while (!queue_.empty() && running_ < absl::GetFlag(FLAGS_slots)) {
       auto work = std::make_shared<Work>(std::move(queue_.front()));
@@ -187,10 +228,12 @@
     const std::string answered_id = absl::GetFlag(FLAGS_mix_up) ? last_id_ : id;
     last_id_ = id;
     const bool fails = faults_.value("fail", false);
+    net::HttpHeaders headers = {{"X-Request-Id", id},
+                                {"X-Server", absl::GetFlag(FLAGS_name)}};
+    AddNotices(headers);
     work.reply.Send(
         {.status = fails ? 500 : 200,
-         .headers = {{"X-Request-Id", id},
-                     {"X-Server", absl::GetFlag(FLAGS_name)}},
+         .headers = std::move(headers),
          .body = absl::StrCat("[", answered_id, "]",
                               std::string(static_cast<size_t>(bytes), '.'), "[",
                               answered_id, "]")});
@@ -217,6 +260,12 @@
   std::deque<Work> queue_;
   std::vector<net::Reply>
       unanswered_probes_;  // Kept, so that the connections stay open.
+  const std::chrono::milliseconds started_at_ =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch());
+  base::Instant limited_from_;
+  std::deque<base::Instant> arrivals_;  // In the last kRateWindow.
+  size_t most_in_window_ = 0;
   int ledger_fd_ = -1;
   int running_ = 0;
   uint64_t started_ = 0;
