--- a/tests/support/audit.cc
+++ b/tests/support/audit.cc
@@ -1,11 +1,16 @@
 #include "support/audit.h"
 
+#include <algorithm>
+#include <utility>
+
 #include "absl/strings/str_cat.h"
 
 namespace chestnutport::test {
 namespace {
 
 constexpr int kOk = 200;
+// A server that is leaving gets no requests that callers send later than this.
+constexpr std::chrono::seconds kDrainTime(2);
 
 void AddRecord(const CallRecord& record,
                const Executions& executions,
@@ -36,6 +41,27 @@
   }
 }
 
+// Adds the requests that nodes sent to servers of which they had passed on that
+// they are leaving.
+void AddRunAtLeaving(const std::vector<CallRecord>& records, Audit& audit) {
+  std::map<std::pair<base::SocketAddress, std::string>, base::Instant>
+      passed_on;
+  for (const CallRecord& record : records) {
+    if (record.leaving_server.empty())
+      continue;
+    const auto [first, is_new] = passed_on.try_emplace(
+        {record.node, record.leaving_server}, record.ended_at);
+    first->second = std::min(first->second, record.ended_at);
+  }
+  for (const CallRecord& record : records) {
+    const auto first = passed_on.find({record.node, record.leaving_server});
+    if (first != passed_on.end() &&
+        record.sent_at > first->second + kDrainTime) {
+      ++audit.ran_at_leaving[record.node];
+    }
+  }
+}
+
 }  // namespace
 
 Audit Audit::Make(const std::vector<CallRecord>& records,
@@ -47,6 +73,7 @@
         found == ledger.end() ? Executions{} : found->second;
     AddRecord(record, executions, audit);
   }
+  AddRunAtLeaving(records, audit);
   return audit;
 }
 
--- a/tests/support/audit.h
+++ b/tests/support/audit.h
@@ -29,6 +29,10 @@
   // the caller can detect the truncation. Allowed only for a streamed answer,
   // and only if the server's answer was truncated.
   size_t cut_visibly = 0;
+  // Answered by a server that had stated that it is leaving in an answer that
+  // the same node had passed on more than the drain time before. Not among the
+  // violations: a node that was restarted or frozen in between is excused.
+  std::map<base::SocketAddress, size_t> ran_at_leaving;  // By node.
 
   static Audit Make(const std::vector<CallRecord>& records,
                     const ExecutionLedger& ledger);
--- a/tests/support/hosted_pair.h
+++ b/tests/support/hosted_pair.h
@@ -42,8 +42,8 @@
   // Announces the server as ready.
   void Announce();
 
-  // Sends as many calls as 16 connections carry, until StopCalls(). Returns once
-  // the server has got one. Throws on failure.
+  // Sends as many calls as 16 connections carry, until StopCalls(). Returns
+  // once the server has got one. Throws on failure.
   void StartCalls();
   void StopCalls();
   // Waits until the server has got `count` more requests.
--- a/tests/support/load.cc
+++ b/tests/support/load.cc
@@ -94,27 +94,32 @@
   request.headers = {{"X-Request-Id", id}};
   if (!repeatable)
     request.body = id;
+  const CallRecord record{.id = id,
+                          .repeatable = repeatable,
+                          .node = node,
+                          .sent_at = base::Clock::now()};
   client_.Send(node, std::move(request), options_.timeout,
-               [this, number, repeatable, tries](const net::TransferResult& r) {
-                 OnDone(number, repeatable, tries, r);
+               [this, number, record, tries](const net::TransferResult& r) {
+                 OnDone(number, record, tries, r);
                });
 }
 
 void Load::OnDone(uint64_t number,
-                  bool repeatable,
+                  CallRecord record,
                   size_t tries,
                   const net::TransferResult& result) {
   if (result.end == net::TransferEnd::kNotSent && tries < 10 * nodes_.size()) {
-    Send(number, repeatable, tries + 1);
+    Send(number, record.repeatable, tries + 1);
     return;
   }
-  const std::string id = RequestId(number);
   const net::HttpAnswer& answer = result.answer;
-  CallRecord record{.id = id, .repeatable = repeatable, .end = result.end};
+  record.end = result.end;
+  record.ended_at = base::Clock::now();
+  record.leaving_server = net::FindHeader(answer.headers, "X-Leaving");
   record.status = answer.status;
   record.outcome = net::FindHeader(answer.headers, wire::kOutcomeHeader);
   record.error = net::FindHeader(answer.headers, wire::kErrorHeader);
-  record.is_own_whole_answer = IsOwnWholeAnswer(id, answer.body);
+  record.is_own_whole_answer = IsOwnWholeAnswer(record.id, answer.body);
   records_.push_back(std::move(record));
   ++completed_;
   pending_.erase(number);
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -13,6 +13,7 @@
 
 #include "base/random.h"
 #include "base/socket_address.h"
+#include "base/time.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 
@@ -27,6 +28,11 @@
   std::string outcome;  // From the Chestnutport-Outcome header.
   std::string error;
   bool is_own_whole_answer = false;
+  base::SocketAddress node;  // That it was sent to.
+  base::Instant sent_at;
+  base::Instant ended_at;
+  // The process of the server that answered, if it stated that it is leaving.
+  std::string leaving_server;
 };
 
 struct LoadOptions {
@@ -64,7 +70,7 @@
   void SendNext();
   void Send(uint64_t number, bool repeatable, size_t tries);
   void OnDone(uint64_t number,
-              bool repeatable,
+              CallRecord record,
               size_t tries,
               const net::TransferResult& result);
   std::string RequestId(uint64_t number) const;
