--- a/tests/auto/routing/decisions_rows_test.cc
+++ b/tests/auto/routing/decisions_rows_test.cc
@@ -42,6 +42,44 @@
   }
 }
 
+TEST_CASE("calls go elsewhere while one server states a rate limit") {
+  for (uint64_t seed = kSeed; seed < kSeed + 4; ++seed) {
+    const auto usual =
+        Simulation<ShippedPolicy>(Consorcio(), {.name = "steady"}, seed).Run();
+    const auto limited =
+        Simulation<ShippedPolicy>(
+            Consorcio(),
+            {.name = "rate limit", .kind = ConditionKind::kRateLimit}, seed)
+            .Run();
+    CAPTURE(seed, usual.AttemptsPerCall(), limited.AttemptsPerCall(),
+            usual.Quantile(0.99), limited.Quantile(0.99), limited.refused);
+    CHECK(limited.wrong == 0);
+    CHECK(limited.unknown == 0);
+    CHECK(limited.Goodput() >= 0.999);
+    CHECK(limited.Quantile(0.99) <= 1.2 * usual.Quantile(0.99));
+    CHECK(limited.AttemptsPerCall() <= 1.1);
+    CHECK(limited.refused_after_fault == 0);
+  }
+}
+
+TEST_CASE("all servers state rate limits below what callers ask for") {
+  for (uint64_t seed = kSeed; seed < kSeed + 4; ++seed) {
+    const auto run =
+        Simulation<ShippedPolicy>(
+            Consorcio(),
+            {.name = "rate limits", .kind = ConditionKind::kRateLimitOfAll},
+            seed)
+            .Run();
+    CAPTURE(seed, run.calls, run.answered, run.refused, run.AttemptsPerCall(),
+            run.Quantile(0.99), run.slowest_refusal);
+    CHECK(run.wrong == 0);
+    CHECK(run.unknown == 0);
+    CHECK(run.refused > 0);
+    CHECK(run.slowest_refusal < 500);
+    CHECK(run.refused_after_fault == 0);
+  }
+}
+
 // Each call holds a slot until its nested calls have answered, so servers that
 // are preferred too strongly fill up with calls that wait for each other.
 TEST_CASE("A chain of calls does not deadlock on its own slots") {
--- a/tests/benchmarks/decisions/condition.h
+++ b/tests/benchmarks/decisions/condition.h
@@ -19,6 +19,8 @@
   kTenantBurst,     // One of four tenants sends three times as much.
   kRollingUpgrade,  // Servers drain, stop and restart cold, one after another.
   kDataCentreLoss,  // A data centre is lost, and restarts cold.
+  kRateLimit,       // One server states a fifth of its usual rate as its limit.
+  kRateLimitOfAll,  // All servers do, of half their usual rate.
   kChain,           // Calls 24 deep whose last level becomes ten times slower.
 };
 
@@ -35,6 +37,8 @@
 inline constexpr std::chrono::milliseconds kWarmUp(500);
 inline constexpr std::chrono::milliseconds kFaultFrom(1000);
 inline constexpr std::chrono::milliseconds kFaultUntil(3000);
+// From the end of a fault until all is as before.
+inline constexpr std::chrono::milliseconds kRecoveryTime(1000);
 inline constexpr std::chrono::milliseconds kRunLength(5000);
 
 }  // namespace chestnutport::bench
--- a/tests/benchmarks/decisions/run_figures.cc
+++ b/tests/benchmarks/decisions/run_figures.cc
@@ -28,6 +28,10 @@
   return static_cast<double>(answered) / possible;
 }
 
+double RunFigures::AttemptsPerCall() const {
+  return 1 + static_cast<double>(retried) / static_cast<double>(all_calls);
+}
+
 double RunFigures::Amplification() const {
   return leaf_calls == 0 ? 1
                          : static_cast<double>(leaf_attempts) /
--- a/tests/benchmarks/decisions/simulated_fleet.cc
+++ b/tests/benchmarks/decisions/simulated_fleet.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "decisions/workload.h"
+
 namespace chestnutport::bench {
 namespace {
 
@@ -9,6 +11,7 @@
 using base::Instant;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
 
 constexpr microseconds kSameVm(20);
 constexpr microseconds kSameDataCentre(100);
@@ -25,6 +28,10 @@
 constexpr double kColdSpeeds[] = {0.25, 0.4, 0.6, 0.8, 1};
 constexpr milliseconds kColdStep(60);
 
+// Rate limits that servers state, as shares of the rate that they usually get.
+constexpr double kLimitOfOne = 0.2;
+constexpr double kLimitOfAll = 0.5;
+
 constexpr milliseconds kDrainTime(150);
 constexpr milliseconds kReplacementTime(100);
 constexpr milliseconds kUpgradeInterval(350);
@@ -117,6 +124,13 @@
       victim.speed().Set(from, kFalseReportSpeed);
       victim.MisreportFrom(from);
       break;
+    case ConditionKind::kRateLimit:
+      ScheduleRateLimit(victim, kLimitOfOne);
+      break;
+    case ConditionKind::kRateLimitOfAll:
+      for (SimulatedServer* server : current_)
+        ScheduleRateLimit(*server, kLimitOfAll);
+      break;
     case ConditionKind::kRollingUpgrade:
       ScheduleUpgrade();
       break;
@@ -140,6 +154,25 @@
   }
 }
 
+void SimulatedFleet::ScheduleRateLimit(SimulatedServer& server, double share) {
+  const double usual =
+      condition_.load * shape_.slots / Seconds(kMeanWork).count();
+  queue_.At(Instant(kFaultFrom), [this, &server, rate = share * usual] {
+    SetRateLimit(server, rate);
+  });
+  queue_.At(Instant(kFaultUntil),
+            [this, &server] { SetRateLimit(server, std::nullopt); });
+}
+
+void SimulatedFleet::SetRateLimit(SimulatedServer& server,
+                                  std::optional<double> rate) {
+  server.SetRateLimit(rate);
+  queue_.After(kAnnouncementDelay, [this, &server, rate] {
+    server.announced().rate_limit = rate.value_or(0);
+    on_members_();
+  });
+}
+
 void SimulatedFleet::ScheduleUpgrade() {
   Instant when(kFaultFrom);
   for (int vm = 0; vm < vms(); ++vm, when += kUpgradeInterval)
--- a/tests/benchmarks/decisions/simulated_fleet.h
+++ b/tests/benchmarks/decisions/simulated_fleet.h
@@ -48,6 +48,10 @@
   SimulatedServer& StartNode(int vm);
   void ScheduleCondition();
   void ScheduleAlternatingSlowdown();
+  // `share`: the stated rate limit relative to the usual rate of the server.
+  void ScheduleRateLimit(SimulatedServer& server, double share);
+  // The server states the limit from now on; the members learn it later.
+  void SetRateLimit(SimulatedServer& server, std::optional<double> rate);
   void ScheduleUpgrade();
   void UpgradeOne(int vm, base::Instant when);
   void ScheduleLoss();
--- a/tests/benchmarks/decisions/simulated_server.cc
+++ b/tests/benchmarks/decisions/simulated_server.cc
@@ -69,6 +69,10 @@
   Perform(admission_.StartDrain(queue_.now()));
 }
 
+void SimulatedServer::SetRateLimit(std::optional<double> rate) {
+  admission_.SetStatedRate(rate, queue_.now());
+}
+
 void SimulatedServer::StartTicking() {
   queue_.After(kTickInterval, [this] { Tick(); });
 }
--- a/tests/benchmarks/decisions/simulated_server.h
+++ b/tests/benchmarks/decisions/simulated_server.h
@@ -40,6 +40,8 @@
   calls::AttemptStatus SendCommand(const base::AttemptId& attempt, bool cancel);
 
   void Drain();
+  // Sets the rate limit that the server states; nothing: it states none.
+  void SetRateLimit(std::optional<double> rate);
   // Loses all requests; the server does not answer any more.
   void Stop() { is_up_ = false; }
   void StartTicking();
--- a/tests/benchmarks/decisions/simulation.h
+++ b/tests/benchmarks/decisions/simulation.h
@@ -355,6 +355,7 @@
     if (not_run_but_ran || ran_twice || misanswered)
       ++figures.wrong;
     const int attempts = SentAttempts(call);
+    ++figures.all_calls;
     figures.retried += std::max(0, attempts - 1);
     if (call.depth == kChainDepth - 1) {
       ++figures.leaf_calls;
@@ -373,8 +374,14 @@
   void CountMeasured(const CallRun& call, RunFigures& figures) const {
     ++figures.calls;
     const auto took = call.ended_at - call.arrival;
-    if (call.outcome == base::Outcome::kNotRun)
+    const std::chrono::duration<double, std::milli> latency = took;
+    if (call.outcome == base::Outcome::kNotRun) {
       ++figures.refused;
+      figures.refused_after_fault +=
+          call.arrival >= base::Instant(kFaultUntil + kRecoveryTime);
+      figures.slowest_refusal =
+          std::max(figures.slowest_refusal, latency.count());
+    }
     if (call.outcome == base::Outcome::kUnknown)
       ++figures.unknown;
     if (call.outcome == base::Outcome::kAnswered && !call.ok)
@@ -382,7 +389,6 @@
     if (!call.ok || took > kDeadline)
       return;
     ++figures.answered;
-    const std::chrono::duration<double, std::milli> latency = took;
     figures.latencies.push_back(latency.count());
     if (call.tenant != kBurstingTenant)
       figures.quiet_latencies.push_back(latency.count());
