Test a server's rate limit beside a frozen gate, a cold start and a drain

The postmortem listed a node that is frozen within the limit as not tested. New sections: in stated_rate_test (virtual time) a gate that was frozen sends one burst at most, a drain refuses what is queued, the lower of both limits applies to a cold server; in server_rate_limit_test and server_leaving_test (real nodes) the node beside the server is frozen for 2 s, and the callers' node restarts within the limit.

The frozen section failed first, 11 requests of 8 allowed, three times of three: the test froze the node 10 ms after the first request, before any response, so no node had passed on a limit and the gate learned it from the requests after the thaw (seen in its log). Now it waits, like the section with a restart, until the limit binds.

--- a/tests/auto/admission/stated_rate_test.cc
+++ b/tests/auto/admission/stated_rate_test.cc
@@ -115,6 +115,23 @@
     CHECK(simulation.StartsIn(ended_at + seconds(1), ended_at + seconds(2)) >=
           98);
   }
+  SECTION("gets one burst at most when its gate was frozen") {
+    const Instant thawed_at = stated_at + seconds(11);
+    simulation.Run(thawed_at, thawed_at + milliseconds(20),
+                   std::chrono::microseconds(50));
+    CHECK(simulation.StartsIn(thawed_at, thawed_at + milliseconds(20)) <=
+          1 + static_cast<size_t>(11.2 / 4));
+  }
+  SECTION("loses what it has queued when it drains") {
+    const Instant now = stated_at + seconds(8);
+    const size_t before = simulation.starts.size();
+    const AdmissionActions actions = simulation.admission.StartDrain(now);
+    CHECK(std::ranges::all_of(actions, [](const AdmissionAction& action) {
+      return action.kind == ActionKind::kRefuse;
+    }));
+    simulation.Run(now, now + seconds(2), milliseconds(10));
+    CHECK(simulation.starts.size() == before);
+  }
   SECTION("is not limited after it has started again") {
     const Instant started_at = stated_at + seconds(8);
     simulation.admission.OnServerStarted(started_at);
@@ -123,6 +140,30 @@
   }
 }
 
+TEST_CASE("the lower limit applies to a cold server that states a rate") {
+  AdmissionOptions options = FifteenSlots();
+  options.cold = {.rate = 16, .burst = 8, .after_start = seconds(4)};
+  StatedRateSimulation simulation(options);
+  simulation.admission.OnServerStarted(kStart);
+  const Instant warm_at = kStart + seconds(4);
+
+  SECTION("its own") {
+    simulation.admission.SetStatedRate(6, kStart);
+    simulation.Run(kStart, warm_at + seconds(4), milliseconds(10));
+    CHECK(simulation.StartsIn(kStart, warm_at) <= 4 * 6 + 1 + 6 / 4);
+    CHECK(simulation.StartsIn(warm_at, warm_at + seconds(4)) <=
+          4 * 6 + 1 + 6 / 4);
+  }
+  SECTION("that of a cold server, until it is warm") {
+    simulation.admission.SetStatedRate(40, kStart);
+    simulation.Run(kStart, warm_at + seconds(4), milliseconds(10));
+    CHECK(simulation.StartsIn(kStart, warm_at) <= 4 * 16 + 8);
+    CHECK(simulation.StartsIn(warm_at, warm_at + seconds(4)) <=
+          4 * 40 + 1 + 40 / 4);
+    CHECK(simulation.StartsIn(warm_at, warm_at + seconds(4)) >= 4 * 39);
+  }
+}
+
 TEST_CASE("a server that states a rate of zero gets a request now and then") {
   StatedRateSimulation simulation(FifteenSlots());
   simulation.admission.SetStatedRate(0, kStart);
--- a/tests/auto/platform/server_leaving_test.cc
+++ b/tests/auto/platform/server_leaving_test.cc
@@ -46,6 +46,12 @@
     pair.StopCalls();
     CHECK(pair.Arrivals().size() == before);
   }
+  SECTION("and gets none when the node beside it was frozen") {
+    pair.FreezeServerNode(seconds(2));
+    REQUIRE(WaitUntilTime(base::Clock::now() + kObserved));
+    pair.StopCalls();
+    CHECK(pair.Arrivals().size() == before);
+  }
   SECTION("until another server has taken its address") {
     pair.State({});
     pair.RestartServer("i-2", 2000);
--- a/tests/auto/platform/server_rate_limit_test.cc
+++ b/tests/auto/platform/server_rate_limit_test.cc
@@ -65,6 +65,24 @@
     pair.StopCalls();
     CHECK(MaxArrivals(pair.Arrivals(), stated_at) <= Allowed(kRate));
   }
+  SECTION("and gets no more when the node beside it was frozen") {
+    REQUIRE(WaitUntilTime(stated_at));
+    pair.FreezeServerNode(seconds(2));
+    const Instant thawed_at = base::Clock::now();
+    REQUIRE(pair.WaitForRequests(2));
+    REQUIRE(WaitUntilTime(thawed_at + kWindow));
+    pair.StopCalls();
+    CHECK(MaxArrivals(pair.Arrivals(), stated_at) <= Allowed(kRate));
+  }
+  SECTION("and gets no more when the callers' node restarts") {
+    REQUIRE(WaitUntilTime(stated_at));
+    pair.StopCalls();
+    pair.RestartCallersNode();
+    pair.StartCalls();
+    REQUIRE(WaitUntilTime(base::Clock::now() + kWindow));
+    pair.StopCalls();
+    CHECK(MaxArrivals(pair.Arrivals(), stated_at) <= Allowed(kRate));
+  }
   SECTION("until it states a higher rate") {
     pair.State(Limit("500"));
     CHECK(pair.WaitForRequests(100));
--- a/tests/support/hosted_pair.cc
+++ b/tests/support/hosted_pair.cc
@@ -1,5 +1,6 @@
 #include "support/hosted_pair.h"
 
+#include <csignal>
 #include <stdexcept>
 
 #include "absl/strings/str_cat.h"
@@ -76,6 +77,18 @@
   Announce();
 }
 
+void HostedPair::FreezeServerNode(std::chrono::milliseconds time) {
+  server_node_->process().Signal(SIGSTOP);
+  WaitUntil([] { return false; }, time);
+  server_node_->process().Signal(SIGCONT);
+}
+
+void HostedPair::RestartCallersNode() {
+  callers_node_->Restart();
+  Require(WaitUntil([&] { return callers_node_->IsReady(); }),
+          "the callers' node did not start again");
+}
+
 void HostedPair::RestartServer(const std::string& instance, int born) {
   platform_.Run([&] { server_.listener.reset(); });
   platform_.Restart(server_, instance);
--- a/tests/support/hosted_pair.h
+++ b/tests/support/hosted_pair.h
@@ -36,6 +36,10 @@
   void State(const net::HttpHeaders& notices, int health_status = 200);
   // Restarts the node beside the server; the server goes on.
   void RestartServerNode();
+  // Stops the process of the node beside the server for `time`.
+  void FreezeServerNode(std::chrono::milliseconds time);
+  // Restarts the callers' node. Call while no calls are sent.
+  void RestartCallersNode();
   // Starts the server again at its address, as `instance`, and announces it
   // with the start time `born`.
   void RestartServer(const std::string& instance, int born);
