Name the fields of the soak's two new faults

No change but of form: the faults that a server states a rate limit, and that it is leaving, are written with the names of their fields, and the shortest time of the first is a named constant.

--- a/tests/demo/soak.cc
+++ b/tests/demo/soak.cc
@@ -22,7 +22,8 @@
 // most that it may get of it in 4 s.
 constexpr size_t kRateLimit = 20;
 constexpr size_t kMaxInWindow = kRateLimit * 4 * 3 / 2 + 5;
-// Time that a server stays that states that it is leaving.
+// How long a server states its rate limit, and that it is leaving, at least.
+constexpr milliseconds kRateLimitTime(2000);
 constexpr milliseconds kLeavingTime(4000);
 
 // A fault: the action that starts it and the one that ends it. Either may be
@@ -108,21 +109,25 @@
        [](test::Fleet& fleet, test::Vm& vm) {
          fleet.CommandServer(vm, R"({"straggle_ms": 0})");
        }},
-      {"server states a rate limit",
-       [](test::Fleet& fleet, test::Vm& vm) {
-         fleet.CommandServer(
-             vm, R"({"rate_limit": )" + std::to_string(kRateLimit) + "}");
-       },
-       [](test::Fleet& fleet, test::Vm& vm) {
-         fleet.CommandServer(vm, R"({"rate_limit": 0})");
-       },
-       false, milliseconds(2000), IsOverRateLimit},
-      {"server states that it is leaving",
-       [](test::Fleet& fleet, test::Vm& vm) {
-         fleet.CommandServer(vm, R"({"leaving": true})");
-       },
-       [](test::Fleet& fleet, test::Vm& vm) { fleet.StartServer(vm); }, false,
-       kLeavingTime},
+      {.name = "server states a rate limit",
+       .begin =
+           [](test::Fleet& fleet, test::Vm& vm) {
+             fleet.CommandServer(
+                 vm, R"({"rate_limit": )" + std::to_string(kRateLimit) + "}");
+           },
+       .end =
+           [](test::Fleet& fleet, test::Vm& vm) {
+             fleet.CommandServer(vm, R"({"rate_limit": 0})");
+           },
+       .least = kRateLimitTime,
+       .is_broken = IsOverRateLimit},
+      {.name = "server states that it is leaving",
+       .begin =
+           [](test::Fleet& fleet, test::Vm& vm) {
+             fleet.CommandServer(vm, R"({"leaving": true})");
+           },
+       .end = [](test::Fleet& fleet, test::Vm& vm) { fleet.StartServer(vm); },
+       .least = kLeavingTime},
   };
   return faults;
 }
