--- a/src/libs/node/control_plane.h
+++ b/src/libs/node/control_plane.h
@@ -100,8 +100,8 @@
   void OnLocalServerChanged();
   void OnStoreLossChanged(bool has_lost);
   bool IsDeclared(const std::string& service) const;
-  // Returns the rate limit of the local server in requests per second while it
-  // is cold; zero if it is warm or the rate is not limited.
+  // Returns the requests per second that the local server accepts: the lower of
+  // the limit that it states and that of a cold server. Zero if unlimited.
   double LocalServerRateLimit() const;
   void PublishServer();
   void PublishSnapshot();
--- a/tests/benchmarks/admission/bench_admission.cc
+++ b/tests/benchmarks/admission/bench_admission.cc
@@ -155,17 +155,27 @@
   }
 }
 
-void AddDecisionCost(FigureReport& report) {
+// Requests per second; above the rate of the benchmark, so that it is checked
+// and never reached.
+constexpr double kHighRateLimit = 1e6;
+
+void AddDecisionCost(const std::string& name,
+                     const DecisionCost& cost,
+                     FigureReport& report) {
+  const std::string row = "admission/decision/" + name;
+  report.Add({row + "/time", cost.nanoseconds, "ns"});
+  report.Add({.name = row + "/allocations",
+              .value = cost.allocations,
+              .unit = "a request",
+              .at_most = 2});
+}
+
+void AddDecisionCosts(FigureReport& report) {
   for (const int queued : {0, 24, 1000}) {
-    const DecisionCost cost = MeasureDecisionCost(queued);
-    const std::string row =
-        "admission/decision/queue-" + std::to_string(queued);
-    report.Add({row + "/time", cost.nanoseconds, "ns"});
-    report.Add({.name = row + "/allocations",
-                .value = cost.allocations,
-                .unit = "a request",
-                .at_most = 2});
+    AddDecisionCost("queue-" + std::to_string(queued),
+                    MeasureDecisionCost(queued), report);
   }
+  AddDecisionCost("rate-limit", MeasureDecisionCost(0, kHighRateLimit), report);
 }
 
 }  // namespace
@@ -183,7 +193,7 @@
   }
   AddCapacityChange(report, "neighbour", NoisyNeighbour(), 0.75);
   AddCapacityChange(report, "slower", SlowerSlots(), 2.0 / 3);
-  AddDecisionCost(report);
+  AddDecisionCosts(report);
   report.Print();
   if (!absl::GetFlag(FLAGS_results).empty())
     report.WriteFile(absl::GetFlag(FLAGS_results));
--- a/tests/benchmarks/admission/decision_cost.cc
+++ b/tests/benchmarks/admission/decision_cost.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdlib>
 #include <new>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,7 +44,9 @@
 // In each round one request ends and one arrives.
 class Rounds {
  public:
-  explicit Rounds(int queued) : admission_(Options(queued)) {
+  Rounds(int queued, std::optional<double> stated_rate)
+      : admission_(Options(queued)) {
+    admission_.SetStatedRate(stated_rate, now_);
     for (int i = 0; i < kTenants; ++i)
       tenants_.push_back("tenant-" + std::to_string(i));
     for (int i = 0; i < queued + Options(queued).slots; ++i)
@@ -97,8 +100,9 @@
 
 }  // namespace
 
-DecisionCost MeasureDecisionCost(int queued) {
-  Rounds rounds(queued);
+DecisionCost MeasureDecisionCost(int queued,
+                                 std::optional<double> stated_rate) {
+  Rounds rounds(queued, stated_rate);
   rounds.Run(kWarmUp);
   const uint64_t allocations = g_allocations;
   const auto begin = std::chrono::steady_clock::now();
--- a/tests/benchmarks/admission/decision_cost.h
+++ b/tests/benchmarks/admission/decision_cost.h
@@ -2,6 +2,8 @@
 #ifndef ADMISSION_DECISION_COST_H_
 #define ADMISSION_DECISION_COST_H_
 
+#include <optional>
+
 namespace chestnutport::bench {
 
 struct DecisionCost {
@@ -9,8 +11,10 @@
   double allocations = 0;
 };
 
-// Measures with a queue that stays `queued` long, over 16 tenants.
-DecisionCost MeasureDecisionCost(int queued);
+// Measures with a queue that stays `queued` long, over 16 tenants, at a server
+// that states the rate limit `stated_rate` in requests per second.
+DecisionCost MeasureDecisionCost(int queued,
+                                 std::optional<double> stated_rate = {});
 
 }  // namespace chestnutport::bench
 
