Ask the store for its current state only by few of the nodes that start

Each starting node listed the seeds once at a tenth of the price, found none, listed them again at the full price, read the head at the full price, again each second while it knew no member, opened short watches meanwhile, and listed evacuations after one second. All of it grows with the nodes.

Ruled out: settings of a first start (they do not say how many nodes start); no read before a member is known (a node that stays alone would never serve).

Change: a node that has known no other member since its start accepts a state that may be some seconds old, and makes a current read with a probability that doubles with each stale response, from 1 in 64: in a fleet of any size some node reads the current state soon. Stale reads prove nothing about the age of the configuration, repair nothing, and are not followed by a watch. At rest: nodes do not look for evacuations where operators cannot order them (a setting), and the watches of the two short-watch readers follow the time within which a configuration has to be in force (a setting; 0.8 s for 2 s as before, 1.6 s for 4 s, at most 2 s).

--- a/src/libs/duties/seed_search.cc
+++ b/src/libs/duties/seed_search.cc
@@ -29,27 +29,35 @@
 
 }  // namespace
 
-SeedSearch::SeedSearch(bool counts_stale_listings, Duration longest_wait)
-    : counts_old_listings_(counts_stale_listings),
+SeedSearch::SeedSearch(bool counts_stale_reads, Duration longest_wait)
+    : counts_stale_reads_(counts_stale_reads),
       longest_wait_(std::min<Duration>(longest_wait, kMaxBackoff)),
       backoff_(FirstBackoff()),
       ping_interval_(kFirstPingInterval) {}
 
 Duration SeedSearch::FirstDelay(base::Random& random) const {
-  return counts_old_listings_ ? DrawJitter(random) : Duration::zero();
+  return counts_stale_reads_ ? DrawJitter(random) : Duration::zero();
 }
 
-SeedSearch::Listing SeedSearch::NextListing(bool is_alone) {
+SeedSearch::Listing SeedSearch::NextListing(bool is_alone,
+                                            base::Random& random) {
   const bool is_first = !std::exchange(has_listed_, true);
-  const bool may_be_stale = !is_alone || (is_first && !counts_old_listings_);
-  return may_be_stale ? Listing::kMayBeStale : Listing::kLatest;
+  if (!is_alone) {
+    current_listings_.Reset();
+    return Listing::kMayBeStale;
+  }
+  if (counts_stale_reads_)
+    return Listing::kLatest;
+  return !is_first && current_listings_.Draw(random) ? Listing::kLatest
+                                                     : Listing::kMayBeStale;
 }
 
 Duration SeedSearch::NextDelay(bool is_alone, base::Random& random) {
   Duration wait = kListingInterval;
   if (is_alone) {
     wait = backoff_;
-    backoff_ = std::min<Duration>(2 * backoff_, longest_wait_);
+    if (counts_stale_reads_ || current_listings_.IsCertain())
+      backoff_ = std::min<Duration>(2 * backoff_, longest_wait_);
   } else {
     backoff_ = FirstBackoff();
   }
--- a/src/libs/duties/seed_search.h
+++ b/src/libs/duties/seed_search.h
@@ -4,12 +4,14 @@
 //
 // A listing that may be some seconds old is cheaper than a current one. Where
 // the store does not count it towards its rate limit, it needs no jitter, and a
-// node that joins a running fleet requests no other kind.
+// node that joins a running fleet requests no other kind. Of nodes that start a
+// fleet together, few request a current one; see CurrentReadDraw.
 #ifndef DUTIES_SEED_SEARCH_H_
 #define DUTIES_SEED_SEARCH_H_
 
 #include "base/random.h"
 #include "base/time.h"
+#include "duties/current_read_draw.h"
 
 namespace chestnutport::duties {
 
@@ -25,17 +27,20 @@
 
   // `longest_wait` limits the time between two listings of a node that is
   // alone.
-  SeedSearch(bool counts_stale_listings, base::Duration longest_wait);
+  SeedSearch(bool counts_stale_reads, base::Duration longest_wait);
 
   // Returns the delay before the first listing.
   base::Duration FirstDelay(base::Random& random) const;
   // Returns the kind of the next listing. A stale one suffices for a node that
   // maintains an entry, since its write checks the revision.
-  Listing NextListing(bool is_alone);
-  // Returns the delay before the next listing.
+  Listing NextListing(bool is_alone, base::Random& random);
+  // Called after a listing that may be stale, by a node that was alone then.
+  void OnStaleListing() { current_listings_.OnStaleResponse(); }
+  // Returns the delay before the next listing. It grows for a node that remains
+  // alone and makes current listings only.
   base::Duration NextDelay(bool is_alone, base::Random& random);
-  // Returns the delay before the next listing if a listing that may be stale
-  // had no seeds: the fleet may have started since.
+  // Returns the delay before the second listing if the first one may be stale
+  // and had no seeds: the fleet may have started since.
   base::Duration DelayAfterEmptyListing(base::Random& random) const;
 
   // Restarts the ping intervals, as there are new contacts.
@@ -47,9 +52,10 @@
   base::Duration DrawJitter(base::Random& random) const;
   base::Duration FirstBackoff() const;
 
-  bool counts_old_listings_;
+  bool counts_stale_reads_;
   base::Duration longest_wait_;
   bool has_listed_ = false;
+  CurrentReadDraw current_listings_;
   base::Duration backoff_;
   base::Duration ping_interval_;
 };
--- a/src/libs/evacuation_store/evacuation_reader.cc
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -35,7 +35,8 @@
       format_(std::move(format)),
       random_(random),
       on_read_(std::move(read)),
-      timing_(max_read_interval, configuration::kMaxShortEvacuationWatch) {}
+      timing_(max_read_interval, configuration::kMaxShortEvacuationWatch),
+      first_reads_(store.CountsStaleReads()) {}
 
 EvacuationReader::~EvacuationReader() {
   loop_.Cancel(timer_);
@@ -49,15 +50,17 @@
     const membership::Member& self,
     const std::vector<membership::Member>& members) {
   const auto reason = role_.SetMembers(self, members);
+  first_reads_.OnMembers(role_.is_alone());
   if (reason != configuration::ReadTrigger::kNone && watch_.Abandon())
     ScheduleSoon();
 }
 
 void EvacuationReader::ReadNow() {
-  store_.ListPage(format_.prefix, [this](const auto& page) {
-    if (page)
-      OnPage(page);
-  });
+  store_.ListPage(format_.prefix, store::Freshness::kLatest,
+                  [this](const auto& page) {
+                    if (page)
+                      OnPage(page);
+                  });
 }
 
 void EvacuationReader::Schedule(base::Duration wait) {
@@ -74,21 +77,27 @@
     FinishRound(false);
     return;
   }
-  store_.ListPage(format_.prefix, [this](const auto& page) {
-    if (!page) {
-      FinishRound(true);
-      return;
-    }
-    OnPage(page);
-    // A starting node has the role of a reader until it has received the
-    // members, so the first read is not followed by a watch.
-    const bool is_settled = std::exchange(has_read_, true);
-    if (is_settled && role_.is_reader() && page.value().as_of > 0 &&
-        store_.CanWatch())
-      Watch(page.value().as_of);
-    else
-      FinishRound(false);
-  });
+  const bool may_be_stale = first_reads_.NextMayBeStale(random_);
+  store_.ListPage(
+      format_.prefix,
+      may_be_stale ? store::Freshness::kMayBeStale : store::Freshness::kLatest,
+      [this, may_be_stale](const auto& page) {
+        if (!page) {
+          FinishRound(true);
+          return;
+        }
+        OnPage(page);
+        if (may_be_stale)
+          first_reads_.OnStaleResponse();
+        // A starting node has the role of a reader until it has received the
+        // members, so the first read is not followed by a watch.
+        const bool is_settled = std::exchange(has_read_, true) && !may_be_stale;
+        if (is_settled && role_.is_reader() && page.value().as_of > 0 &&
+            store_.CanWatch())
+          Watch(page.value().as_of);
+        else
+          FinishRound(false);
+      });
 }
 
 void EvacuationReader::OnPage(const base::Result<store::StorePage>& page) {
--- a/src/libs/evacuation_store/evacuation_reader.h
+++ b/src/libs/evacuation_store/evacuation_reader.h
@@ -9,6 +9,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "configuration/current_watch.h"
+#include "configuration/first_reads.h"
 #include "configuration/read_timing.h"
 #include "configuration/reader_role.h"
 #include "evacuation/evacuations.h"
@@ -62,6 +63,7 @@
   net::EventLoop::TimerId timer_ = 0;
   configuration::CurrentWatch watch_;
   bool has_read_ = false;  // Since the start of the node.
+  configuration::FirstReads first_reads_;
   bool is_unreadable_ =
       false;  // At the last read. Logged when it becomes true.
 };
--- a/src/libs/evacuation_store/evacuation_writer.cc
+++ b/src/libs/evacuation_store/evacuation_writer.cc
@@ -26,7 +26,7 @@
     handler(make_error_code(ErrorKind::kNotFound));
     return;
   }
-  store_.ReadPage(format_.prefix,
+  store_.ReadPage(format_.prefix, store::Freshness::kLatest,
                   [this, request, handler = std::move(handler)](
                       const base::Result<store::StorePage>& page) {
                     if (!page)
--- a/src/libs/fleet/seed_manager.cc
+++ b/src/libs/fleet/seed_manager.cc
@@ -48,7 +48,7 @@
     : loop_(loop),
       store_(store),
       prefix_(absl::StrCat("chestnutport/", settings.fleet, "/seeds/")),
-      search_(store.CountsStaleListings(), settings.longest_store_wait),
+      search_(store.CountsStaleReads(), settings.longest_store_wait),
       contacts_(settings.first_contacts),
       random_(random) {}
 
@@ -95,7 +95,7 @@
     RunAfter(search_.NextDelay(false, random_));
     return;
   }
-  const SeedSearch::Listing listing = search_.NextListing(IsAlone());
+  const SeedSearch::Listing listing = search_.NextListing(IsAlone(), random_);
   store_.ListPrefix(
       prefix_,
       listing == SeedSearch::Listing::kLatest ? store::Freshness::kLatest
@@ -116,9 +116,12 @@
                             std::vector<store::StoreEntry> entries) {
   ExtractOtherEntries(entries);
   ContactUnknown(entries);
-  const bool is_old = listing == SeedSearch::Listing::kMayBeStale;
-  if (IsAlone() && entries.empty() && is_old) {
-    RunAfter(search_.DelayAfterEmptyListing(random_));
+  const bool is_stale = listing == SeedSearch::Listing::kMayBeStale;
+  if (IsAlone() && is_stale) {
+    search_.OnStaleListing();
+    was_alone_ = !entries.empty();
+    if (!std::exchange(has_listed_, true) && entries.empty())
+      RunAfter(search_.DelayAfterEmptyListing(random_));
     return;
   }
   const bool may_join_others = IsAlone() && !entries.empty() && !was_alone_;
--- a/src/libs/fleet/seed_manager.h
+++ b/src/libs/fleet/seed_manager.h
@@ -81,9 +81,10 @@
   OtherEntriesHandler on_other_entries_;
   std::vector<membership::Member> members_;
   store::LeaseId lease_ = 0;
-  // Whether the node was alone at the last listing, after which it pinged the
-  // seeds found.
+  // Whether the node was alone at the last listing with seeds, after which it
+  // pinged them.
   bool was_alone_ = false;
+  bool has_listed_ = false;
   std::set<std::string> unreadable_;  // Keys already logged.
   net::EventLoop::TimerId timer_ = 0;
   net::EventLoop::TimerId ping_timer_ = 0;
--- a/src/libs/fleet_configuration/configuration_confirmer.cc
+++ b/src/libs/fleet_configuration/configuration_confirmer.cc
@@ -39,7 +39,7 @@
 
 void ConfigurationConfirmer::Execute(uint64_t id,
                                      const configuration::ReadHead& /*step*/) {
-  store_.ReadHead([this, id](const auto& stored) {
+  store_.ReadHead(store::Freshness::kLatest, [this, id](const auto& stored) {
     Dispatch(id, pending_.at(id).procedure.OnHead(
                      loop_.now(), stored, local_.head(), reported_revision_()));
   });
--- a/src/libs/fleet_configuration/configuration_reader.cc
+++ b/src/libs/fleet_configuration/configuration_reader.cc
@@ -32,8 +32,9 @@
       random_(random),
       fleet_(std::move(fleet)),
       apply_(std::move(apply)),
-      timing_(max_read_interval),
-      role_(fleet_.short_watches) {}
+      timing_(max_read_interval, fleet_.max_short_watch),
+      role_(fleet_.short_watches),
+      first_reads_(store.CountsStaleReads()) {}
 
 ConfigurationReader::~ConfigurationReader() {
   loop_.Cancel(timer_);
@@ -49,6 +50,7 @@
     const std::vector<membership::Member>& members) {
   using configuration::ReadTrigger;
   const ReadTrigger reason = role_.SetMembers(self, members);
+  first_reads_.OnMembers(role_.is_alone());
   // Skipped if this node has lost the store itself: it would otherwise read
   // again each time that a short-watch reader loses the store.
   const bool is_known_lost =
@@ -81,9 +83,13 @@
     slow_read_timer_ = 0;
     UpdateStoreState(true);
   });
+  may_be_stale_ = first_reads_.NextMayBeStale(random_);
   // The clock is read before the read is sent; the loop's time is older.
-  store_.ReadHead([this, asked_at = base::BootClock::now()](
-                      const auto& stored) { OnHead(stored, asked_at); });
+  store_.ReadHead(
+      may_be_stale_ ? store::Freshness::kMayBeStale : store::Freshness::kLatest,
+      [this, asked_at = base::BootClock::now()](const auto& stored) {
+        OnHead(stored, asked_at);
+      });
 }
 
 void ConfigurationReader::OnHead(const base::Result<StoredHead>& stored,
@@ -96,13 +102,16 @@
   last_store_contact_ = loop_.now();
   store_revision_ = stored.value().as_of;
   const Head& head = stored.value().head;
-  RecordStoreRead(head.revision, asked_at);
+  if (may_be_stale_)
+    first_reads_.OnStaleResponse();
+  else
+    RecordStoreRead(head.revision, asked_at);
   if (head.revision > local_.head().revision) {
     ReadDocuments(head);
     return;
   }
   // A head that operators write is never replaced.
-  const auto repaired = store_.format().is_written_by_nodes
+  const auto repaired = store_.format().is_written_by_nodes && !may_be_stale_
                             ? configuration::RepairStore(head, local_.head())
                             : std::nullopt;
   if (repaired)
@@ -121,7 +130,7 @@
 void ConfigurationReader::ContinueRound() {
   // A starting node has the role of a reader until it has received the members,
   // so the first read is not followed by a watch.
-  const bool is_settled = std::exchange(has_read_, true);
+  const bool is_settled = std::exchange(has_read_, true) && !may_be_stale_;
   if (is_settled && ShouldRead() && store_revision_ > 0 && store_.CanWatch()) {
     UpdateStoreState(false);
     Watch();
--- a/src/libs/fleet_configuration/configuration_reader.h
+++ b/src/libs/fleet_configuration/configuration_reader.h
@@ -12,6 +12,7 @@
 #include "base/boot_clock.h"
 #include "base/random.h"
 #include "configuration/current_watch.h"
+#include "configuration/first_reads.h"
 #include "configuration/isolation_detector.h"
 #include "configuration/local_configuration.h"
 #include "configuration/read_timing.h"
@@ -28,8 +29,8 @@
   using ApplyHandler = std::function<void(const configuration::Head& head,
                                           const configuration::Documents&)>;
 
-  // Called with each successful read or watch of the head: the revision that
-  // the store held, and when the read or watch was sent. A watch that ends
+  // Called with each successful watch or current read of the head: the revision
+  // that the store held, and when the read or watch was sent. A watch that ends
   // without a change counts with the revision that was found before it. Not
   // called if the head cannot be read.
   using StoreReadHandler =
@@ -46,6 +47,8 @@
     // Which readers have short watches.
     configuration::ShortWatches short_watches =
         configuration::ShortWatches::kTwoInFleet;
+    // Limits the watches of these readers.
+    std::chrono::milliseconds max_short_watch = configuration::kMaxShortWatch;
   };
 
   // The references must outlive the reader. `max_read_interval` limits the
@@ -125,8 +128,10 @@
   configuration::CurrentWatch watch_;
   base::Instant watch_deadline_;  // When the current watch counts as lost.
   std::optional<base::Instant> last_store_contact_;
-  bool has_read_ = false;    // Since the start of the node.
-  bool is_reading_ = false;  // Until a watch or a delay begins.
+  bool has_read_ = false;  // Since the start of the node.
+  configuration::FirstReads first_reads_;
+  bool may_be_stale_ = false;  // The last read.
+  bool is_reading_ = false;    // Until a watch or a delay begins.
   bool must_read_once_ =
       false;  // At the next ReadIfDue(), even if this node is not a reader.
   bool has_lost_store_ = false;
--- a/src/libs/fleet_configuration/configuration_store.cc
+++ b/src/libs/fleet_configuration/configuration_store.cc
@@ -34,22 +34,24 @@
                                        const std::string& fleet)
     : store_(store), format_(std::move(format)), fleet_(fleet) {}
 
-void ConfigurationStore::ReadHead(HeadHandler handler) {
-  store_.ReadPage(format_.head_key, [this, handler = std::move(handler)](
-                                        const base::Result<StorePage>& page) {
-    if (!page) {
-      handler(page.error());
-      return;
-    }
-    if (page.value().entries.empty()) {
-      handler(StoredHead{.as_of = page.value().as_of});
-      return;
-    }
-    auto stored = ParseEntry(page.value().entries.front());
-    if (stored)
-      stored.value().as_of = page.value().as_of;
-    handler(std::move(stored));
-  });
+void ConfigurationStore::ReadHead(store::Freshness freshness,
+                                  HeadHandler handler) {
+  store_.ReadPage(format_.head_key, freshness,
+                  [this, handler = std::move(handler)](
+                      const base::Result<StorePage>& page) {
+                    if (!page) {
+                      handler(page.error());
+                      return;
+                    }
+                    if (page.value().entries.empty()) {
+                      handler(StoredHead{.as_of = page.value().as_of});
+                      return;
+                    }
+                    auto stored = ParseEntry(page.value().entries.front());
+                    if (stored)
+                      stored.value().as_of = page.value().as_of;
+                    handler(std::move(stored));
+                  });
 }
 
 void ConfigurationStore::WatchHead(int64_t after,
--- a/src/libs/fleet_configuration/configuration_store.h
+++ b/src/libs/fleet_configuration/configuration_store.h
@@ -41,6 +41,8 @@
   const AnyConfigurationFormat& format() const { return format_; }
   // Whether the store supports WatchHead().
   bool CanWatch() const { return store_.CanWatch(); }
+  // Whether stale reads count towards the store's rate limit.
+  bool CountsStaleReads() const { return store_.CountsStaleReads(); }
   // Waits up to `times.wait` for a change of the head after the store's
   // revision `after`. The result has no head if there was no change. The error
   // kStoreUnavailable is also returned if changes may have been missed.
@@ -50,7 +52,7 @@
 
   // Returns a head of revision zero if there is none. An entry that cannot be
   // parsed is an error, so that it is never overwritten.
-  void ReadHead(HeadHandler handler);
+  void ReadHead(store::Freshness freshness, HeadHandler handler);
   // Reads the documents with `hashes` that the store holds. Returns an error if
   // any read failed.
   void ReadDocuments(const std::vector<std::string>& hashes,
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -42,6 +42,19 @@
              : configuration::ShortWatches::kTwoInFleet;
 }
 
+// Leaves most of the time for the read after a lost watch, and for the
+// distribution to the other nodes. Proofs that the configuration is current
+// need short watches in any case.
+std::chrono::milliseconds MaxShortWatch(
+    const settings::NodeSettings& settings) {
+  const auto longest = settings.revocation_time > base::Duration::zero()
+                           ? configuration::kMaxShortWatch
+                           : configuration::kMinLongWatch;
+  return std::min(longest,
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      settings.configuration_apply_time * 2 / 5));
+}
+
 }  // namespace
 
 ControlPlane::ControlPlane(net::EventLoop& loop,
@@ -91,7 +104,8 @@
           {.last_contact = [this] { return membership_.last_contact(); },
            .report_store_lost =
                [this](bool has_lost) { OnStoreLossChanged(has_lost); },
-           .short_watches = ShortWatchesOf(settings)},
+           .short_watches = ShortWatchesOf(settings),
+           .max_short_watch = MaxShortWatch(settings)},
           random),
       proof_exchange_(loop,
                       membership_,
@@ -244,7 +258,8 @@
         proof_exchange_.OnRevisionInForce(revision);
       },
       [this](bool /*is_behind*/) { PublishKeyPolicy(); });
-  evacuation_reader_.Start();
+  if (settings_.has_evacuations)
+    evacuation_reader_.Start();
   PublishKeyView();
 }
 
@@ -356,6 +371,10 @@
 void ControlPlane::Evacuate(
     const evacuation_store::EvacuationRequest& order,
     evacuation_store::EvacuationWriter::Handler handler) {
+  if (!settings_.has_evacuations) {
+    handler(base::make_error_code(base::ErrorKind::kNotFound));
+    return;
+  }
   evacuation_writer_.Execute(
       order, [this, handler = std::move(handler)](const auto& done) {
         evacuation_reader_.ReadNow();
--- a/src/libs/settings/node_settings.cc
+++ b/src/libs/settings/node_settings.cc
@@ -111,6 +111,21 @@
   return true;
 }
 
+bool ReadEvacuations(NodeSettings& settings, std::string_view text) {
+  settings.has_evacuations = text == "yes";
+  return text == "yes" || text == "no";
+}
+
+bool ReadConfigurationApplyTime(NodeSettings& settings, std::string_view text) {
+  const auto duration = base::ParseDuration(text);
+  if (!duration || *duration < std::chrono::milliseconds(500) ||
+      *duration > std::chrono::hours(1)) {
+    return false;
+  }
+  settings.configuration_apply_time = *duration;
+  return true;
+}
+
 bool ReadRetryShare(NodeSettings& settings, std::string_view text) {
   return absl::SimpleAtod({text.data(), text.size()},
                           &settings.fleet_retry_share) &&
@@ -267,6 +282,14 @@
       {{"store", "longest_wait", "duration", "15s", "100ms to 10m",
         "Between two tries of one node while the store fails."},
        ReadLongestStoreWait},
+      {{"store", "evacuations", "", "yes", "yes or no",
+        "Whether data centres may be evacuated through the store. If not, no "
+        "node looks for evacuations there."},
+       ReadEvacuations},
+      {{"configuration", "apply_time", "duration", "2s", "500ms to 1h",
+        "Time within which a confirmed configuration has to be in force on all "
+        "nodes. The longer, the fewer calls to the store."},
+       ReadConfigurationApplyTime},
       {{"keys", "peer", "", "", kKeyRange, "Key shared by all nodes."},
        Key(&NodeSettings::peer_key)},
       {{"keys", "peer_previous", "", "none", kKeyRange,
--- a/src/libs/settings/node_settings.h
+++ b/src/libs/settings/node_settings.h
@@ -54,6 +54,10 @@
   // Where other nodes may be reached before the store was asked.
   std::vector<base::SocketAddress> first_contacts;
   base::Duration longest_store_wait = std::chrono::seconds(15);
+  // Whether the store may hold evacuations of data centres.
+  bool has_evacuations = true;
+  // Within this time a confirmed configuration has to be in force on all nodes.
+  base::Duration configuration_apply_time = std::chrono::seconds(2);
   // What the fleet may spend on handing a request to a second server: a share
   // of the requests in any window, and so many beside.
   double fleet_retry_share = 0.2;
--- a/src/libs/store/etcd_protocol.cc
+++ b/src/libs/store/etcd_protocol.cc
@@ -99,8 +99,12 @@
   return page;
 }
 
-net::HttpRequest EtcdProtocol::Read(const std::string& key) const {
-  return Post("/v3/kv/range", {{"key", Encode(key)}});
+net::HttpRequest EtcdProtocol::Read(const std::string& key,
+                                    Freshness freshness) const {
+  json body = {{"key", Encode(key)}};
+  if (freshness == Freshness::kMayBeStale)
+    body["serializable"] = true;
+  return Post("/v3/kv/range", body);
 }
 
 base::Result<StorePage> EtcdProtocol::ParseEntry(
--- a/src/libs/store/etcd_protocol.h
+++ b/src/libs/store/etcd_protocol.h
@@ -13,7 +13,7 @@
                         const std::string& after,
                         store::Freshness freshness) const;
   base::Result<StorePage> ParsePage(const net::HttpAnswer& answer) const;
-  net::HttpRequest Read(const std::string& key) const;
+  net::HttpRequest Read(const std::string& key, Freshness freshness) const;
   base::Result<StorePage> ParseEntry(const net::HttpAnswer& answer) const;
   net::HttpRequest Swap(const StoreSwap& swap) const;
   base::Result<bool> ParseSwap(const net::HttpAnswer& answer) const;
@@ -29,7 +29,7 @@
                          std::chrono::milliseconds wait) const;
   base::Result<StoreChanges> ParseChanges(const net::HttpAnswer& answer) const;
   bool CanWatch() const { return false; }
-  bool CountsStaleListings() const { return true; }
+  bool CountsStaleReads() const { return true; }
 };
 
 }  // namespace chestnutport::store
--- a/src/libs/store/store_client.cc
+++ b/src/libs/store/store_client.cc
@@ -38,8 +38,10 @@
            });
 }
 
-void StoreClient::ListPage(const std::string& prefix, PageHandler handler) {
-  ListFrom(prefix, Freshness::kLatest, {}, std::move(handler));
+void StoreClient::ListPage(const std::string& prefix,
+                           Freshness freshness,
+                           PageHandler handler) {
+  ListFrom(prefix, freshness, {}, std::move(handler));
 }
 
 void StoreClient::ListFrom(const std::string& prefix,
@@ -81,16 +83,19 @@
 }
 
 void StoreClient::Read(const std::string& key, EntriesHandler handler) {
-  ReadPage(key, [handler = std::move(handler)](base::Result<StorePage> page) {
-    if (!page)
-      handler(page.error());
-    else
-      handler(std::move(page.value().entries));
-  });
+  ReadPage(key, Freshness::kLatest,
+           [handler = std::move(handler)](base::Result<StorePage> page) {
+             if (!page)
+               handler(page.error());
+             else
+               handler(std::move(page.value().entries));
+           });
 }
 
-void StoreClient::ReadPage(const std::string& key, PageHandler handler) {
-  Call(form_.read(key), timeout_, CallKind::kRead,
+void StoreClient::ReadPage(const std::string& key,
+                           Freshness freshness,
+                           PageHandler handler) {
+  Call(form_.read(key, freshness), timeout_, CallKind::kRead,
        [this, handler = std::move(handler)](
            const base::Result<net::HttpAnswer>& answer) {
          handler(answer ? form_.parse_entry(answer.value()) : answer.error());
--- a/src/libs/store/store_client.h
+++ b/src/libs/store/store_client.h
@@ -47,13 +47,16 @@
   void ListPrefix(const std::string& prefix,
                   Freshness freshness,
                   EntriesHandler handler);
-  // Like ListPrefix(), but never stale, and with the store's revision at the
-  // first page.
-  void ListPage(const std::string& prefix, PageHandler handler);
+  // Like ListPrefix(), with the store's revision at the first page.
+  void ListPage(const std::string& prefix,
+                Freshness freshness,
+                PageHandler handler);
   // Reads the entry of `key`. The result is empty if there is none.
   void Read(const std::string& key, EntriesHandler handler);
   // Like Read(), with the store's revision.
-  void ReadPage(const std::string& key, PageHandler handler);
+  void ReadPage(const std::string& key,
+                Freshness freshness,
+                PageHandler handler);
   // Writes `value` if the key's revision is `expected`; zero if the key must
   // not exist.
   void CompareAndSwap(const std::string& key,
@@ -77,9 +80,9 @@
   // Whether the protocol supports watches. Otherwise changes are found by
   // polling.
   bool CanWatch() const { return form_.can_watch; }
-  // Whether listings that may be stale count towards the store's rate limit. If
+  // Whether reads that may be stale count towards the store's rate limit. If
   // not, any number of nodes may request them at once.
-  bool CountsStaleListings() const { return form_.counts_stale_listings; }
+  bool CountsStaleReads() const { return form_.counts_stale_reads; }
   // Waits up to `wait` for changes of keys that begin with `prefix` after the
   // revision `after`. The result has no changes if nothing changed in that
   // time. Fails if there is no response within `wait` and `grace`.
--- a/src/libs/store/store_protocol.h
+++ b/src/libs/store/store_protocol.h
@@ -40,7 +40,7 @@
     } -> std::same_as<net::HttpRequest>;
   { form.ParsePage(answer) } -> std::same_as<base::Result<StorePage>>;
   // Reads the entry of one key. The page is empty if there is none.
-  { form.Read(text) } -> std::same_as<net::HttpRequest>;
+  { form.Read(text, Freshness::kLatest) } -> std::same_as<net::HttpRequest>;
   { form.ParseEntry(answer) } -> std::same_as<base::Result<StorePage>>;
   { form.Swap(swap) } -> std::same_as<net::HttpRequest>;
   { form.ParseSwap(answer) } -> std::same_as<base::Result<bool>>;
@@ -57,8 +57,8 @@
   { form.Watch(text, revision, time) } -> std::same_as<net::HttpRequest>;
   { form.ParseChanges(answer) } -> std::same_as<base::Result<StoreChanges>>;
   { form.CanWatch() } -> std::same_as<bool>;
-  // Whether listings that may be stale count towards the store's rate limit.
-  { form.CountsStaleListings() } -> std::same_as<bool>;
+  // Whether reads that may be stale count towards the store's rate limit.
+  { form.CountsStaleReads() } -> std::same_as<bool>;
 };
 
 // Type-erased StoreProtocol.
@@ -71,7 +71,9 @@
               return form.List(prefix, after, freshness);
             },
         .parse_page = [form](const auto& a) { return form.ParsePage(a); },
-        .read = [form](const auto& key) { return form.Read(key); },
+        .read = [form](
+                    const auto& key,
+                    Freshness freshness) { return form.Read(key, freshness); },
         .parse_entry = [form](const auto& a) { return form.ParseEntry(a); },
         .swap = [form](const auto& swap) { return form.Swap(swap); },
         .parse_swap = [form](const auto& a) { return form.ParseSwap(a); },
@@ -89,14 +91,14 @@
                         auto wait) { return form.Watch(prefix, after, wait); },
         .parse_changes = [form](const auto& a) { return form.ParseChanges(a); },
         .can_watch = form.CanWatch(),
-        .counts_stale_listings = form.CountsStaleListings()};
+        .counts_stale_reads = form.CountsStaleReads()};
   }
 
   std::function<
       net::HttpRequest(const std::string&, const std::string&, Freshness)>
       list;
   std::function<base::Result<StorePage>(const net::HttpAnswer&)> parse_page;
-  std::function<net::HttpRequest(const std::string&)> read;
+  std::function<net::HttpRequest(const std::string&, Freshness)> read;
   std::function<base::Result<StorePage>(const net::HttpAnswer&)> parse_entry;
   std::function<net::HttpRequest(const StoreSwap&)> swap;
   std::function<base::Result<bool>(const net::HttpAnswer&)> parse_swap;
@@ -113,7 +115,7 @@
   std::function<base::Result<StoreChanges>(const net::HttpAnswer&)>
       parse_changes;
   bool can_watch = false;
-  bool counts_stale_listings = true;
+  bool counts_stale_reads = true;
 };
 
 }  // namespace chestnutport::store
