Ask a node that is known but not as a member for its record

Cause: a node that starts without a seed at the address of one that left is found by pings to the address. If the first message that reached it was a probe by a member that had not heard of the departure yet, its answer made it known to all, so nobody pinged the address any more, while it had no record of any member: probes carry none. It stayed without members for good.

Ruled out: the rate of the pings (of the others, all but one are found within 3 s); the address check.

Change: a node without any member sends a join ping to whoever sends it a message; the answer carries a record.

--- a/src/libs/membership/gossip.cc
+++ b/src/libs/membership/gossip.cc
@@ -134,6 +134,10 @@
     case MessageType::kUpdate:
       break;
   }
+  // A node that is known to others may have no record of any of them, as probes
+  // carry none. The answer to a join does.
+  if (table_.live() == 0)
+    Contact(now, from, output);
 }
 
 void Gossip::Contact(base::Instant now,
--- a/tests/auto/membership/gossip_fleet_test.cc
+++ b/tests/auto/membership/gossip_fleet_test.cc
@@ -39,6 +39,19 @@
   CHECK(fleet.RunUntil([&] { return fleet.HasConverged(); }, seconds(20)));
 }
 
+// A probe of a member that has not heard of the departure found the new node,
+// which then was known to all, without a record of any of them.
+TEST_CASE("a node without seeds gets to know those who probe its address") {
+  GossipFleet fleet({.members = 100, .seed = GENERATE(range(1, 21))});
+  fleet.RunFor(seconds(5));
+  fleet.Leave(7);
+  fleet.RunFor(milliseconds(500));
+  fleet.StartWithoutSeed(7);
+  fleet.RunFor(seconds(6));
+  CHECK(fleet.gossip(7).Members().size() == 100);
+  CHECK(fleet.HasConverged());
+}
+
 TEST_CASE("a fleet of 100 nodes detects changes") {
   GossipFleet fleet({.members = 100, .seed = GENERATE(1, 2, 3)});
   fleet.RunFor(seconds(5));
