Split who is alive and the store operations from the allocator election

Cause: allocator_election held the state machine, the view of the members and the types of the store operations in one file.

Change: ElectionMembers knows who is alive, for how long somebody is not, and whose turn it is; store_operation.h has the types. No behaviour changed.

Measured: allocator_election_test, allocator_loss_test, limit_plays_test, limit_conservation_test and limit_coordinator_test pass.

--- a/src/libs/limits/allocator_election.cc
+++ b/src/libs/limits/allocator_election.cc
@@ -26,23 +26,10 @@
 AllocatorElection::AllocatorElection(base::NodeId self,
                                      base::SocketAddress vm,
                                      ElectionOptions options)
-    : self_(self), vm_(vm), options_(options) {}
-
-void AllocatorElection::SetMembers(std::vector<ElectionMember> members,
-                                   base::BootInstant now) {
-  if (!started_at_)
-    started_at_ = now;
-  for (const auto* list : {&members_, &members}) {
-    for (const ElectionMember& member : *list) {
-      if (member.is_alive)
-        last_alive_[member.id] = now;
-    }
-  }
-  members_ = std::move(members);
-  std::erase_if(last_alive_, [&](const auto& item) {
-    return !IsAlive(item.first) && now - item.second > options_.lease_time;
-  });
-}
+    : self_(self),
+      vm_(vm),
+      options_(options),
+      members_(self, vm, options.lease_time) {}
 
 void AllocatorElection::OnNotice(const AllocatorNotice& notice,
                                  base::BootInstant now) {
@@ -150,11 +137,7 @@
 AllocatorEntry AllocatorElection::OwnEntry(StoreLease lease) const {
   AllocatorEntry entry{.holder = self_, .vm = vm_, .lease = lease};
   entry.roster = entry_.roster;
-  entry.roster.insert(vm_);
-  for (const ElectionMember& member : members_) {
-    if (member.is_alive)
-      entry.roster.insert(member.vm);
-  }
+  members_.AddVmsTo(entry.roster);
   if (lease == 0)
     entry.displaced_lease =
         entry_.lease != 0 ? entry_.lease : entry_.displaced_lease;
@@ -269,16 +252,17 @@
     state_ = State::kMarking;
     return;
   }
-  const bool has_authority = entry_.lease != 0 && IsAlive(entry_.holder);
+  const bool has_authority =
+      entry_.lease != 0 && members_.IsAlive(entry_.holder);
   Follow(now,
          has_authority ? nanoseconds(kReadInterval) : options_.retry_interval);
 }
 
 bool AllocatorElection::MayDisplace(base::BootInstant now) {
-  if (!SeesHalfOf(entry_.roster))
+  if (!members_.SeesHalfOf(entry_.roster))
     return false;
   if (entry_.is_handed_over ||
-      AbsentFor(entry_.holder, now) >= options_.displacement_delay)
+      members_.AbsentFor(entry_.holder, now) >= options_.displacement_delay)
     return true;
   if (entry_.lease != 0)
     return false;
@@ -394,25 +378,16 @@
 
 std::optional<base::BootInstant> AllocatorElection::TurnAt(
     base::BootInstant now) const {
-  if (!started_at_)
-    return std::nullopt;
-  size_t rank = 0;
-  const auto self = std::ranges::find_if(members_, [&](const auto& member) {
-    const bool is_candidate = member.is_alive && member.can_do_store_duty;
-    if (member.id != self_ && is_candidate)
-      ++rank;
-    return member.id == self_;
-  });
-  if (self == members_.end() || !self->can_do_store_duty ||
-      rank >= kMaxCandidates)
+  const auto rank = members_.OwnRank();
+  if (!members_.started_at() || !rank || *rank >= kMaxCandidates)
     return std::nullopt;
-  base::BootInstant vacant_since = *started_at_;
-  if (known_ && IsAlive(known_->holder))
+  base::BootInstant vacant_since = *members_.started_at();
+  if (known_ && members_.IsAlive(known_->holder))
     vacant_since = heard_at_ + options_.lease_time;
   else if (known_)
-    vacant_since =
-        now - AbsentFor(known_->holder, now) + options_.displacement_delay;
-  return std::max(pause_until_, vacant_since + static_cast<int64_t>(rank) *
+    vacant_since = now - members_.AbsentFor(known_->holder, now) +
+                   options_.displacement_delay;
+  return std::max(pause_until_, vacant_since + static_cast<int64_t>(*rank) *
                                                    options_.candidate_delay);
 }
 
@@ -449,29 +424,4 @@
   return AllocatorNotice{.holder = self_, .vm = vm_, .epoch = authority_.epoch};
 }
 
-bool AllocatorElection::IsAlive(base::NodeId id) const {
-  return std::ranges::any_of(members_, [id](const ElectionMember& member) {
-    return member.id == id && member.is_alive;
-  });
-}
-
-nanoseconds AllocatorElection::AbsentFor(base::NodeId id,
-                                         base::BootInstant now) const {
-  if (!started_at_ || IsAlive(id))
-    return nanoseconds(0);
-  const auto seen = last_alive_.find(id);
-  return now - (seen == last_alive_.end() ? *started_at_ : seen->second);
-}
-
-bool AllocatorElection::SeesHalfOf(const Roster& roster) const {
-  const auto seen =
-      std::ranges::count_if(roster, [this](const base::SocketAddress& vm) {
-        return vm == vm_ ||
-               std::ranges::any_of(members_, [&vm](const auto& member) {
-                 return member.is_alive && member.vm == vm;
-               });
-      });
-  return static_cast<size_t>(seen) * 2 >= roster.size();
-}
-
 }  // namespace chestnutport::limits
--- a/src/libs/limits/allocator_election.h
+++ b/src/libs/limits/allocator_election.h
@@ -4,63 +4,21 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "base/boot_clock.h"
 #include "base/node_id.h"
 #include "base/socket_address.h"
 #include "limits/allocator_entry.h"
+#include "limits/election_members.h"
 #include "limits/limit_messages.h"
 #include "limits/share_allocator.h"
+#include "limits/store_operation.h"
 
 namespace chestnutport::limits {
 
-// Members are passed in the order of duties::StoreDutyOrder, including this
-// node.
-struct ElectionMember {
-  base::NodeId id;
-  base::SocketAddress vm;
-  bool is_alive = false;
-  bool can_do_store_duty = false;
-};
-
-enum class StoreOperationKind {
-  kReadEntry,       // Of the store's present state, not a stale read.
-  kGrantLease,      // For `lease_time`.
-  kWriteEntry,      // With `entry.lease`, if the revision is `revision`.
-  kKeepLeaseAlive,  // Renews `lease`.
-  kEndLease,        // Ends `lease`.
-};
-
-// One store call. It should be given up after half a second. A call that was
-// given up may still take effect.
-struct StoreOperation {
-  uint64_t id = 0;
-  StoreOperationKind kind = StoreOperationKind::kReadEntry;
-  AllocatorEntry entry;
-  int64_t revision = 0;  // Zero: the entry must not exist.
-  StoreLease lease = 0;
-  std::chrono::nanoseconds lease_time{};
-};
-
-enum class StoreStatus {
-  kDone,
-  kConflict,  // The revision differs, or the lease does not exist.
-  kFailed,    // Not known to have taken effect.
-};
-
-struct StoreOperationResult {
-  uint64_t id = 0;  // Of the operation.
-  StoreStatus status = StoreStatus::kFailed;
-  base::BootInstant sent_at;
-  // Read; nothing if it does not exist or cannot be decoded.
-  std::optional<AllocatorEntry> entry;
-  int64_t revision = 0;  // Of the entry read or written; zero if none exists.
-  StoreLease lease = 0;  // Granted.
-};
-
 struct Authority {
   uint64_t epoch = 0;
   base::BootInstant until;
@@ -100,7 +58,9 @@
                     ElectionOptions options = {});
 
   // Call it at each change, and at the start.
-  void SetMembers(std::vector<ElectionMember> members, base::BootInstant now);
+  void SetMembers(std::vector<ElectionMember> members, base::BootInstant now) {
+    members_.Set(std::move(members), now);
+  }
 
   // Takes note of an allocator that has authority, as its notices say. This
   // node gives up its own authority if its epoch is lower. Call it before
@@ -155,11 +115,6 @@
 
   void Follow(base::BootInstant now, std::chrono::nanoseconds pause);
   void CheckAuthority(base::BootInstant now);
-  bool IsAlive(base::NodeId id) const;
-  // How long a node has not been alive in this node's view.
-  std::chrono::nanoseconds AbsentFor(base::NodeId id,
-                                     base::BootInstant now) const;
-  bool SeesHalfOf(const Roster& roster) const;
   bool MayDisplace(base::BootInstant now);
   // When it is this node's turn to call the store, if at all.
   std::optional<base::BootInstant> TurnAt(base::BootInstant now) const;
@@ -186,9 +141,7 @@
   base::NodeId self_;
   base::SocketAddress vm_;
   ElectionOptions options_;
-  std::vector<ElectionMember> members_;
-  std::map<base::NodeId, base::BootInstant> last_alive_;
-  std::optional<base::BootInstant> started_at_;
+  ElectionMembers members_;
 
   State state_ = State::kFollowing;
   AllocatorEntry entry_;          // Last read or written.
