Let a starting node settle before it reads the store for others

A node that has just met others knows few of them, so it takes itself for one of the readers: it reads the current head, watches, and reads again at each change of its role. Also, each node listed the seeds a second time within 0.2 s, too early for a stale listing to show seeds.

Ruled out: no reads at all while settling (after a loss of all power somebody has to read the configuration at once).

Change: for one second after the first contact reads may be stale, are followed by no watch, and a change of the role triggers none. The second listing comes early only at the nodes that have drawn a current one. With a revocation time all reads are current: they are proofs, and keys would be refused longer after a loss of all power.

--- a/src/libs/duties/seed_search.cc
+++ b/src/libs/duties/seed_search.cc
@@ -48,8 +48,12 @@
   }
   if (counts_stale_reads_)
     return Listing::kLatest;
-  return !is_first && current_listings_.Draw(random) ? Listing::kLatest
-                                                     : Listing::kMayBeStale;
+  if (is_first)
+    return Listing::kMayBeStale;
+  const bool is_current = is_next_current_
+                              ? *std::exchange(is_next_current_, std::nullopt)
+                              : current_listings_.Draw(random);
+  return is_current ? Listing::kLatest : Listing::kMayBeStale;
 }
 
 Duration SeedSearch::NextDelay(bool is_alone, base::Random& random) {
@@ -64,8 +68,9 @@
   return RandomPart(wait, 0.5, 1.5, random);
 }
 
-Duration SeedSearch::DelayAfterEmptyListing(base::Random& random) const {
-  return DrawJitter(random);
+Duration SeedSearch::DelayAfterEmptyListing(base::Random& random) {
+  is_next_current_ = current_listings_.Draw(random);
+  return *is_next_current_ ? DrawJitter(random) : NextDelay(true, random);
 }
 
 void SeedSearch::ResetPingInterval() {
--- a/src/libs/duties/seed_search.h
+++ b/src/libs/duties/seed_search.h
@@ -9,6 +9,8 @@
 #ifndef DUTIES_SEED_SEARCH_H_
 #define DUTIES_SEED_SEARCH_H_
 
+#include <optional>
+
 #include "base/random.h"
 #include "base/time.h"
 #include "duties/current_read_draw.h"
@@ -40,8 +42,9 @@
   // alone and makes current listings only.
   base::Duration NextDelay(bool is_alone, base::Random& random);
   // Returns the delay before the second listing if the first one may be stale
-  // and had no seeds: the fleet may have started since.
-  base::Duration DelayAfterEmptyListing(base::Random& random) const;
+  // and had no seeds: the fleet may have started since. It is short for the few
+  // nodes whose second listing is current.
+  base::Duration DelayAfterEmptyListing(base::Random& random);
 
   // Restarts the ping intervals, as there are new contacts.
   void ResetPingInterval();
@@ -55,6 +58,7 @@
   bool counts_stale_reads_;
   base::Duration longest_wait_;
   bool has_listed_ = false;
+  std::optional<bool> is_next_current_;  // If it was drawn before.
   CurrentReadDraw current_listings_;
   base::Duration backoff_;
   base::Duration ping_interval_;
--- a/src/libs/evacuation_store/evacuation_reader.cc
+++ b/src/libs/evacuation_store/evacuation_reader.cc
@@ -36,7 +36,7 @@
       random_(random),
       on_read_(std::move(read)),
       timing_(max_read_interval, configuration::kMaxShortEvacuationWatch),
-      first_reads_(store.CountsStaleReads()) {}
+      first_reads_(!store.CountsStaleReads()) {}
 
 EvacuationReader::~EvacuationReader() {
   loop_.Cancel(timer_);
@@ -50,8 +50,9 @@
     const membership::Member& self,
     const std::vector<membership::Member>& members) {
   const auto reason = role_.SetMembers(self, members);
-  first_reads_.OnMembers(role_.is_alone());
-  if (reason != configuration::ReadTrigger::kNone && watch_.Abandon())
+  first_reads_.OnMembers(role_.is_alone(), loop_.now());
+  if (reason != configuration::ReadTrigger::kNone &&
+      !first_reads_.IsSettling(loop_.now()) && watch_.Abandon())
     ScheduleSoon();
 }
 
@@ -77,7 +78,7 @@
     FinishRound(false);
     return;
   }
-  const bool may_be_stale = first_reads_.NextMayBeStale(random_);
+  const bool may_be_stale = first_reads_.NextMayBeStale(loop_.now(), random_);
   store_.ListPage(
       format_.prefix,
       may_be_stale ? store::Freshness::kMayBeStale : store::Freshness::kLatest,
--- a/src/libs/fleet_configuration/configuration_reader.cc
+++ b/src/libs/fleet_configuration/configuration_reader.cc
@@ -34,7 +34,7 @@
       apply_(std::move(apply)),
       timing_(max_read_interval, fleet_.max_short_watch),
       role_(fleet_.short_watches),
-      first_reads_(store.CountsStaleReads()) {}
+      first_reads_(!store.CountsStaleReads() && !fleet_.needs_proofs) {}
 
 ConfigurationReader::~ConfigurationReader() {
   loop_.Cancel(timer_);
@@ -50,13 +50,15 @@
     const std::vector<membership::Member>& members) {
   using configuration::ReadTrigger;
   const ReadTrigger reason = role_.SetMembers(self, members);
-  first_reads_.OnMembers(role_.is_alone());
+  first_reads_.OnMembers(role_.is_alone(), loop_.now());
   // Skipped if this node has lost the store itself: it would otherwise read
   // again each time that a short-watch reader loses the store.
   const bool is_known_lost =
       has_lost_store_ && reason == ReadTrigger::kShortWatchReaderLostStore;
-  if (reason == ReadTrigger::kNone || is_known_lost || is_reading_)
+  if (reason == ReadTrigger::kNone || is_known_lost || is_reading_ ||
+      first_reads_.IsSettling(loop_.now())) {
     return;
+  }
   watch_.Abandon();
   must_read_once_ = true;
   Schedule(configuration::ReadTiming::RereadDelay(random_));
@@ -83,7 +85,7 @@
     slow_read_timer_ = 0;
     UpdateStoreState(true);
   });
-  may_be_stale_ = first_reads_.NextMayBeStale(random_);
+  may_be_stale_ = first_reads_.NextMayBeStale(loop_.now(), random_);
   // The clock is read before the read is sent; the loop's time is older.
   store_.ReadHead(
       may_be_stale_ ? store::Freshness::kMayBeStale : store::Freshness::kLatest,
--- a/src/libs/fleet_configuration/configuration_reader.h
+++ b/src/libs/fleet_configuration/configuration_reader.h
@@ -47,6 +47,8 @@
     // Which readers have short watches.
     configuration::ShortWatches short_watches =
         configuration::ShortWatches::kTwoInFleet;
+    // Whether each read has to prove that the configuration is current.
+    bool needs_proofs = false;
     // Limits the watches of these readers.
     std::chrono::milliseconds max_short_watch = configuration::kMaxShortWatch;
   };
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -35,9 +35,13 @@
   return options;
 }
 
+bool NeedsProofs(const settings::NodeSettings& settings) {
+  return settings.revocation_time > base::Duration::zero();
+}
+
 configuration::ShortWatches ShortWatchesOf(
     const settings::NodeSettings& settings) {
-  return settings.revocation_time > base::Duration::zero()
+  return NeedsProofs(settings)
              ? configuration::ShortWatches::kOneInEachDataCentre
              : configuration::ShortWatches::kTwoInFleet;
 }
@@ -47,9 +51,8 @@
 // need short watches in any case.
 std::chrono::milliseconds MaxShortWatch(
     const settings::NodeSettings& settings) {
-  const auto longest = settings.revocation_time > base::Duration::zero()
-                           ? configuration::kMaxShortWatch
-                           : configuration::kMinLongWatch;
+  const auto longest = NeedsProofs(settings) ? configuration::kMaxShortWatch
+                                             : configuration::kMinLongWatch;
   return std::min(longest,
                   std::chrono::duration_cast<std::chrono::milliseconds>(
                       settings.configuration_apply_time * 2 / 5));
@@ -105,6 +108,7 @@
            .report_store_lost =
                [this](bool has_lost) { OnStoreLossChanged(has_lost); },
            .short_watches = ShortWatchesOf(settings),
+           .needs_proofs = NeedsProofs(settings),
            .max_short_watch = MaxShortWatch(settings)},
           random),
       proof_exchange_(loop,
@@ -144,7 +148,7 @@
       operator_api_(MakeManagedNode(), settings) {
   // Closed until the first proof, also if the policy is published for another
   // reason before.
-  if (settings.revocation_time > base::Duration::zero())
+  if (NeedsProofs(settings))
     freshness_policy_.current_until = base::BootInstant();
   AddControlCalls();
 }
