Withdraw the short leases of the allocator's own VM

Likely, not traced: an allocator serves a process that it has not heard before only within 0.5 s after a renewal; after a start of all, the requests delay its renewals. Without that condition the limit would not be exact: a process may have replaced one that asks the next allocator.

--- a/src/libs/limit_service/allocator_role.cc
+++ b/src/libs/limit_service/allocator_role.cc
@@ -38,7 +38,7 @@
 void AllocatorRole::Start(const limits::Authority& authority,
                           base::BootInstant now) {
   allocator_.Start(authority.epoch, authority.roster, authority.takeover_until,
-                   now, authority.vm, authority.displaced);
+                   now);
   allocator_.SetLimits(limits_, now);
   was_taking_over_ = allocator_.is_taking_over(now);
   LogEvent(Event::kLimitAllocatorStarted,
--- a/src/libs/limits/allocator_election.cc
+++ b/src/libs/limits/allocator_election.cc
@@ -15,9 +15,8 @@
 // After it has read that there is an allocator, a candidate reads again at this
 // interval until it hears of one.
 constexpr seconds kReadInterval{1};
-// Part of the lease time without a renewal after which the allocator asks to be
-// displaced.
-constexpr int kRiskDivisor = 3;
+// Renewals in a row that fail before the allocator asks to be displaced.
+constexpr int kMissedRenewals = 2;
 // An author that leaves its entry without a lease for this time has stopped.
 constexpr seconds kStalledTime{2};
 
@@ -26,10 +25,23 @@
 AllocatorElection::AllocatorElection(base::NodeId self,
                                      base::SocketAddress vm,
                                      ElectionOptions options)
-    : self_(self),
-      vm_(vm),
-      options_(options),
-      members_(self, vm, options.lease_time) {}
+    : self_(self), vm_(vm), options_(options) {}
+
+void AllocatorElection::SetMembers(std::vector<ElectionMember> members,
+                                   base::BootInstant now) {
+  if (!started_at_)
+    started_at_ = now;
+  for (const auto* list : {&members_, &members}) {
+    for (const ElectionMember& member : *list) {
+      if (member.is_alive)
+        last_alive_[member.id] = now;
+    }
+  }
+  members_ = std::move(members);
+  std::erase_if(last_alive_, [&](const auto& item) {
+    return !IsAlive(item.first) && now - item.second > options_.lease_time;
+  });
+}
 
 void AllocatorElection::OnNotice(const AllocatorNotice& notice,
                                  base::BootInstant now) {
@@ -121,12 +133,10 @@
     return renewal;
   if (is_entry_uncertain_)
     return {.kind = StoreOperationKind::kReadEntry};
-  const bool is_settled = IsSettled(now);
-  if (wanted_roster_ != entry_.roster || is_settled != entry_.is_settled) {
+  if (wanted_roster_ != entry_.roster) {
     AllocatorEntry entry = entry_;
     entry.epoch = authority_.epoch;
     entry.roster = wanted_roster_;
-    entry.is_settled = is_settled;
     return {.kind = StoreOperationKind::kWriteEntry,
             .entry = entry,
             .revision = revision_};
@@ -137,7 +147,11 @@
 AllocatorEntry AllocatorElection::OwnEntry(StoreLease lease) const {
   AllocatorEntry entry{.holder = self_, .vm = vm_, .lease = lease};
   entry.roster = entry_.roster;
-  members_.AddVmsTo(entry.roster);
+  entry.roster.insert(vm_);
+  for (const ElectionMember& member : members_) {
+    if (member.is_alive)
+      entry.roster.insert(member.vm);
+  }
   if (lease == 0)
     entry.displaced_lease =
         entry_.lease != 0 ? entry_.lease : entry_.displaced_lease;
@@ -199,8 +213,6 @@
       if (result.status != StoreStatus::kFailed) {
         earlier_leases_until_ =
             std::max(earlier_leases_until_, now + options_.lease_time);
-        if (displaced_vm_)
-          displaced_ = {*displaced_vm_, now + kOwnLeaseTime};
         state_ = State::kGranting;
       }
       break;
@@ -222,8 +234,6 @@
   revision_ = result.revision;
   if (revision_ == 0) {
     entry_ = {};
-    displaced_vm_.reset();
-    displaced_.reset();
     state_ = State::kGranting;
   } else if (entry_.holder != self_) {
     OnOtherEntry(now);
@@ -247,22 +257,19 @@
 
 void AllocatorElection::OnOtherEntry(base::BootInstant now) {
   if (MayDisplace(now)) {
-    displaced_vm_ = entry_.is_settled ? std::optional(entry_.vm) : std::nullopt;
-    displaced_.reset();
     state_ = State::kMarking;
     return;
   }
-  const bool has_authority =
-      entry_.lease != 0 && members_.IsAlive(entry_.holder);
+  const bool has_authority = entry_.lease != 0 && IsAlive(entry_.holder);
   Follow(now,
          has_authority ? nanoseconds(kReadInterval) : options_.retry_interval);
 }
 
 bool AllocatorElection::MayDisplace(base::BootInstant now) {
-  if (!members_.SeesHalfOf(entry_.roster))
+  if (!SeesHalfOf(entry_.roster))
     return false;
   if (entry_.is_handed_over ||
-      members_.AbsentFor(entry_.holder, now) >= options_.displacement_delay)
+      AbsentFor(entry_.holder, now) >= options_.displacement_delay)
     return true;
   if (entry_.lease != 0)
     return false;
@@ -279,15 +286,11 @@
   state_ = State::kHolding;
   is_entry_uncertain_ = false;
   wanted_roster_ = entry_.roster;
-  held_since_ = now;
   authority_ = {.epoch = entry_.epoch != 0 ? entry_.epoch
                                            : static_cast<uint64_t>(revision_),
                 .until = renewed_at_ + options_.lease_time,
                 .renewed_at = renewed_at_,
-                .roster = entry_.roster,
-                .vm = vm_,
-                .displaced = std::exchange(displaced_, std::nullopt)};
-  displaced_vm_.reset();
+                .roster = entry_.roster};
   if (earlier_leases_until_ > now)
     authority_.takeover_until = earlier_leases_until_;
   known_.reset();
@@ -378,16 +381,25 @@
 
 std::optional<base::BootInstant> AllocatorElection::TurnAt(
     base::BootInstant now) const {
-  const auto rank = members_.OwnRank();
-  if (!members_.started_at() || !rank || *rank >= kMaxCandidates)
+  if (!started_at_)
+    return std::nullopt;
+  size_t rank = 0;
+  const auto self = std::ranges::find_if(members_, [&](const auto& member) {
+    const bool is_candidate = member.is_alive && member.can_do_store_duty;
+    if (member.id != self_ && is_candidate)
+      ++rank;
+    return member.id == self_;
+  });
+  if (self == members_.end() || !self->can_do_store_duty ||
+      rank >= kMaxCandidates)
     return std::nullopt;
-  base::BootInstant vacant_since = *members_.started_at();
-  if (known_ && members_.IsAlive(known_->holder))
+  base::BootInstant vacant_since = *started_at_;
+  if (known_ && IsAlive(known_->holder))
     vacant_since = heard_at_ + options_.lease_time;
   else if (known_)
-    vacant_since = now - members_.AbsentFor(known_->holder, now) +
-                   options_.displacement_delay;
-  return std::max(pause_until_, vacant_since + static_cast<int64_t>(*rank) *
+    vacant_since =
+        now - AbsentFor(known_->holder, now) + options_.displacement_delay;
+  return std::max(pause_until_, vacant_since + static_cast<int64_t>(rank) *
                                                    options_.candidate_delay);
 }
 
@@ -414,7 +426,7 @@
 
 bool AllocatorElection::IsAtRisk(base::BootInstant now) const {
   return authority(now) &&
-         now >= renewed_at_ + options_.lease_time / kRiskDivisor;
+         now >= renewed_at_ + kMissedRenewals * options_.renewal_interval;
 }
 
 std::optional<AllocatorNotice> AllocatorElection::notice(
@@ -424,4 +436,29 @@
   return AllocatorNotice{.holder = self_, .vm = vm_, .epoch = authority_.epoch};
 }
 
+bool AllocatorElection::IsAlive(base::NodeId id) const {
+  return std::ranges::any_of(members_, [id](const ElectionMember& member) {
+    return member.id == id && member.is_alive;
+  });
+}
+
+nanoseconds AllocatorElection::AbsentFor(base::NodeId id,
+                                         base::BootInstant now) const {
+  if (!started_at_ || IsAlive(id))
+    return nanoseconds(0);
+  const auto seen = last_alive_.find(id);
+  return now - (seen == last_alive_.end() ? *started_at_ : seen->second);
+}
+
+bool AllocatorElection::SeesHalfOf(const Roster& roster) const {
+  const auto seen =
+      std::ranges::count_if(roster, [this](const base::SocketAddress& vm) {
+        return vm == vm_ ||
+               std::ranges::any_of(members_, [&vm](const auto& member) {
+                 return member.is_alive && member.vm == vm;
+               });
+      });
+  return static_cast<size_t>(seen) * 2 >= roster.size();
+}
+
 }  // namespace chestnutport::limits
--- a/src/libs/limits/allocator_election.h
+++ b/src/libs/limits/allocator_election.h
@@ -4,38 +4,74 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 #include "base/boot_clock.h"
 #include "base/node_id.h"
 #include "base/socket_address.h"
 #include "limits/allocator_entry.h"
-#include "limits/election_members.h"
 #include "limits/limit_messages.h"
 #include "limits/share_allocator.h"
-#include "limits/store_operation.h"
 
 namespace chestnutport::limits {
 
+// Members are passed in the order of duties::StoreDutyOrder, including this
+// node.
+struct ElectionMember {
+  base::NodeId id;
+  base::SocketAddress vm;
+  bool is_alive = false;
+  bool can_do_store_duty = false;
+};
+
+enum class StoreOperationKind {
+  kReadEntry,       // Of the store's present state, not a stale read.
+  kGrantLease,      // For `lease_time`.
+  kWriteEntry,      // With `entry.lease`, if the revision is `revision`.
+  kKeepLeaseAlive,  // Renews `lease`.
+  kEndLease,        // Ends `lease`.
+};
+
+// One store call. It should be given up after half a second. A call that was
+// given up may still take effect.
+struct StoreOperation {
+  uint64_t id = 0;
+  StoreOperationKind kind = StoreOperationKind::kReadEntry;
+  AllocatorEntry entry;
+  int64_t revision = 0;  // Zero: the entry must not exist.
+  StoreLease lease = 0;
+  std::chrono::nanoseconds lease_time{};
+};
+
+enum class StoreStatus {
+  kDone,
+  kConflict,  // The revision differs, or the lease does not exist.
+  kFailed,    // Not known to have taken effect.
+};
+
+struct StoreOperationResult {
+  uint64_t id = 0;  // Of the operation.
+  StoreStatus status = StoreStatus::kFailed;
+  base::BootInstant sent_at;
+  // Read; nothing if it does not exist or cannot be decoded.
+  std::optional<AllocatorEntry> entry;
+  int64_t revision = 0;  // Of the entry read or written; zero if none exists.
+  StoreLease lease = 0;  // Granted.
+};
+
 struct Authority {
   uint64_t epoch = 0;
   base::BootInstant until;
   base::BootInstant renewed_at;  // When the last good renewal was sent.
   std::optional<base::BootInstant> takeover_until;
   Roster roster;  // As stored when the authority was acquired.
-  base::SocketAddress vm;
-  // Set if it is known when the processes on the VM of the allocator displaced
-  // last hold nothing.
-  std::optional<DisplacedHolder> displaced;
 };
 
 struct ElectionOptions {
   std::chrono::nanoseconds lease_time = std::chrono::seconds(4);
-  // The allocator's own processes hold leases only between renewals; see
-  // kOwnLeaseTime.
-  std::chrono::nanoseconds renewal_interval = kOwnLeaseTime / 2;
+  std::chrono::nanoseconds renewal_interval = std::chrono::milliseconds(700);
   std::chrono::nanoseconds retry_interval = std::chrono::milliseconds(200);
   // The holder must not have been alive for this time before it is displaced.
   std::chrono::nanoseconds displacement_delay = std::chrono::milliseconds(500);
@@ -43,14 +79,14 @@
   std::chrono::nanoseconds candidate_delay = std::chrono::milliseconds(300);
 };
 
-// Store calls: the holder makes one renewal each 0.25 s, or one each 0.2 s
-// while they fail, one write once it is settled, and one for each change of the
-// roster (at most one each 0.2 s). While no holder is known, only the first
-// eight candidates whose turn has come call the store, each with one call at a
-// time and at most one each 0.2 s, except that a successful call of the
-// acquisition is followed by the next: at most 40 calls per second in the
-// fleet, and four more for each acquisition. Nobody else calls the store while
-// the holder is alive and was heard of within the lease time.
+// Store calls: the holder makes one renewal each 0.7 s, or one each 0.2 s while
+// they fail, and one write for each change of the roster (at most one each
+// 0.2 s). While no holder is known, only the first eight candidates whose turn
+// has come call the store, each with one call at a time and at most one each
+// 0.2 s, except that a successful call of the acquisition is followed by the
+// next: at most 40 calls per second in the fleet, and four more for each
+// acquisition. Nobody else calls the store while the holder is alive and was
+// heard of within the lease time.
 class AllocatorElection {
  public:
   AllocatorElection(base::NodeId self,
@@ -58,9 +94,7 @@
                     ElectionOptions options = {});
 
   // Call it at each change, and at the start.
-  void SetMembers(std::vector<ElectionMember> members, base::BootInstant now) {
-    members_.Set(std::move(members), now);
-  }
+  void SetMembers(std::vector<ElectionMember> members, base::BootInstant now);
 
   // Takes note of an allocator that has authority, as its notices say. This
   // node gives up its own authority if its epoch is lower. Call it before
@@ -115,6 +149,11 @@
 
   void Follow(base::BootInstant now, std::chrono::nanoseconds pause);
   void CheckAuthority(base::BootInstant now);
+  bool IsAlive(base::NodeId id) const;
+  // How long a node has not been alive in this node's view.
+  std::chrono::nanoseconds AbsentFor(base::NodeId id,
+                                     base::BootInstant now) const;
+  bool SeesHalfOf(const Roster& roster) const;
   bool MayDisplace(base::BootInstant now);
   // When it is this node's turn to call the store, if at all.
   std::optional<base::BootInstant> TurnAt(base::BootInstant now) const;
@@ -133,15 +172,13 @@
                        base::BootInstant now);
   void ContinueFromMark(base::BootInstant now);
   void Hold(base::BootInstant now);
-  // Whether all leases on this VM that earlier allocators granted have ended.
-  bool IsSettled(base::BootInstant now) const {
-    return now >= held_since_ + options_.lease_time;
-  }
 
   base::NodeId self_;
   base::SocketAddress vm_;
   ElectionOptions options_;
-  ElectionMembers members_;
+  std::vector<ElectionMember> members_;
+  std::map<base::NodeId, base::BootInstant> last_alive_;
+  std::optional<base::BootInstant> started_at_;
 
   State state_ = State::kFollowing;
   AllocatorEntry entry_;          // Last read or written.
@@ -150,10 +187,6 @@
   base::BootInstant renewed_at_;  // When the last good renewal was sent.
   Roster wanted_roster_;
   Authority authority_;
-  base::BootInstant held_since_;
-  // The VM of the allocator that is being displaced, if its entry was settled.
-  std::optional<base::SocketAddress> displaced_vm_;
-  std::optional<DisplacedHolder> displaced_;
   // A write whose outcome is not known: the entry has to be read.
   bool is_entry_uncertain_ = false;
   // End of what may be in use of earlier allocators, if this node displaced
--- a/src/libs/limits/allocator_entry.h
+++ b/src/libs/limits/allocator_entry.h
@@ -31,9 +31,6 @@
   // have ended.
   StoreLease displaced_lease = 0;
   bool is_handed_over = false;  // The author does not continue.
-  // The processes on `vm` hold only what the holder itself has granted them,
-  // for kOwnLeaseTime since its last good renewal at most.
-  bool is_settled = false;
   // VMs that may hold leases of this allocator or of those before.
   std::set<base::SocketAddress> roster;
 
--- a/src/libs/limits/share_allocator.cc
+++ b/src/libs/limits/share_allocator.cc
@@ -13,12 +13,8 @@
 void ShareAllocator::Start(uint64_t epoch,
                            const Roster& roster,
                            std::optional<base::BootInstant> takeover_until,
-                           base::BootInstant now,
-                           const base::SocketAddress& vm,
-                           const std::optional<DisplacedHolder>& displaced) {
+                           base::BootInstant now) {
   Stop();
-  vm_ = vm;
-  displaced_ = displaced;
   epoch_ = epoch;
   roster_ = roster;
   stored_roster_ = roster;
@@ -66,8 +62,7 @@
 std::optional<LimitAnswer> ShareAllocator::OnRequest(
     const LimitRequest& request,
     base::BootInstant now) {
-  if (!is_started() || request.epoch != epoch_ ||
-      !MayGrantTo(request.vm, request.process, now))
+  if (!is_started() || request.epoch != epoch_ || now >= authority_until_)
     return std::nullopt;
   roster_.insert(request.vm);
   ObserveProcess(request, now);
@@ -75,15 +70,11 @@
                          .is_taking_over = is_taking_over(now),
                          .until = authority_until_,
                          .earlier_leases_until = earlier_leases_until_};
-  LimitAnswer answer{
-      .process = request.process,
-      .epoch = epoch_,
-      .sequence = request.sequence,
-      .remaining = (request.vm == vm_ ? std::min(authority_until_,
-                                                 renewed_at_ + kOwnLeaseTime)
-                                      : authority_until_) -
-                   now,
-      .is_taking_over = terms.is_taking_over};
+  LimitAnswer answer{.process = request.process,
+                     .epoch = epoch_,
+                     .sequence = request.sequence,
+                     .remaining = authority_until_ - now,
+                     .is_taking_over = terms.is_taking_over};
   for (const LimitRequestEntry& wanted : request.entries) {
     if (!tenants_.contains(wanted.tenant) && tenants_.size() >= kMaxTenants)
       return std::nullopt;
@@ -123,13 +114,10 @@
       (is_second_round_ && request.last_answer <= round_serial_))
     return;
   missing_.erase(request.vm);
-  if (!IsRoundComplete())
+  if (!missing_.empty())
     return;
   if (is_second_round_) {
-    takeover_until_ = missing_.empty()
-                          ? std::nullopt
-                          : std::optional(std::min(*takeover_until_,
-                                                   displaced_->leases_until));
+    takeover_until_.reset();
     return;
   }
   is_second_round_ = true;
@@ -137,22 +125,6 @@
   missing_ = stored_roster_;
 }
 
-bool ShareAllocator::IsRoundComplete() const {
-  return missing_.empty() || (displaced_ && missing_.size() == 1 &&
-                              missing_.contains(displaced_->vm));
-}
-
-bool ShareAllocator::MayGrantTo(const base::SocketAddress& vm,
-                                base::NodeId process,
-                                base::BootInstant now) const {
-  if (now >= authority_until_)
-    return false;
-  const auto known = processes_.find(vm);
-  const bool is_known =
-      known != processes_.end() && known->second.contains(process);
-  return IsFresh(now) || (is_known && vm != vm_);
-}
-
 void ShareAllocator::DropAbsent(const Roster& present, base::BootInstant now) {
   // Leases of earlier allocators are unknown until the phase has ended.
   if (!is_started() || is_taking_over(now) || now < earlier_leases_until_)
--- a/src/libs/limits/share_allocator.h
+++ b/src/libs/limits/share_allocator.h
@@ -2,7 +2,6 @@
 #ifndef LIMITS_SHARE_ALLOCATOR_H_
 #define LIMITS_SHARE_ALLOCATOR_H_
 
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -23,18 +22,6 @@
 
 using Roster = std::set<base::SocketAddress>;
 
-// What an allocator grants to the processes on its own VM ends this long after
-// its last good renewal. If it is displaced but does not answer, the next
-// allocator knows when that VM holds nothing any more.
-inline constexpr std::chrono::milliseconds kOwnLeaseTime(500);
-
-// The VM of an allocator that was displaced and of which only kOwnLeaseTime is
-// known.
-struct DisplacedHolder {
-  base::SocketAddress vm;
-  base::BootInstant leases_until;  // Of the processes on this VM.
-};
-
 // For operators.
 struct TenantAllocationView {
   std::string tenant;
@@ -57,16 +44,11 @@
   // ends early when each VM of the roster has asked twice and has reported all.
   // After the first round no earlier allocator grants any more, because a
   // process that asks this one has stopped its own. The second round has
-  // reports of processes that were alive after that. The rounds do not wait for
-  // the VM of `displaced`: if all others have asked, its allocator can grant to
-  // its own processes only, and the phase ends with their leases.
-  // `vm` is this allocator's own.
+  // reports of processes that were alive after that.
   void Start(uint64_t epoch,
              const Roster& roster,
              std::optional<base::BootInstant> takeover_until,
-             base::BootInstant now,
-             const base::SocketAddress& vm = {},
-             const std::optional<DisplacedHolder>& displaced = std::nullopt);
+             base::BootInstant now);
 
   // Sets the end of the present authority and when its last good renewal was
   // sent; see AllocatorElection::authority(). A lease that ended after that
@@ -96,19 +78,7 @@
   // The entry has been written with `roster`.
   void OnRosterStored(const Roster& roster);
 
-  // Whether the last renewal is so recent that no other allocator grants.
-  bool IsFresh(base::BootInstant now) const {
-    return now < renewed_at_ + kOwnLeaseTime;
-  }
-  // Whether a request of this process may be granted anything now. A displaced
-  // allocator that has not noticed must not serve a process that has not asked
-  // it before: the process may have replaced one that asks the next allocator.
-  bool MayGrantTo(const base::SocketAddress& vm,
-                  base::NodeId process,
-                  base::BootInstant now) const;
-
   bool is_started() const { return epoch_ != 0; }
-  uint64_t epoch() const { return epoch_; }  // Zero: stopped.
   bool is_taking_over(base::BootInstant now) const;
 
   std::vector<TenantAllocationView> View(base::BootInstant now);
@@ -117,11 +87,8 @@
   void ObserveProcess(const LimitRequest& request, base::BootInstant now);
   bool MayHoldLeases(const base::SocketAddress& vm) const;
   void AdvanceTakeover(const LimitRequest& request, base::BootInstant now);
-  bool IsRoundComplete() const;
 
   std::vector<TenantLimit> limits_;
-  base::SocketAddress vm_;
-  std::optional<DisplacedHolder> displaced_;
   uint64_t epoch_ = 0;   // Zero: stopped.
   uint64_t serial_ = 0;  // Of the last answer.
   base::BootInstant authority_until_;
--- a/src/libs/limits/tenant_limiter.cc
+++ b/src/libs/limits/tenant_limiter.cc
@@ -12,7 +12,6 @@
 using std::chrono::seconds;
 
 constexpr seconds kRegularInterval{1};
-constexpr milliseconds kShortestRegularInterval{50};
 constexpr milliseconds kUrgentInterval{20};
 constexpr milliseconds kLongestWait{100};
 // A new allocator is told what this process holds until it answers that its
@@ -201,13 +200,6 @@
   }
   if (!answer.is_taking_over)
     confirmation_due_.reset();
-  // Leases that end soon are renewed before.
-  if (regular_due_) {
-    regular_due_ =
-        std::min(*regular_due_,
-                 now + std::max<std::chrono::nanoseconds>(
-                           answer.remaining / 2, kShortestRegularInterval));
-  }
 }
 
 std::vector<ReadyRequest> TenantLimiter::TakeReady(base::BootInstant now) {
