--- a/src/libs/membership/update_queue.h
+++ b/src/libs/base/update_queue.h
@@ -1,12 +1,12 @@
 // Updates that a node still has to send.
-#ifndef MEMBERSHIP_UPDATE_QUEUE_H_
-#define MEMBERSHIP_UPDATE_QUEUE_H_
+#ifndef BASE_UPDATE_QUEUE_H_
+#define BASE_UPDATE_QUEUE_H_
 
 #include <algorithm>
 #include <cstddef>
 #include <vector>
 
-namespace chestnutport::membership {
+namespace chestnutport::base {
 
 // Identifies the member or the request that an update is about. The content is
 // looked up when the update is sent, so that it is current.
@@ -97,6 +97,6 @@
   }
 }
 
-}  // namespace chestnutport::membership
+}  // namespace chestnutport::base
 
-#endif  // MEMBERSHIP_UPDATE_QUEUE_H_
+#endif  // BASE_UPDATE_QUEUE_H_
--- a/src/libs/membership/evidence_disseminator.h
+++ b/src/libs/membership/evidence_disseminator.h
@@ -17,9 +17,9 @@
 
 #include "base/request_fingerprint.h"
 #include "base/time.h"
+#include "base/update_queue.h"
 #include "membership/byte_rate_limiter.h"
 #include "membership/gossip_options.h"
-#include "membership/update_queue.h"
 #include "quarantine/crash_ledger.h"
 #include "quarantine/request_evidence.h"
 
@@ -69,7 +69,7 @@
   uint64_t digest() const { return ledger_.digest(); }
 
  private:
-  using Queue = UpdateQueue<base::RequestFingerprint>;
+  using Queue = base::UpdateQueue<base::RequestFingerprint>;
 
   // Whether the ledger has more evidence on the request than `received`.
   bool HasMoreThan(const quarantine::RequestEvidence& received) const;
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -14,6 +14,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "base/random.h"
 #include "base/time.h"
+#include "base/update_queue.h"
 #include "evacuation/local_evacuations.h"
 #include "membership/byte_rate_limiter.h"
 #include "membership/datagram_authenticator.h"
@@ -24,7 +25,6 @@
 #include "membership/gossip_output.h"
 #include "membership/member_table.h"
 #include "membership/record_cache.h"
-#include "membership/update_queue.h"
 #include "quarantine/crash_ledger.h"
 
 namespace chestnutport::membership {
@@ -216,7 +216,7 @@
   uint64_t reported_revision_ = 0;
   base::Instant revision_reported_at_;
   MemberTable table_;
-  UpdateQueue<base::NodeId> updates_;
+  base::UpdateQueue<base::NodeId> updates_;
   EvidenceDisseminator evidence_;
   evacuation::LocalEvacuations evacuations_;
   ByteRateLimiter budget_;
--- a/src/libs/membership/gossip_sending.cc
+++ b/src/libs/membership/gossip_sending.cc
@@ -62,7 +62,7 @@
   size_t size = message.SizeWithoutUpdates();
   for (const MemberUpdate& item : message.updates)
     size += GossipMessage::MaxEncodedSize(item);
-  updates_.TakePiggybacked([&](const QueuedUpdate<base::NodeId>& queued) {
+  updates_.TakePiggybacked([&](const base::QueuedUpdate<base::NodeId>& queued) {
     const MemberEntry* entry = table_.Find(queued.id);
     if (!entry || entry->state == MemberState::kGone)
       return true;
@@ -89,7 +89,7 @@
   while (updates_.HasUnsent() && budget_.HasTokens(now)) {
     GossipMessage message = MakeMessage(MessageType::kUpdate, {});
     size_t size = message.SizeWithoutUpdates();
-    updates_.TakeUnsent([&](const QueuedUpdate<base::NodeId>& queued) {
+    updates_.TakeUnsent([&](const base::QueuedUpdate<base::NodeId>& queued) {
       const MemberEntry* entry = table_.Find(queued.id);
       if (!entry || entry->state == MemberState::kGone)
         return true;
