Tell how late a traffic thread reads, and on which connection an attempt ran

Cause: no line or metric told apart a request that a server read late on a kept connection from one that a node read late.

What the metric costs is not measured: one reading of the clock a round.

--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -198,6 +198,7 @@
                  .error = error,
                  .queued = record.queued,
                  .serving = record.serving,
+                 .on_kept_connection = attempt.on_kept_connection,
                  .admitted_slowness = attempt.slowness,
                  .slowness_age = attempt.slowness_age});
 }
--- a/src/libs/gate/gate_attempt.h
+++ b/src/libs/gate/gate_attempt.h
@@ -39,6 +39,8 @@
   net::HttpRequest request;
   net::Reply reply;
   net::HttpClient::TransferId transfer = 0;
+  // An earlier request had used the connection to the server.
+  bool on_kept_connection = false;
   // Of an answer that is streamed.
   std::unique_ptr<traffic::AnswerRelay> relay;
 };
--- a/src/libs/gate/gate_log.cc
+++ b/src/libs/gate/gate_log.cc
@@ -58,6 +58,7 @@
        {"queued", base::FormatDuration(decision.queued)},
        {"serving", base::FormatDuration(
                        decision.serving.value_or(base::Duration::zero()))},
+       {"kept_connection", decision.on_kept_connection ? "yes" : "no"},
        {"admitted_slowness",
         absl::StrFormat("%.2f", decision.admitted_slowness)},
        {"slowness_age", decision.slowness_age
--- a/src/libs/gate/gate_log.h
+++ b/src/libs/gate/gate_log.h
@@ -23,6 +23,8 @@
   std::optional<base::ErrorKind> error;  // Unset: answered by the server.
   base::Duration queued{};
   std::optional<base::Duration> serving;  // Unset: not sent to the server.
+  // An earlier request had used the connection to the server.
+  bool on_kept_connection = false;
   // The slowness known at admission, and the age of its report.
   double admitted_slowness = 1;
   std::optional<base::Duration> slowness_age;  // Unset: no report.
--- a/src/libs/gate/gate_serving.cc
+++ b/src/libs/gate/gate_serving.cc
@@ -107,6 +107,7 @@
   if (ended.empty())
     return;
   GateAttempt& attempt = *ended.mapped();
+  attempt.on_kept_connection = result.on_kept_connection;
   const base::Instant now = base::Clock::now();
   const server::ServerVerdict verdict =
       result.end == net::TransferEnd::kComplete
@@ -223,6 +224,8 @@
     return before;
   auto node = attempts_.extract(id);
   if (!node.empty()) {
+    node.mapped()->on_kept_connection =
+        client_.IsOnKeptConnection(node.mapped()->transfer);
     client_.Cancel(node.mapped()->transfer);
     running_.OnAbandoned(node.mapped()->name);
     quarantine_filter_.OnEnded(id, node.mapped()->guarded.fingerprint,
--- a/src/libs/net/event_loop.cc
+++ b/src/libs/net/event_loop.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace chestnutport::net {
 namespace {
@@ -114,6 +115,7 @@
   const int count =
       epoll_wait(epoll_fd_, events.data(), kEventsPerRound, WaitMilliseconds());
   now_ = base::Clock::now();
+  longest_delay_ = std::max(longest_delay_, TimerDelay());
   for (int i = 0; i < count; ++i) {
     const uint64_t data = events[i].data.u64;
     const auto found = watched_.find(static_cast<int>(data & UINT32_MAX));
@@ -127,6 +129,17 @@
   RunTimers();
   RunDeferred();
   retired_.clear();
+  longest_delay_ = std::max(longest_delay_, base::Clock::now() - now_);
+}
+
+base::Duration EventLoop::TakeLongestDelay() {
+  return std::exchange(longest_delay_, {});
+}
+
+base::Duration EventLoop::TimerDelay() const {
+  if (timers_.empty())
+    return {};
+  return std::max<base::Duration>(now_ - timers_.begin()->first.first, {});
 }
 
 int EventLoop::WaitMilliseconds() const {
--- a/src/libs/net/event_loop.h
+++ b/src/libs/net/event_loop.h
@@ -53,6 +53,10 @@
   // The time at which this round began: one reading for a whole round.
   base::Instant now() const { return now_; }
 
+  // Returns the longest time since the last call in which the loop did not look
+  // at its descriptors: in a round, or because a timer woke it late.
+  base::Duration TakeLongestDelay();
+
  private:
   using TimerKey = std::pair<base::Instant, TimerId>;
   struct Watched {
@@ -66,6 +70,8 @@
 
   void RunRound();
   int WaitMilliseconds() const;
+  // Since when the earliest timer is due; zero if none is.
+  base::Duration TimerDelay() const;
   void RunTimers();
   void RunPosted();
   void RunDeferred();
@@ -74,6 +80,7 @@
   int wake_fd_;
   bool stopped_ = false;
   base::Instant now_;
+  base::Duration longest_delay_{};
   TimerId last_timer_ = 0;
   std::map<TimerKey, Task> timers_;
   absl::flat_hash_map<TimerId, base::Instant> timer_times_;
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -111,6 +111,7 @@
   Host& host = hosts_[KeyOf(transfer.to)];
   if (HttpClientConnection* connection = TakeIdle(host)) {
     SetTimer(transfer, transfer.deadline);
+    transfer.on_kept_connection = true;
     connection->Begin(transfer);
     return;
   }
@@ -225,6 +226,7 @@
   result.answer = std::move(transfer.answer);
   result.is_streamed = transfer.is_streamed;
   result.is_refused = transfer.is_refused;
+  result.on_kept_connection = transfer.on_kept_connection;
   const Done done = std::move(transfer.done);
   ended_transfers_.push_back(std::move(node.mapped()));
   DestroySoon();
@@ -271,6 +273,11 @@
   return connection && !connection->IsConnecting();
 }
 
+bool HttpClient::IsOnKeptConnection(TransferId transfer) const {
+  const auto found = transfers_.find(transfer);
+  return found != transfers_.end() && found->second->on_kept_connection;
+}
+
 HttpTransfer* HttpClient::Find(TransferId transfer) {
   const auto found = transfers_.find(transfer);
   return found == transfers_.end() ? nullptr : found->second.get();
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -36,6 +36,8 @@
   bool is_streamed = false;  // The body was handed on.
   // Of kNotSent: nobody listens at the address.
   bool is_refused = false;
+  // An earlier request had used the connection.
+  bool on_kept_connection = false;
 };
 
 struct HttpClientOptions {
@@ -101,6 +103,10 @@
   // that waits for a connection, or is not there any more.
   bool IsSent(TransferId transfer) const;
 
+  // Whether an earlier request had used the transfer's connection; false if it
+  // has none.
+  bool IsOnKeptConnection(TransferId transfer) const;
+
   // Those begun and neither done nor cancelled.
   size_t transfers() const { return transfers_.size(); }
   // Connections opened, and answers to other requests skipped, so far.
--- a/src/libs/net/http_transfer.h
+++ b/src/libs/net/http_transfer.h
@@ -27,6 +27,7 @@
   base::Instant deadline;  // Later it is not sent any more.
   bool is_streamed = false;
   bool is_refused = false;
+  bool on_kept_connection = false;
   std::string held_part;  // Of a paused transfer, to be handed on again.
   bool is_paused = false;
   HttpClientConnection* connection = nullptr;  // Null: waits for one.
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -74,6 +74,11 @@
   return {telemetry::Metric::kInFlight, role, static_cast<double>(count)};
 }
 
+telemetry::Reading LoopDelay(const char* role, net::EventLoop& loop) {
+  const std::chrono::duration<double> delay = loop.TakeLongestDelay();
+  return {telemetry::Metric::kLoopDelay, role, delay.count()};
+}
+
 }  // namespace
 
 struct Node::Threads {
@@ -164,12 +169,17 @@
   }
 
   std::vector<operators::MetricsCollector::Source> MetricsSources() {
-    return {
-        {ingress_loop, [this] { return &ingress.metrics(); },
-         [this] { return InFlight("ingress", ingress.in_flight()); },
-         [this] { return ingress::TenantReadings(ingress.tenants().View()); }},
-        {gate_loop, [this] { return &gate.metrics(); },
-         [this] { return InFlight("gate", gate.in_flight()); }}};
+    return {{ingress_loop, [this] { return &ingress.metrics(); },
+             [this] { return InFlight("ingress", ingress.in_flight()); },
+             [this] {
+               auto readings =
+                   ingress::TenantReadings(ingress.tenants().View());
+               readings.push_back(LoopDelay("ingress", ingress_loop));
+               return readings;
+             }},
+            {gate_loop, [this] { return &gate.metrics(); },
+             [this] { return InFlight("gate", gate.in_flight()); },
+             [this] { return std::vector{LoopDelay("gate", gate_loop)}; }}};
   }
 
   // The gate needs only the configuration of a snapshot, and only if its
--- a/src/libs/operators/metrics_collector.cc
+++ b/src/libs/operators/metrics_collector.cc
@@ -76,8 +76,7 @@
     return;
   telemetry::MetricsReport& report = collection.report;
   report.readings.push_back(source.in_flight());
-  if (source.readings)
-    std::ranges::move(source.readings(), std::back_inserter(report.readings));
+  std::ranges::move(source.readings(), std::back_inserter(report.readings));
   std::ranges::move(collection.calls.series, std::back_inserter(report.calls));
   std::ranges::move(collection.attempts.series,
                     std::back_inserter(report.attempts));
--- a/src/libs/operators/metrics_collector.h
+++ b/src/libs/operators/metrics_collector.h
@@ -25,8 +25,7 @@
     net::EventLoop& loop;
     std::function<const telemetry::TrafficMetrics*()> metrics;
     std::function<telemetry::Reading()> in_flight;
-    // Further readings; may be empty.
-    std::function<std::vector<telemetry::Reading>()> readings = nullptr;
+    std::function<std::vector<telemetry::Reading>()> readings;  // Further ones.
   };
 
   MetricsCollector(net::EventLoop& control_loop, std::vector<Source> sources);
--- a/src/libs/telemetry/metric.cc
+++ b/src/libs/telemetry/metric.cc
@@ -55,6 +55,10 @@
                       MetricType::kGauge, "role",
                       "Requests in flight: callers' (ingress), and attempts "
                       "waiting or running (gate)."},
+    MetricDescription{Metric::kLoopDelay, "chestnutport_loop_delay_seconds",
+                      MetricType::kGauge, "role",
+                      "Longest time since the last reading in which the thread "
+                      "did not look at its connections."},
     MetricDescription{Metric::kMembers, "chestnutport_members",
                       MetricType::kGauge, "state",
                       "Nodes that this node knows."},
--- a/src/libs/telemetry/metric.h
+++ b/src/libs/telemetry/metric.h
@@ -24,6 +24,7 @@
   kAttemptErrors,
   kAttemptsRateLimited,
   kInFlight,
+  kLoopDelay,
   kMembers,
   kRevision,
   kConfigurationBehind,
--- a/tests/auto/net/event_loop_test.cc
+++ b/tests/auto/net/event_loop_test.cc
@@ -44,6 +44,17 @@
     CHECK(seen == "ab");
   }
 
+  SECTION("the longest delay between two looks at the descriptors is told") {
+    constexpr milliseconds kBusy(30);
+    loop.CallAfter(milliseconds(0), [&] {
+      std::this_thread::sleep_for(kBusy);
+      loop.Stop();
+    });
+    loop.Run();
+    CHECK(loop.TakeLongestDelay() >= kBusy);
+    CHECK(loop.TakeLongestDelay() == base::Duration::zero());
+  }
+
   SECTION("a timer cancelled by one of the same round does not run") {
     const base::Instant due = base::Clock::now();
     EventLoop::TimerId second = 0;
--- a/tests/auto/net/http_client_test.cc
+++ b/tests/auto/net/http_client_test.cc
@@ -252,6 +252,13 @@
   CHECK(connections == 2);
 }
 
+TEST_CASE("a result tells whether its connection had been used before") {
+  Client caller;
+  RawServer server(Answer({kOk, kOk}));
+  CHECK_FALSE(caller.Get(server.address()).on_kept_connection);
+  CHECK(caller.Get(server.address()).on_kept_connection);
+}
+
 TEST_CASE("a kept connection is left before the other end forgets it") {
   Client caller;
   std::atomic<int> connections = 0;
