Close a connection to a server after it rejected a request with a body

Cause: a server may reject a long body before it has read it, keep the connection and read on later. The client took a connection as free once all bytes of the request were written and the answer was whole. Written is not read: the rest of the body lay in the socket buffers, and the next request was written behind it. It began when the server read on, with the close of its cancellation right behind it. Kept connections are used last in, first out, so the next request to that server got it.

Ruled out: a node that reads late. Without early rejections, with the same callers leaving and servers slow, no such request.

Change: after an answer other than a success to a request with a body, the connection is closed. Between nodes it is kept, as a node answers only once it has read a request.

Why it works: a request is written only to a connection on which the server has nothing left to read.

--- a/src/libs/ingress/attempt_sender.cc
+++ b/src/libs/ingress/attempt_sender.cc
@@ -34,6 +34,7 @@
 net::HttpClientOptions PeerClientOptions() {
   net::HttpClientOptions options;
   options.connect_timeout = kConnectTimeout;
+  options.answers_after_reading = true;
   return options;
 }
 
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -93,6 +93,7 @@
     return transfer.id;
   }
   transfer.is_head = given.method == "HEAD";
+  transfer.has_body = !given.body.empty();
   if (!options_.answer_tag.empty())
     transfer.tag = FindHeader(given.headers, options_.answer_tag);
   transfer.bytes = Serialize(to, given);
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -49,6 +49,10 @@
   // A header that the other end echoes from the request: an answer in which it
   // differs is another request's, and is skipped. Empty: none.
   std::string answer_tag;
+  // The other end answers a request only once it has read all of it. If not, a
+  // connection is closed after the rejection of a request with a body: the next
+  // request would wait until the other end has read the body.
+  bool answers_after_reading = false;
   TcpOptions tcp;
 
   // Each request opens a connection, so that none can have gone silent before.
--- a/src/libs/net/http_client_connection.h
+++ b/src/libs/net/http_client_connection.h
@@ -57,6 +57,9 @@
   // False if the transfer is paused or gone.
   bool HandOn();
   bool TakePart(std::string part);
+  // Whether the other end has read the whole request, as far as its answer with
+  // `status` shows.
+  bool IsRequestRead(unsigned status) const;
   void OnAnswerWhole();
   // The other end closed, or the connection failed.
   void OnEnd(bool orderly);
--- a/src/libs/net/http_client_connection_answer.cc
+++ b/src/libs/net/http_client_connection_answer.cc
@@ -13,6 +13,7 @@
 
 constexpr uint32_t kLargestHead = 64 * 1024;  // Bytes, of an answer.
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kFirstStatusAfterSuccess = 300;
 // Of the time for which the other end says that it keeps a connection, what is
 // relied on: it counts from when it sent, and its clock may round down.
 constexpr double kKeptShare = 0.8;
@@ -155,11 +156,18 @@
   return true;
 }
 
+bool HttpClientConnection::IsRequestRead(unsigned status) const {
+  if (sent_ < transfer_->bytes.size())
+    return false;
+  return !transfer_->has_body || status < kFirstStatusAfterSuccess ||
+         client_.options().answers_after_reading;
+}
+
 void HttpClientConnection::OnAnswerWhole() {
-  const bool keeps =
-      parser_->keep_alive() && parser_->get().result_int() >= kFirstFinalStatus;
+  const unsigned status = parser_->get().result_int();
+  const bool is_interim = status < kFirstFinalStatus;
+  const bool keeps = parser_->keep_alive() && !is_interim;
   const bool skipped = std::exchange(skips_answer_, false);
-  const bool is_interim = parser_->get().result_int() < kFirstFinalStatus;
   parser_.reset();
   head_done_ = false;
   if (skipped) {
@@ -168,7 +176,7 @@
       Fail(TransferEnd::kLost);
     return;
   }
-  const bool is_clean = sent_ == transfer_->bytes.size() && in_.empty();
+  const bool is_clean = IsRequestRead(status) && in_.empty();
   HttpTransfer& done = *std::exchange(transfer_, nullptr);
   done.connection = nullptr;
   if (keeps && is_clean)
--- a/src/libs/net/http_transfer.h
+++ b/src/libs/net/http_transfer.h
@@ -19,6 +19,7 @@
   base::SocketAddress to;
   std::string bytes;  // The request as it goes over the connection.
   bool is_head = false;
+  bool has_body = false;
   std::string tag;  // What the answer's tag must be; empty: any answer will do.
   HttpAnswer answer{.status = 0, .headers = {}, .body = ""};
   HttpClient::OnHead on_head;
--- a/tests/auto/net/unread_body_test.cc
+++ b/tests/auto/net/unread_body_test.cc
@@ -85,5 +85,20 @@
   CHECK(connections == 1);
 }
 
+TEST_CASE("a connection to a server that reads first outlives a rejection") {
+  std::atomic<int> connections = 0;
+  RawServer server([&](RawSocket& connection, int number) {
+    connections = number;
+    while (!connection.ReadMessage().empty())
+      connection.Send(kRejected);
+  });
+  HttpClientOptions options;
+  options.answers_after_reading = true;
+  Caller caller(options);
+  for (int i = 0; i < 3; ++i)
+    CHECK(caller.Ask(server.address(), Upload(1'000)).answer.status == 503);
+  CHECK(connections == 1);
+}
+
 }  // namespace
 }  // namespace chestnutport::net
