Never start a request whose caller has closed before it was read

A node that had not read for a while started requests of callers that had left, and stopped them afterwards; those that must not be interrupted ran to their end.

Cause: HttpConnection handed a request on before it looked whether the caller had closed behind it, though epoll reports the close with the bytes. A connection with a full pipeline was not watched for its close at all, and an attempt that waited for a probe at a gate was admitted without looking.

Change: the reply of such a request is not open when its handler is called. Cancellations between nodes, announcements and operators' calls are handled as before, though their sender has closed. At dispatch the socket is looked at once more, as a round may have lasted long since its events were read.

The test "a caller that sends its request and closes at once is noticed" asked for the handler to be told by OnGone. That is now so only if the close comes after the request is read; its sections ask for each case, and for the reply that is not open. promise_gone_caller_test now waits until the node is stopped: SIGSTOP takes effect late, and what the node still read before was started rightly.

--- a/src/libs/gate/gate.h
+++ b/src/libs/gate/gate.h
@@ -88,6 +88,9 @@
   // Admits the requests that waited for an on-demand probe.
   void AdmitDeferred();
   void Admit(GateArrival arrival);
+  // Records that an attempt never runs whose sender has disconnected before it
+  // was admitted.
+  void DiscardAbandoned(const GateArrival& arrival, base::Instant now);
   // Answers the request with an error if this server cannot or must not run it,
   // or if another server would do better. Returns whether it did.
   bool RejectIfUnservable(GateArrival& arrival, base::Instant now);
--- a/src/libs/gate/gate_admission.cc
+++ b/src/libs/gate/gate_admission.cc
@@ -88,9 +88,9 @@
   // takes, so a request that could be sent elsewhere waits for a probe if there
   // is no recent report. A server whose rate is limited is not probed: a probe
   // costs a cold server as much as a request.
-  const bool may_wait = head.may_move && server_.AcceptsRequests() &&
-                        admission_.HasCapacity(now) &&
-                        !admission_.IsRateLimited(now);
+  const bool may_wait =
+      arrival.reply.IsOpen() && head.may_move && server_.AcceptsRequests() &&
+      admission_.HasCapacity(now) && !admission_.IsRateLimited(now);
   if (may_wait && observer_.ProbeIfStale(now))
     waiting_for_probe_.push_back(std::move(arrival));
   else
@@ -104,6 +104,10 @@
 
 void Gate::Admit(GateArrival arrival) {
   const base::Instant now = base::Clock::now();
+  if (!arrival.reply.IsOpen()) {
+    DiscardAbandoned(arrival, now);
+    return;
+  }
   if (RejectIfUnservable(arrival, now))
     return;
   const wire::PeerRequestHead& head = arrival.head;
@@ -130,6 +134,19 @@
   Perform(actions);
 }
 
+void Gate::DiscardAbandoned(const GateArrival& arrival, base::Instant now) {
+  const wire::PeerRequestHead& head = arrival.head;
+  if (arrival.is_inquiry)
+    return;
+  // An earlier arrival of the same attempt may be running.
+  if (admission_.State(head.attempt) == AttemptState::kUnknown)
+    admission_.Cancel(head.attempt, now);
+  LogDecision({.request = head.request_name,
+               .fingerprint = head.fingerprint,
+               .error = ErrorKind::kCancelled,
+               .queued = now - arrival.arrived_at});
+}
+
 bool Gate::RejectIfUnservable(GateArrival& arrival, base::Instant now) {
   const wire::PeerRequestHead& head = arrival.head;
   if (!server_.announced || server_.service != head.service ||
--- a/src/libs/ingress/call_log.cc
+++ b/src/libs/ingress/call_log.cc
@@ -138,4 +138,11 @@
                    {"sent", DescribeAttempts(call, now)}});
 }
 
+void LogCallerGoneBeforeStart(const std::string& request) {
+  LogRequestEvent(Event::kCallerGone,
+                  {{"request", request},
+                   {"took", base::FormatDuration(base::Duration::zero())},
+                   {"sent", ""}});
+}
+
 }  // namespace chestnutport::ingress
--- a/src/libs/ingress/call_log.h
+++ b/src/libs/ingress/call_log.h
@@ -37,6 +37,8 @@
 
 // Logs that the caller disconnected before its answer.
 void LogCallerGone(const ActiveCall& call, base::Instant now);
+// Logs that the caller had disconnected when its request was read.
+void LogCallerGoneBeforeStart(const std::string& request);
 
 }  // namespace chestnutport::ingress
 
--- a/src/libs/ingress/ingress.cc
+++ b/src/libs/ingress/ingress.cc
@@ -144,6 +144,10 @@
 
 void Ingress::OnRequest(net::HttpRequest http, net::Reply reply) {
   const std::string request_id = protocol_.request_id(http);
+  if (!reply.IsOpen()) {
+    LogCallerGoneBeforeStart(request_id);
+    return;
+  }
   auto read =
       protocol_.read(*snapshot_.configuration, std::move(http), random_);
   if (!read) {
--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -56,10 +56,9 @@
 void HttpConnection::Watch() {
   if (closed_)
     return;
-  // While a full pipeline holds up reading, only a reset is reported.
-  uint32_t events = 0;
+  uint32_t events = EPOLLRDHUP;
   if (MayParse() || reads_no_more_)
-    events |= EPOLLIN | EPOLLRDHUP;
+    events |= EPOLLIN;
   if (HasOutput())
     events |= EPOLLOUT;
   if (std::exchange(watched_, events) == events)
@@ -74,10 +73,11 @@
 void HttpConnection::OnReady(uint32_t epoll_events) {
   if (closed_)
     return;
-  const bool failed = epoll_events & (EPOLLHUP | EPOLLERR);
-  if (failed && !MayParse() && !reads_no_more_)
+  if (epoll_events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR))
+    is_caller_gone_ = true;
+  if (is_caller_gone_ && !MayParse() && !reads_no_more_)
     OnHalfClosed();
-  else if (failed || epoll_events & (EPOLLIN | EPOLLRDHUP))
+  else if (is_caller_gone_ || epoll_events & EPOLLIN)
     Read();
   if (!closed_ && (epoll_events & EPOLLOUT))
     Flush();
@@ -214,10 +214,25 @@
   // What follows a request that ends the connection is no request.
   if (form.closes_after)
     reads_no_more_ = true;
-  if (const auto refusal = std::exchange(refusal_, std::nullopt))
+  if (const auto refusal = std::exchange(refusal_, std::nullopt)) {
     exchange->Send(MakeErrorAnswer(*refusal));
-  else
-    server_.Handle(std::move(request), Reply(exchange));
+    return;
+  }
+  Reply reply(exchange);
+  if (HasCallerClosed())
+    exchange->Detach();
+  server_.Handle(std::move(request), std::move(reply));
+}
+
+bool HttpConnection::HasCallerClosed() {
+  if (is_caller_gone_ || !in_.empty())
+    return is_caller_gone_;
+  // The round may have lasted long since its events were read.
+  char next = 0;
+  const ssize_t size = recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  is_caller_gone_ = size == 0 || (size < 0 && errno != EAGAIN &&
+                                  errno != EWOULDBLOCK && errno != EINTR);
+  return is_caller_gone_;
 }
 
 void HttpConnection::RefuseAndClose(base::ErrorKind error) {
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -59,6 +59,8 @@
   void CheckHead();
   void TakeBodyPart();
   void Dispatch();
+  // Whether the caller has closed, possibly behind requests not read yet.
+  bool HasCallerClosed();
   // Answers what is no HTTP, and reads no more.
   void RefuseAndClose(base::ErrorKind error);
   void OnHalfClosed();
@@ -90,6 +92,8 @@
   std::deque<std::unique_ptr<HttpExchange>> exchanges_;
   bool flush_soon_ = false;
   bool reads_no_more_ = false;  // What comes in is thrown away.
+  // The caller has closed; it may have sent requests before.
+  bool is_caller_gone_ = false;
   bool closes_after_out_ = false;
   bool lingers_ = false;
   bool closed_ = false;
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -33,8 +33,9 @@
 };
 
 // The handler is called on the loop's thread once a request is whole; requests
-// of one connection are handed on without waiting for each other. For the
-// loop's own thread; `loop` must outlive the server.
+// of one connection are handed on without waiting for each other. If the caller
+// has closed the connection by then, the reply is not open. For the loop's own
+// thread; `loop` must outlive the server.
 class HttpServer {
  public:
   using Handler = std::function<void(HttpRequest request, Reply reply)>;
--- a/tests/auto/admission/gate_test.cc
+++ b/tests/auto/admission/gate_test.cc
@@ -3,8 +3,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "support/gate_fixture.h"
 #include "traffic/peer_paths.h"
@@ -240,6 +242,24 @@
   }
 }
 
+TEST_CASE("an attempt that waits for a probe never runs without its sender") {
+  GateFixture fixture;
+  fixture.state.health_path = "/health";
+  fixture.state.probes = {
+      .budget = 1, .quiet = seconds(60), .stale = milliseconds(1)};
+  fixture.Apply();
+  fixture.attempt_may_move = true;
+  fixture.on_request = [&] { fixture.DisconnectPeer(0); };
+  // The budget of probes grows with the time since the start.
+  std::this_thread::sleep_for(milliseconds(50));
+  const auto waiting = fixture.Begin("GET");
+  REQUIRE(fixture.RunUntil([&] { return !fixture.served.empty(); }));
+  REQUIRE(fixture.served[0].target == "/health");
+  CHECK(fixture.RunUntil(
+      [&] { return fixture.ControlAttempt(waiting, false) == "never-runs"; }));
+  CHECK(fixture.served.size() == 1);
+}
+
 TEST_CASE("a gate probes its server when there is no traffic") {
   GateFixture fixture;
   fixture.state.health_path = "/health";
--- a/tests/auto/failures/gone_caller_test.cc
+++ b/tests/auto/failures/gone_caller_test.cc
@@ -77,7 +77,7 @@
   SECTION("on a connection that the paused node had accepted") {
     auto callers = Connect(small.a.caller_address);
     RunMarkers(small);
-    small.a.node->Signal(SIGSTOP);
+    small.a.node->Pause();
     SendRequests(callers, method);
     Leave(callers);
     small.a.node->Signal(SIGCONT);
@@ -86,7 +86,7 @@
   }
 
   SECTION("on a connection that waited to be accepted") {
-    small.a.node->Signal(SIGSTOP);
+    small.a.node->Pause();
     auto callers = Connect(small.a.caller_address);
     SendRequests(callers, method);
     Leave(callers);
@@ -100,7 +100,7 @@
     RunMarkers(small);
     auto callers = Connect(small.a.caller_address);
     const size_t before = CountStarted(ledger);
-    small.b.node->Signal(SIGSTOP);
+    small.b.node->Pause();
     SendRequests(callers, method);
     std::this_thread::sleep_for(kPatience);
     Leave(callers);
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -234,17 +234,63 @@
   });
 }
 
-TEST_CASE("a caller that sends its request and closes at once is noticed") {
-  Reply kept;
+TEST_CASE("a caller that sends its request and closes is noticed") {
+  std::vector<Reply> kept;
   int gone = 0;
-  TestServer server([&](const HttpRequest&, Reply reply) {
-    kept = std::move(reply);
-    kept.OnGone([&] { ++gone; });
+  std::function<void(const std::string&)> on_request = [](const auto&) {};
+  TestServer server([&](const HttpRequest& request, Reply reply) {
+    on_request(request.target);
+    kept.push_back(std::move(reply));
+    kept.back().OnGone([&] { ++gone; });
   });
   RawSocket caller(server.address());
-  caller.Send(kGet);
-  caller.Close();
-  CHECK(server.WaitFor([&] { return gone == 1; }));
+
+  SECTION("after the request was read: its handler is told") {
+    caller.Send(kGet);
+    REQUIRE(server.WaitFor([&] { return kept.size() == 1; }));
+    CHECK(kept[0].IsOpen());
+    caller.Close();
+    CHECK(server.WaitFor([&] { return gone == 1; }));
+    CHECK_FALSE(kept[0].IsOpen());
+  }
+
+  SECTION("before the request was read: the reply is not open") {
+    server.Run([&] {
+      caller.Send(kGet);
+      caller.Close();
+    });
+    REQUIRE(server.WaitFor([&] { return kept.size() == 1; }));
+    CHECK_FALSE(kept[0].IsOpen());
+    CHECK(gone == 0);
+  }
+
+  SECTION("while the round that reads the request lasts") {
+    RawSocket other(server.address());
+    server.Run([&] {
+      // Called for the first of the two, in the round that reads both.
+      on_request = [&](const std::string& target) {
+        if (kept.empty())
+          (target == "/other" ? caller : other).Close();
+      };
+      other.Send("GET /other HTTP/1.1\r\nHost: x\r\n\r\n");
+      caller.Send(kGet);
+    });
+    REQUIRE(server.WaitFor([&] { return kept.size() == 2; }));
+    CHECK(kept[0].IsOpen());
+    CHECK_FALSE(kept[1].IsOpen());
+  }
+
+  SECTION("behind more requests than are answered side by side") {
+    constexpr size_t kMostPipelined = 32;
+    std::string requests;
+    for (size_t i = 0; i <= kMostPipelined; ++i)
+      requests += kGet;
+    caller.Send(requests);
+    REQUIRE(server.WaitFor([&] { return kept.size() == kMostPipelined; }));
+    caller.Close();
+    CHECK(server.WaitFor([&] { return gone == kMostPipelined; }));
+    CHECK(kept.size() == kMostPipelined);
+  }
 }
 
 TEST_CASE("a large answer is streamed with bounded memory") {
--- a/tests/support/gate_fixture.cc
+++ b/tests/support/gate_fixture.cc
@@ -82,6 +82,7 @@
                                    base::Duration remaining) {
   wire::PeerRequestHead head = MakeHead(++last_);
   head.remaining = remaining;
+  head.may_move = attempt_may_move;
   return Send(head, method);
 }
 
--- a/tests/support/gate_fixture.h
+++ b/tests/support/gate_fixture.h
@@ -69,6 +69,7 @@
   std::function<void()> on_request = [] {};
   bool is_silent = false;  // The server does not answer.
   bool inquiry_may_move = true;
+  bool attempt_may_move = false;  // Of attempts started with Begin().
   // What the peer knows of the server; sent with each attempt.
   std::optional<wire::PeerServerNotice> passed_on;
   server::ServerState state;
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -52,6 +52,12 @@
     kill(pid_, signal);
 }
 
+void Process::Pause() const {
+  Signal(SIGSTOP);
+  siginfo_t state{};
+  waitid(P_PID, static_cast<id_t>(pid_), &state, WSTOPPED | WNOWAIT);
+}
+
 std::optional<int> Process::WaitForExit(std::chrono::seconds limit) {
   WaitUntil(
       [&] {
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -22,6 +22,8 @@
   Process& operator=(const Process&) = delete;
 
   void Signal(int signal) const;
+  // Sends SIGSTOP and waits until all threads are stopped.
+  void Pause() const;
   // Waits for the process to exit. Returns the exit status, -1 if it was ended
   // by a signal, or nullopt if it still runs after `limit`.
   std::optional<int> WaitForExit(std::chrono::seconds limit);
