Send no more of an abandoned attempt that was not sent whole

What callers saw: nothing; the same class as the report. When a caller left, an attempt that still waited for a connection, or whose body was still being written to a node that does not read, was sent to its end, and relied on its cancellation to be there first.

Cause: AttemptSender::Abandon only dropped the handler, whatever had been sent. Change: if the request was not written whole, its connection is closed, or its wait ends; the other node never handles a request that it does not get whole.

Result: attempt_sender_test: all 30,000,000 bytes of a body arrived after the attempt was abandoned, before; fewer now. ingress_test passes. Ruled out as the cause of the report: the call there has no body, and connecting takes 150 ms at most.

--- a/src/libs/ingress/attempt_sender.cc
+++ b/src/libs/ingress/attempt_sender.cc
@@ -190,7 +190,7 @@
   InFlight& sent = found->second;
   sent.relay = std::make_unique<traffic::AnswerRelay>(
       client_, sent.transfer, std::move(answer), std::move(reply),
-      [this, attempt] { CancelStream(attempt); });
+      [this, attempt] { CancelTransfer(attempt); });
 }
 
 bool AttemptSender::StartRelay(const base::AttemptId& attempt,
@@ -213,7 +213,7 @@
     handler(end, head);
   const auto still = in_flight_.find(attempt);
   if (still != in_flight_.end() && !still->second.relay)
-    CancelStream(attempt);
+    CancelTransfer(attempt);
   return true;
 }
 
@@ -224,7 +224,7 @@
          found->second.relay->Write(part);
 }
 
-void AttemptSender::CancelStream(const base::AttemptId& attempt) {
+void AttemptSender::CancelTransfer(const base::AttemptId& attempt) {
   const auto cancelled = in_flight_.extract(attempt);
   if (cancelled.empty())
     return;
@@ -250,8 +250,12 @@
 
 void AttemptSender::Abandon(const base::AttemptId& attempt) {
   const auto found = in_flight_.find(attempt);
-  if (found != in_flight_.end())
+  if (found == in_flight_.end())
+    return;
+  if (client_.IsSentWhole(found->second.transfer))
     found->second.handler = nullptr;
+  else
+    CancelTransfer(attempt);
 }
 
 void AttemptSender::OnDone(const base::AttemptId& attempt,
--- a/src/libs/ingress/attempt_sender.h
+++ b/src/libs/ingress/attempt_sender.h
@@ -52,7 +52,7 @@
   // Closes the connection of an attempt that does not respond.
   void Drop(const base::AttemptId& attempt);
   // Discards the attempt's result when it ends, so that its connection can be
-  // reused.
+  // reused. An attempt that was not sent whole is not sent any more.
   void Abandon(const base::AttemptId& attempt);
 
  private:
@@ -83,8 +83,8 @@
                        net::TransferResult result);
   bool StartRelay(const base::AttemptId& attempt, const net::HttpAnswer& head);
   bool RelayPart(const base::AttemptId& attempt, std::string_view part);
-  // Cancels a streamed answer that is not relayed.
-  void CancelStream(const base::AttemptId& attempt);
+  // Closes the connection of an attempt whose answer is not needed.
+  void CancelTransfer(const base::AttemptId& attempt);
 
   void OnDone(const base::AttemptId& attempt, net::TransferResult result);
 
--- a/src/libs/net/http_client.cc
+++ b/src/libs/net/http_client.cc
@@ -274,6 +274,12 @@
   return connection && !connection->IsConnecting();
 }
 
+bool HttpClient::IsSentWhole(TransferId transfer) const {
+  const auto found = transfers_.find(transfer);
+  return found != transfers_.end() && found->second->connection &&
+         found->second->connection->IsRequestSent();
+}
+
 bool HttpClient::IsOnKeptConnection(TransferId transfer) const {
   const auto found = transfers_.find(transfer);
   return found != transfers_.end() && found->second->on_kept_connection;
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -107,6 +107,10 @@
   // that waits for a connection, or is not there any more.
   bool IsSent(TransferId transfer) const;
 
+  // Whether the whole request was written; the other end never handles one that
+  // was not.
+  bool IsSentWhole(TransferId transfer) const;
+
   // Whether an earlier request had used the transfer's connection; false if it
   // has none.
   bool IsOnKeptConnection(TransferId transfer) const;
--- a/src/libs/net/http_client_connection.cc
+++ b/src/libs/net/http_client_connection.cc
@@ -54,6 +54,10 @@
   return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool HttpClientConnection::IsRequestSent() const {
+  return transfer_ && sent_ == transfer_->bytes.size();
+}
+
 void HttpClientConnection::Begin(HttpTransfer& transfer) {
   transfer_ = &transfer;
   transfer.connection = this;
--- a/src/libs/net/http_client_connection.h
+++ b/src/libs/net/http_client_connection.h
@@ -40,6 +40,8 @@
   const base::SocketAddress& to() const { return to_; }
   HttpTransfer* transfer() const { return transfer_; }
   bool IsConnecting() const { return connecting_; }
+  // Whether the whole request of the transfer was written.
+  bool IsRequestSent() const;
   bool IsClosed() const { return closed_; }
 
  private:
--- a/src/libs/net/http_client_connection_answer.cc
+++ b/src/libs/net/http_client_connection_answer.cc
@@ -157,7 +157,7 @@
 }
 
 bool HttpClientConnection::IsRequestRead(unsigned status) const {
-  if (sent_ < transfer_->bytes.size())
+  if (!IsRequestSent())
     return false;
   return !transfer_->has_body || status < kFirstStatusAfterSuccess ||
          client_.options().answers_after_reading;
