Cancel all open attempts of a call whose caller leaves

An attempt whose cancellation had been sent (its connection was lost, or its deadline was near) was left alone when the caller left: the one message was not repeated, and did not stop a repeatable request that was running.

Change: Call::OnCallerDisconnected abandons every attempt that is in flight or whose cancellation is not answered. What ends with an answer is unchanged.

--- a/src/libs/calls/call.cc
+++ b/src/libs/calls/call.cc
@@ -121,8 +121,14 @@
 
 NextSteps Call::OnCallerDisconnected(Instant /*now*/) {
   NextSteps steps;
-  if (!is_over_)
-    End(steps, kNoAttempt);
+  if (is_over_)
+    return steps;
+  is_over_ = true;
+  // Also those whose cancellation was sent: it may get lost.
+  for (int attempt = 0; attempt < attempts(); ++attempt) {
+    if (IsOpen(attempts_[attempt]))
+      steps.push_back({Step::kAbandon, attempt});
+  }
   return steps;
 }
 
@@ -137,11 +143,13 @@
   return next;
 }
 
+bool Call::IsOpen(const Attempt& attempt) {
+  return attempt.phase == Phase::kInFlight ||
+         attempt.phase == Phase::kResolving;
+}
+
 bool Call::HasOpenAttempts() const {
-  return std::ranges::any_of(attempts_, [](const Attempt& attempt) {
-    return attempt.phase == Phase::kInFlight ||
-           attempt.phase == Phase::kResolving;
-  });
+  return std::ranges::any_of(attempts_, IsOpen);
 }
 
 bool Call::MayHaveRun() const {
--- a/src/libs/calls/call.h
+++ b/src/libs/calls/call.h
@@ -72,11 +72,12 @@
     bool was_reported_finished = false;
   };
 
+  // Whether the attempt is in flight, or the reply to the cancellation of a
+  // lost one is outstanding.
+  static bool IsOpen(const Attempt& attempt);
   bool IsInFlight() const;
   // Number of servers that received the request, or may have.
   int ServersReached() const;
-  // Whether an attempt is in flight, or the reply to the cancellation of a lost
-  // one is outstanding.
   bool HasOpenAttempts() const;
   bool MayHaveRun() const;
   bool MaySend(base::Instant now) const;
--- a/tests/auto/calls/call_test.cc
+++ b/tests/auto/calls/call_test.cc
@@ -95,11 +95,23 @@
           StepsAre(call.OnAttemptEnd(0, {AttemptVerdict::kAnswered}, cancel_at),
                    {Step::kRelayAnswer}));
     }
+    SECTION("and cancelled again if its caller disconnects") {
+      CHECK(StepsAre(call.OnCallerDisconnected(cancel_at), {Step::kAbandon}));
+    }
     SECTION("and has an unknown outcome at the deadline without a reply") {
       CHECK(OutcomeOf(call.OnTimer(kDeadline)) == Outcome::kUnknown);
     }
   }
 
+  SECTION("whose connection is lost is cancelled again if its caller leaves") {
+    REQUIRE(StepsAre(
+        call.OnAttemptEnd(
+            0, {AttemptVerdict::kLost, base::ErrorKind::kConnectionLost},
+            kStart),
+        {Step::kCancel}));
+    CHECK(StepsAre(call.OnCallerDisconnected(kStart), {Step::kAbandon}));
+  }
+
   SECTION("is cancelled and not answered if its caller disconnects") {
     CHECK(StepsAre(call.OnCallerDisconnected(kStart), {Step::kAbandon}));
     CHECK(call.OnAttemptEnd(0, kRefusedOverloaded, kStart).empty());
