Put a comment at its function, and drop a member that nothing reads

Cause: the comment of Gate::LogDecision stood above IsRateLimited; HttpConnection::head_checked_ was never read. Change: neither changes what the code does.

--- a/src/libs/gate/gate.h
+++ b/src/libs/gate/gate.h
@@ -114,11 +114,11 @@
   void Record(const GateAttempt& attempt,
               std::optional<base::ErrorKind> error,
               base::Instant now);
-  // Logs why the server did not answer an attempt, or answered it late. Adds
-  // the state of the server to `decision`.
   // Whether an attempt that ended with `error` was refused for lack of capacity
   // while the server stated a rate limit.
   bool IsRateLimited(std::optional<base::ErrorKind> error) const;
+  // Logs why the server did not answer an attempt, or answered it late. Adds
+  // the state of the server to `decision`.
   void LogDecision(GateDecision decision) const;
   // Sends the answer that ends an attempt.
   void Answer(GateAttempt& attempt, net::HttpAnswer answer);
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -85,7 +85,6 @@
   size_t out_offset_ = 0;
   std::optional<Parser> parser_;
   // Of the request that is being read.
-  bool head_checked_ = false;
   HttpRequest request_;
   size_t body_size_ = 0;
   std::optional<base::ErrorKind> refusal_;
