Close the caller of the tenant admission test after its request is held

Change: the caller closes once its request is held, which is what the test's name says; it still asks that the request is held, never decided, and forgotten.

--- a/tests/auto/ingress/tenant_admission_test.cc
+++ b/tests/auto/ingress/tenant_admission_test.cc
@@ -3,6 +3,7 @@
 #include "ingress/tenant_admission.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <vector>
 
 #include "limits/share_allocator.h"
@@ -165,21 +166,22 @@
 TEST_CASE("a waiting request is forgotten when its caller is gone") {
   Admission admission;
   admission.answers = false;
-  bool was_held = false;
+  std::optional<test::RawSocket> caller;
+  size_t held_at_first = 0;
   const auto server = net::HttpServer::Open(
       admission.loop, *base::SocketAddress::Parse("127.0.0.1:0"), {},
       [&](const net::HttpRequest&, net::Reply reply) {
         HeldRequest held = Admission::Request();
         held.reply = std::move(reply);
         admission.tenants.Admit(std::move(held));
-        was_held = admission.tenants.waiting() == 1;
+        held_at_first = admission.tenants.waiting();
+        caller->Close();
       });
   REQUIRE(server);
-  test::RawSocket caller(server.value()->address());
-  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-  caller.Close();
+  caller.emplace(server.value()->address());
+  caller->Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
   CHECK_FALSE(admission.RunUntilDecided(1));
-  CHECK(was_held);
+  CHECK(held_at_first == 1);
   CHECK(admission.tenants.waiting() == 0);
 }
 
