--- a/tests/auto/failures/gone_caller_test.cc
+++ b/tests/auto/failures/gone_caller_test.cc
@@ -1,5 +1,4 @@
-// Guarantee: a request whose caller has left before a node reads it never runs,
-// whatever kept the node from reading.
+// Guarantee: no request runs whose caller left before a node read it.
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
--- a/tests/auto/ingress/attempt_sender_test.cc
+++ b/tests/auto/ingress/attempt_sender_test.cc
@@ -1,5 +1,4 @@
-// Failure guarded against: an attempt that was not sent whole when its caller
-// left is still sent to the other node, and runs.
+// Guards against sending the rest of an attempt whose caller has left.
 #include "ingress/attempt_sender.h"
 
 #include <atomic>
--- a/tests/auto/net/unread_body_test.cc
+++ b/tests/auto/net/unread_body_test.cc
@@ -1,6 +1,4 @@
-// Failure guarded against: a request is written to a connection on which the
-// server still has to read the body of an earlier one, and begins whenever the
-// server reads on, whether or not anybody still waits for it.
+// Guards against requests that begin behind a body the server has not read.
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <string>
