Reject announcements that lack what the server's protocol requires

Cause: an announcement needed a service and an address only. One of another sender, without an instance, counted as a new incarnation, replaced the live server, and made each later message of that server stale, `draining` and the deregistration included, while the node answered them with 200.

Ruled out: the gate and the spread of the state to other nodes; the log of the node shows the replacement and the stale messages.

Change: a server protocol states which fields its messages contain. The native protocol requires no more than before.

Conclusion: why this works: what cannot come from the server itself no longer reaches the decision which incarnation is current.

--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -130,6 +130,7 @@
       evacuation_writer_(store_, adapters.evacuation),
       local_server_(
           loop,
+          adapters.servers.announcement_requirements,
           [this](const std::string& service) { return IsDeclared(service); },
           [this] { OnLocalServerChanged(); }),
       server_discovery_(loop,
--- /dev/null
+++ b/src/libs/server/announcement_requirements.h
@@ -0,0 +1,23 @@
+// What a protocol requires of the announcements and deregistrations of its
+// servers.
+#ifndef SERVER_ANNOUNCEMENT_REQUIREMENTS_H_
+#define SERVER_ANNOUNCEMENT_REQUIREMENTS_H_
+
+#include <string>
+#include <vector>
+
+namespace chestnutport::server {
+
+// A message that does not meet the requirements comes from another sender than
+// the server and is rejected.
+struct AnnouncementRequirements {
+  // Whether announcements and deregistrations name the instance.
+  bool has_instance = false;
+  // JSON fields of an announcement beside service, address and slots. Those
+  // that a node does not read itself have to be strings.
+  std::vector<std::string> fields;
+};
+
+}  // namespace chestnutport::server
+
+#endif  // SERVER_ANNOUNCEMENT_REQUIREMENTS_H_
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -16,6 +16,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
 constexpr char kServerPath[] = "/v1/server";
+constexpr char kInstance[] = "instance";
 constexpr std::chrono::milliseconds kPresenceCheckInterval(250);
 // Largest shift of the end of the cold phase that is not published as a change.
 // Announcements take about this long to arrive, so that the end computed from
@@ -31,9 +32,11 @@
 }  // namespace
 
 LocalServer::LocalServer(net::EventLoop& loop,
+                         AnnouncementRequirements requirements,
                          DeclaredPredicate is_declared,
                          ChangedHandler changed)
     : loop_(loop),
+      requirements_(std::move(requirements)),
       is_declared_(std::move(is_declared)),
       changed_(std::move(changed)) {}
 
@@ -105,7 +108,8 @@
 bool LocalServer::HandleAnnouncement(const net::HttpRequest& request,
                                      std::string_view instance) {
   std::string fault;
-  auto announcement = ServerAnnouncement::FromJson(request.body, &fault);
+  auto announcement =
+      ServerAnnouncement::FromJson(request.body, requirements_, &fault);
   if (announcement && !instance.empty())
     announcement->instance = instance;
   if (announcement)
@@ -122,6 +126,8 @@
 
 std::string LocalServer::FindFault(
     const ServerAnnouncement& announcement) const {
+  if (requirements_.has_instance && announcement.instance.empty())
+    return kInstance;
   // A server may announce itself before its service is declared, but an
   // undeclared service does not replace a declared one.
   const bool displaces = state_.announced &&
@@ -226,6 +232,10 @@
 
 bool LocalServer::HandleDeregistration(const net::HttpRequest& request,
                                        std::string_view instance) {
+  if (requirements_.has_instance && instance.empty()) {
+    LogFault(instance, kInstance);
+    return false;
+  }
   const auto started_at = ReadStartedAt(request.body);
   if (!started_at) {
     LogFault(instance, "born");
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -36,11 +36,13 @@
   // Whether the configuration that this node holds declares the service.
   using DeclaredPredicate = std::function<bool(const std::string& service)>;
 
-  // `loop` must outlive this object. `changed` is called after each change of
+  // `loop` must outlive this object. Messages of the server that do not meet
+  // `requirements` are rejected. `changed` is called after each change of
   // state() that has to be published. Small shifts of `cold_until` in
   // announcements are not published, nor are reports of the gate that do not
   // change whether the server is cold.
   LocalServer(net::EventLoop& loop,
+              AnnouncementRequirements requirements,
               DeclaredPredicate is_declared,
               ChangedHandler changed);
   ~LocalServer();
@@ -86,7 +88,7 @@
   // Returns the reason to reject the announcement, or an empty string if it is
   // accepted.
   std::string FindFault(const ServerAnnouncement& announcement) const;
-  // Returns false if the request body is invalid.
+  // Returns false if the request is invalid.
   bool HandleDeregistration(const net::HttpRequest& request,
                             std::string_view instance);
   void LogFault(std::string_view instance, const std::string& fault);
@@ -95,6 +97,7 @@
   void UpdateDraining();
 
   net::EventLoop& loop_;
+  AnnouncementRequirements requirements_;
   DeclaredPredicate is_declared_;
   ChangedHandler changed_;
   ServerState state_;
--- a/src/libs/server/native_server_protocol.h
+++ b/src/libs/server/native_server_protocol.h
@@ -19,6 +19,7 @@
   bool ReportsColdState() const { return false; }
   std::string Instance(const net::HttpHeaders& headers) const;
   std::string AnswerTag() const { return ""; }
+  AnnouncementRequirements RequiredInAnnouncements() const { return {}; }
 };
 
 }  // namespace chestnutport::server
--- a/src/libs/server/server_announcement.cc
+++ b/src/libs/server/server_announcement.cc
@@ -1,6 +1,7 @@
 #include "server/server_announcement.h"
 
 #include <nlohmann/json.hpp>
+#include <set>
 #include <type_traits>
 
 #include "base/encoding.h"
@@ -25,6 +26,7 @@
   // Leaves `value` unchanged if the field is missing.
   template <typename T>
   void Read(const char* name, T* value) {
+    read_.insert(name);
     const auto found = object_.find(name);
     if (found == object_.end())
       return;
@@ -35,11 +37,19 @@
     *value = found->template get<T>();
   }
 
-  void Require(const char* name, bool holds) {
+  void Require(const std::string& name, bool holds) {
     if (!holds)
       Reject(name);
   }
 
+  // Requires the field to be present, and to be a string if Read() was not
+  // called for it.
+  void RequirePresent(const std::string& name) {
+    const auto found = object_.find(name);
+    Require(name, found != object_.end() &&
+                      (read_.contains(name) || found->is_string()));
+  }
+
   const std::string& fault() const { return fault_; }
 
  private:
@@ -53,12 +63,13 @@
       return field.is_string();
   }
 
-  void Reject(const char* name) {
+  void Reject(const std::string& name) {
     if (fault_.empty())
       fault_ = name;
   }
 
   const json& object_;
+  std::set<std::string> read_;
   std::string fault_;
 };
 
@@ -98,6 +109,7 @@
 
 std::optional<ServerAnnouncement> ServerAnnouncement::FromJson(
     std::string_view text,
+    const AnnouncementRequirements& requirements,
     std::string* fault) {
   const json body = json::parse(text, nullptr, false);
   if (!body.is_object()) {
@@ -119,6 +131,8 @@
   fields.Require("sequence", announcement.sequence >= 0);
   ReadColdFor(fields, announcement);
   ReadStart(fields, announcement);
+  for (const std::string& name : requirements.fields)
+    fields.RequirePresent(name);
   *fault = fields.fault();
   if (!fault->empty())
     return std::nullopt;
--- a/src/libs/server/server_announcement.h
+++ b/src/libs/server/server_announcement.h
@@ -9,6 +9,7 @@
 
 #include "base/socket_address.h"
 #include "base/time.h"
+#include "server/announcement_requirements.h"
 
 namespace chestnutport::server {
 
@@ -31,9 +32,12 @@
   std::optional<base::Duration> cold_for;
 
   // Returns nothing if a required field is missing or a field is invalid;
-  // `fault` is then set to the name of the first such field.
-  static std::optional<ServerAnnouncement> FromJson(std::string_view text,
-                                                    std::string* fault);
+  // `fault` is then set to the name of the first such field. The instance may
+  // also come from elsewhere, so that it is not required here.
+  static std::optional<ServerAnnouncement> FromJson(
+      std::string_view text,
+      const AnnouncementRequirements& requirements,
+      std::string* fault);
 };
 
 // Parses the start time in the body of a deregistration. Returns zero if the
--- a/src/libs/server/server_protocol.h
+++ b/src/libs/server/server_protocol.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "net/http_message.h"
+#include "server/announcement_requirements.h"
 #include "wire/server_load.h"
 #include "wire/server_notice.h"
 
@@ -57,6 +58,10 @@
   // Name of a request header that servers echo in the response; empty if there
   // is none.
   { protocol.AnswerTag() } -> std::same_as<std::string>;
+  // Returns what the announcements and deregistrations of servers contain.
+  {
+    protocol.RequiredInAnnouncements()
+    } -> std::same_as<AnnouncementRequirements>;
 };
 
 // Type-erased ServerProtocol.
@@ -84,6 +89,7 @@
               return protocol.Instance(headers);
             },
         .answer_tag = protocol.AnswerTag(),
+        .announcement_requirements = protocol.RequiredInAnnouncements(),
         .reports_cold_state = protocol.ReportsColdState()};
   }
 
@@ -95,6 +101,7 @@
   std::function<wire::ServerNotice(const net::HttpHeaders&)> notice;
   std::function<std::string(const net::HttpHeaders&)> instance;
   std::string answer_tag;
+  AnnouncementRequirements announcement_requirements;
   bool reports_cold_state = false;
 
   // Returns the remaining cold time according to a health response. Zero if the
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -156,8 +156,9 @@
                      "None."},
     EventDescription{Event::kAnnouncementRefused, "announcement-refused",
                      Level::kWarning,
-                     "An announcement cannot be read, or names a service that "
-                     "is not declared in place of one that is; it changes "
+                     "An announcement cannot be read, lacks a field that the "
+                     "server's protocol requires, or names a service that is "
+                     "not declared in place of one that is; it changes "
                      "nothing.",
                      "See who else writes to the node's server address."},
     EventDescription{
--- a/tests/auto/server/announcement_property_test.cc
+++ b/tests/auto/server/announcement_property_test.cc
@@ -25,11 +25,15 @@
                                  {"born", 1790000000000000},
                                  {"unknown", "kept"}};
 
-const std::vector<std::string> kParsedFields = {
-    "service", "address", "slots", "state", "cold_for", "sequence", "born"};
+const std::vector<std::string> kParsedFields = {"service",  "address",  "slots",
+                                                "zone",     "version",  "state",
+                                                "cold_for", "sequence", "born"};
+
+const AnnouncementRequirements kRequirements{
+    .fields = {"slots", "zone", "version", "state", "sequence", "cold_for"}};
 
 std::optional<ServerAnnouncement> Parse(const json& body, std::string* fault) {
-  return ServerAnnouncement::FromJson(body.dump(), fault);
+  return ServerAnnouncement::FromJson(body.dump(), kRequirements, fault);
 }
 
 bool IsSameType(const json& one, const json& other) {
@@ -61,6 +65,16 @@
   });
 }
 
+TEST_CASE("a required field that is missing is named as the fault") {
+  const std::string name = GENERATE("service", "address", "slots", "zone",
+                                    "version", "state", "sequence", "cold_for");
+  json body = kValidAnnouncement;
+  body.erase(name);
+  std::string fault;
+  CHECK_FALSE(Parse(body, &fault));
+  CHECK(fault == name);
+}
+
 TEST_CASE("a field with an invalid value is rejected and named as the fault") {
   const auto [name, value] =
       GENERATE(table<std::string, json>({{"service", ""},
@@ -91,7 +105,8 @@
     else
       text[at] = *rc::gen::arbitrary<char>();
     std::string fault;
-    const auto announcement = ServerAnnouncement::FromJson(text, &fault);
+    const auto announcement =
+        ServerAnnouncement::FromJson(text, kRequirements, &fault);
     RC_ASSERT(announcement.has_value() == fault.empty());
     RC_ASSERT(!announcement ||
               (announcement->slots >= 1 && !announcement->service.empty()));
--- a/tests/auto/server/own_server_test.cc
+++ b/tests/auto/server/own_server_test.cc
@@ -1,5 +1,5 @@
-// Guards against invalid or stale messages that change or remove the local
-// server.
+// Guards against invalid, incomplete or stale messages that change or remove
+// the local server, and against a live server that stays replaced by them.
 #include "server/local_server.h"
 
 #include <catch2/catch.hpp>
@@ -15,9 +15,10 @@
 json Announcement(const std::string& service,
                   int64_t started_at,
                   int sequence) {
-  return {{"service", service},   {"address", "127.0.0.1:9"},
-          {"slots", 6},           {"state", "ready"},
-          {"sequence", sequence}, {"born", started_at}};
+  return {{"service", service}, {"address", "127.0.0.1:9"},
+          {"zone", "one"},      {"slots", 6},
+          {"state", "ready"},   {"sequence", sequence},
+          {"born", started_at}};
 }
 
 class LocalServerFixture {
@@ -25,6 +26,7 @@
   LocalServerFixture()
       : local_server(
             loop_,
+            {.has_instance = true, .fields = {"zone", "state", "sequence"}},
             [](const std::string& service) { return service == "dossie"; },
             [] {}),
         client_(loop_, net::HttpClientOptions{}) {
@@ -32,10 +34,12 @@
   }
 
   // Returns the HTTP status of the response.
-  int SendRequest(const std::string& method, const std::string& text) {
+  int SendRequest(const std::string& method,
+                  const std::string& text,
+                  const std::string& target = "/v1/server/i-1") {
     int status = 0;
     client_.Send(local_server.address(),
-                 {.method = method, .target = "/v1/server/i-1", .body = text},
+                 {.method = method, .target = target, .body = text},
                  std::chrono::seconds(10), [&](net::TransferResult result) {
                    status = result.answer.status;
                    loop_.Stop();
@@ -79,6 +83,23 @@
     CHECK(fixture.local_server.state().life == first_life);
   }
 
+  SECTION("is unchanged by messages of another sender, with fields missing") {
+    const std::string target = GENERATE("/v1/server", "/v1/server/i-2");
+    const json partial = {
+        {"service", "dossie"}, {"address", "127.0.0.1:9"}, {"slots", 6}};
+    CHECK(fixture.SendRequest("POST", partial.dump(), target) == 400);
+    CHECK(fixture.SendRequest("POST", Announcement("dossie", 2000, 1).dump(),
+                              "/v1/server") == 400);
+    CHECK(fixture.SendRequest("DELETE", "", "/v1/server") == 400);
+    CHECK(fixture.local_server.state().instance == "i-1");
+    CHECK(fixture.local_server.state().life == first_life);
+
+    json leaving = Announcement("dossie", 1000, 4);
+    leaving["state"] = "draining";
+    REQUIRE(fixture.PostAnnouncement(leaving) == 200);
+    CHECK(fixture.local_server.state().draining);
+  }
+
   SECTION("stops draining when a new incarnation of the same instance starts") {
     json leaving = Announcement("dossie", 1000, 4);
     leaving["state"] = "draining";
