Let a live server return after a late announcement took its place

Cause: the tracker never accepted a known incarnation of another name again, and the gate's finding that another instance responds was not reported.

Ruled out: refusing the late announcement; without start times it cannot be told from a new start, which has to be accepted at once.

Change: a replaced incarnation returns with a later announcement if the current one is doubtful: overdue, or the gate reports another instance at its address. An earlier start time replaces a later one only then, whatever the names. A deregistration of a replaced incarnation is kept.

Conclusion: a wrong replacement now ends with the next announcement.

--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -322,6 +322,7 @@
        .load = load,
        .rate_limit = notices_.rate_limit(),
        .is_leaving = notices_.is_leaving(),
+       .is_replaced = observer_.is_replaced(),
        .slowness_report_age =
            observer_.performance().SlownessAge(now).value_or(base::Duration()),
        .probes = probes.probes(),
--- a/src/libs/gate/gate_report.h
+++ b/src/libs/gate/gate_report.h
@@ -19,7 +19,8 @@
   // Requests per second that the server accepts, as it stated; nothing if
   // unlimited.
   std::optional<double> rate_limit;
-  bool is_leaving = false;  // The server stated that it shuts down.
+  bool is_leaving = false;   // The server stated that it shuts down.
+  bool is_replaced = false;  // Another instance responded at its address.
   // Age of the server's last slowness report, or zero if there was none;
   // exported as chestnutport_server_word_age_seconds.
   base::Duration slowness_report_age{};
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -429,6 +429,7 @@
   local_server_.OnAnswer(report.last_answer);
   local_server_.OnColdReported(report.life, report.cold_until);
   local_server_.OnLeavingReported(report.life, report.is_leaving);
+  local_server_.OnReplacedReported(report.life, report.is_replaced);
 }
 
 }  // namespace chestnutport::node
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -154,9 +154,9 @@
 bool LocalServer::Apply(const ServerAnnouncement& announcement) {
   using Verdict = ServerIncarnationTracker::Verdict;
   const base::Instant now = base::Clock::now();
-  const bool is_overdue =
-      !state_.announced || presence_.IsAnnouncementOverdue(now);
-  const Verdict verdict = incarnations_.OnAnnounced(announcement, is_overdue);
+  const bool is_doubtful = !state_.announced || was_replaced_reported_ ||
+                           presence_.IsAnnouncementOverdue(now);
+  const Verdict verdict = incarnations_.OnAnnounced(announcement, is_doubtful);
   if (verdict == Verdict::kStale)
     return false;
   presence_.OnAnnounced(now);
@@ -192,6 +192,7 @@
   state_.cold_reported_at = {};
   drain_sources_.erase(DrainSource::kServer);
   was_leaving_reported_ = false;
+  was_replaced_reported_ = false;
   const std::string started_at =
       absl::StrCat(announcement.started_at.count(), "ms");
   LogEvent(Event::kServerAnnounced, {{"service", state_.service},
@@ -230,6 +231,11 @@
   was_leaving_reported_ = is_leaving;
 }
 
+void LocalServer::OnReplacedReported(uint64_t life, bool is_replaced) {
+  if (life == state_.life)
+    was_replaced_reported_ = is_replaced;
+}
+
 bool LocalServer::HandleDeregistration(const net::HttpRequest& request,
                                        std::string_view instance) {
   if (requirements_.has_instance && instance.empty()) {
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -69,6 +69,10 @@
   // server has stated that it is leaving.
   void OnLeavingReported(uint64_t life, bool is_leaving);
 
+  // Called with each report of the gate: whether another instance than
+  // incarnation `life` has responded at its address.
+  void OnReplacedReported(uint64_t life, bool is_replaced);
+
   const ServerState& state() const { return state_; }
   const base::SocketAddress& address() const { return listener_->address(); }
 
@@ -102,7 +106,8 @@
   ChangedHandler changed_;
   ServerState state_;
   bool was_cold_reported_ = false;  // As of the last report that was published.
-  bool was_leaving_reported_ = false;  // As of the gate's last report.
+  bool was_leaving_reported_ = false;   // As of the gate's last report.
+  bool was_replaced_reported_ = false;  // As of the gate's last report.
   ServerIncarnationTracker incarnations_;
   std::string last_fault_;  // Repeated faults are logged once.
   std::set<DrainSource> drain_sources_;
--- a/src/libs/server/server_incarnation_tracker.cc
+++ b/src/libs/server/server_incarnation_tracker.cc
@@ -18,18 +18,16 @@
 
 ServerIncarnationTracker::Verdict ServerIncarnationTracker::OnAnnounced(
     const ServerAnnouncement& announcement,
-    bool is_overdue) {
+    bool is_doubtful) {
   const bool is_current = current_ && Matches(*current_, announcement.instance,
                                               announcement.started_at);
   if (is_current)
-    return ClassifyCurrent(announcement, is_overdue);
-  if (!MayReplace(announcement, is_overdue))
+    return ClassifyCurrent(announcement, is_doubtful);
+  if (!MayReplace(announcement, is_doubtful))
     return Verdict::kStale;
   if (current_)
     AddPast(*std::exchange(current_, std::nullopt));
-  std::erase_if(past_, [&](const Incarnation& past) {
-    return Matches(past, announcement.instance, announcement.started_at);
-  });
+  ErasePast(announcement.instance, announcement.started_at);
   current_ = Incarnation{announcement.instance, announcement.started_at,
                          announcement.sequence};
   return Verdict::kNewIncarnation;
@@ -45,8 +43,10 @@
   left.has_left = true;
   if (is_current)
     current_.reset();
-  if (!left.instance.empty())
+  if (!left.instance.empty()) {
+    ErasePast(left.instance, left.started_at);
     AddPast(std::move(left));
+  }
   return is_current;
 }
 
@@ -62,7 +62,7 @@
 
 ServerIncarnationTracker::Verdict ServerIncarnationTracker::ClassifyCurrent(
     const ServerAnnouncement& announcement,
-    bool is_overdue) {
+    bool is_doubtful) {
   // A server sends its start time in all announcements or in none, so that one
   // without it comes from another sender.
   const bool is_from_other_server =
@@ -70,7 +70,7 @@
       announcement.started_at == kUnknownStartTime;
   const bool is_older = announcement.sequence > 0 &&
                         announcement.sequence <= current_->sequence &&
-                        !is_overdue;
+                        !is_doubtful;
   if (!announcement.instance.empty() && (is_from_other_server || is_older))
     return Verdict::kStale;
   current_->started_at = announcement.started_at;
@@ -80,20 +80,33 @@
 
 bool ServerIncarnationTracker::MayReplace(
     const ServerAnnouncement& announcement,
-    bool is_overdue) const {
+    bool is_doubtful) const {
   const auto known = std::ranges::find_if(past_, [&](const Incarnation& past) {
     return Matches(past, announcement.instance, announcement.started_at);
   });
   const bool is_known = known != past_.end() && !announcement.instance.empty();
-  if (is_known && known->has_left)
-    return false;
-  const bool same_instance =
-      current_ && current_->instance == announcement.instance;
-  if (is_known)
-    return same_instance && is_overdue &&
+  if (is_known) {
+    return is_doubtful && !known->has_left &&
            announcement.sequence > known->sequence;
-  return !same_instance || is_overdue ||
-         announcement.started_at > current_->started_at;
+  }
+  return is_doubtful || IsLaterStart(announcement);
+}
+
+bool ServerIncarnationTracker::IsLaterStart(
+    const ServerAnnouncement& announcement) const {
+  if (!current_)
+    return true;
+  const bool are_starts_known = current_->started_at != kUnknownStartTime &&
+                                announcement.started_at != kUnknownStartTime;
+  return are_starts_known ? announcement.started_at > current_->started_at
+                          : announcement.instance != current_->instance;
+}
+
+void ServerIncarnationTracker::ErasePast(const std::string& instance,
+                                         milliseconds started_at) {
+  std::erase_if(past_, [&](const Incarnation& past) {
+    return Matches(past, instance, started_at);
+  });
 }
 
 void ServerIncarnationTracker::AddPast(Incarnation past) {
--- a/src/libs/server/server_incarnation_tracker.h
+++ b/src/libs/server/server_incarnation_tracker.h
@@ -24,11 +24,13 @@
     kStale,               // From an ended incarnation, or out of order.
   };
 
-  // `is_overdue` is true if the current incarnation's announcement is overdue
-  // or there is no current incarnation. Only then may an incarnation with an
-  // earlier start time replace it: the wall clock may have been set back before
-  // the server restarted.
-  Verdict OnAnnounced(const ServerAnnouncement& announcement, bool is_overdue);
+  // `is_doubtful` is true if there is no current incarnation, its announcement
+  // is overdue, or another instance responds at its address. Only then may an
+  // incarnation with an earlier start time replace it, as the wall clock may
+  // have been set back before the server restarted, and only then may an
+  // incarnation return that another one had replaced, as that one may have been
+  // accepted because of a delayed announcement.
+  Verdict OnAnnounced(const ServerAnnouncement& announcement, bool is_doubtful);
 
   // Called when an incarnation was deregistered. `started_at` is zero if
   // unknown; an empty `instance` means the current incarnation. Returns whether
@@ -48,10 +50,15 @@
                       const std::string& instance,
                       std::chrono::milliseconds started_at);
   Verdict ClassifyCurrent(const ServerAnnouncement& announcement,
-                          bool is_overdue);
+                          bool is_doubtful);
   // Whether the announcing incarnation may replace the current one.
   bool MayReplace(const ServerAnnouncement& announcement,
-                  bool is_overdue) const;
+                  bool is_doubtful) const;
+  // Whether an incarnation that was not seen before may replace the current one
+  // although that one is not doubtful.
+  bool IsLaterStart(const ServerAnnouncement& announcement) const;
+  void ErasePast(const std::string& instance,
+                 std::chrono::milliseconds started_at);
   void AddPast(Incarnation past);
 
   std::optional<Incarnation> current_;
--- a/tests/auto/server/own_server_test.cc
+++ b/tests/auto/server/own_server_test.cc
@@ -100,6 +100,21 @@
     CHECK(fixture.local_server.state().draining);
   }
 
+  SECTION("returns to the live server after a late announcement of another") {
+    const std::string late = Announcement("dossie", 2000, 40).dump();
+    REQUIRE(fixture.SendRequest("POST", late, "/v1/server/i-0") == 200);
+    REQUIRE(fixture.local_server.state().instance == "i-0");
+    const uint64_t late_life = fixture.local_server.state().life;
+    fixture.local_server.OnReplacedReported(first_life, true);
+    CHECK(fixture.PostAnnouncement(Announcement("dossie", 1000, 4)) == 200);
+    CHECK(fixture.local_server.state().instance == "i-0");
+    fixture.local_server.OnReplacedReported(late_life, true);
+    CHECK(fixture.PostAnnouncement(Announcement("dossie", 1000, 5)) == 200);
+    CHECK(fixture.local_server.state().instance == "i-1");
+    CHECK(fixture.SendRequest("POST", late, "/v1/server/i-0") == 200);
+    CHECK(fixture.local_server.state().instance == "i-1");
+  }
+
   SECTION("stops draining when a new incarnation of the same instance starts") {
     json leaving = Announcement("dossie", 1000, 4);
     leaving["state"] = "draining";
