Keep the leave of a server beyond the restart of its node

Cause: that a server drains or has left was known only to the process beside it. After a kill, the next run believed the first announcement, a late one from before the leave. `draining` was lost in the same way until the next announcement that says so.

Ruled out: a store entry for each leave; the acknowledgement would wait for the store, which may be away, and cost two writes for each server that is replaced.

Change: the record that a node publishes of itself names the server that last told it that it leaves. The record is sent to other members before the server gets its answer, and those that hold it return it to the next node that joins from the same address. What a record says of a server is applied whether or not its announcement came first, and is published again by the next run. ByteRateLimiter moves to base, as it knows nothing of members.

--- a/src/libs/membership/byte_rate_limiter.cc
+++ b/src/libs/base/byte_rate_limiter.cc
@@ -1,9 +1,9 @@
-#include "membership/byte_rate_limiter.h"
+#include "base/byte_rate_limiter.h"
 
 #include <algorithm>
 #include <chrono>
 
-namespace chestnutport::membership {
+namespace chestnutport::base {
 
 ByteRateLimiter::ByteRateLimiter(size_t per_second,
                                  size_t burst,
@@ -32,4 +32,4 @@
          std::chrono::microseconds(1);
 }
 
-}  // namespace chestnutport::membership
+}  // namespace chestnutport::base
--- a/src/libs/membership/byte_rate_limiter.h
+++ b/src/libs/base/byte_rate_limiter.h
@@ -1,12 +1,12 @@
 // A token bucket that limits the bytes a node sends.
-#ifndef MEMBERSHIP_BYTE_RATE_LIMITER_H_
-#define MEMBERSHIP_BYTE_RATE_LIMITER_H_
+#ifndef BASE_BYTE_RATE_LIMITER_H_
+#define BASE_BYTE_RATE_LIMITER_H_
 
 #include <cstddef>
 
 #include "base/time.h"
 
-namespace chestnutport::membership {
+namespace chestnutport::base {
 
 class ByteRateLimiter {
  public:
@@ -25,6 +25,6 @@
   base::Instant filled_at_;
 };
 
-}  // namespace chestnutport::membership
+}  // namespace chestnutport::base
 
-#endif  // MEMBERSHIP_BYTE_RATE_LIMITER_H_
+#endif  // BASE_BYTE_RATE_LIMITER_H_
--- a/src/libs/fleet/fleet_membership.cc
+++ b/src/libs/fleet/fleet_membership.cc
@@ -212,6 +212,10 @@
     PublishSoon();
   loop_.Cancel(run_timer_);
   run_timer_ = loop_.CallAt(gossip_->NextRun(), [this] { Run(); });
+  for (const membership::Member& predecessor : output.predecessors) {
+    if (predecessor_handler_)
+      predecessor_handler_(predecessor);
+  }
   if (output.evidence_changed && evidence_handler_)
     evidence_handler_();
   if (output.evacuations_changed && evacuations_handler_)
--- a/src/libs/fleet/fleet_membership.h
+++ b/src/libs/fleet/fleet_membership.h
@@ -84,6 +84,12 @@
   // Announces new evidence that the ledger holds on these requests.
   void AnnounceEvidence(std::span<const base::RequestFingerprint> requests);
 
+  // Called with each earlier run of this node that other members know. Must be
+  // set before Start().
+  void OnPredecessor(std::function<void(const membership::Member&)> handler) {
+    predecessor_handler_ = std::move(handler);
+  }
+
   // Called when the set of evacuated data centres has changed. Must be set
   // before Start().
   void OnEvacuations(
@@ -150,6 +156,7 @@
   RevisionHandler revision_handler_;
   EvidenceHandler evidence_handler_;
   std::function<void(const evacuation::Evacuations&)> evacuations_handler_;
+  std::function<void(const membership::Member&)> predecessor_handler_;
   std::map<Channel, DirectHandler> direct_handlers_;
   DirectCounters direct_counters_;
   MembershipLog log_;
--- a/src/libs/membership/evidence_disseminator.h
+++ b/src/libs/membership/evidence_disseminator.h
@@ -15,10 +15,10 @@
 #include <string_view>
 #include <vector>
 
+#include "base/byte_rate_limiter.h"
 #include "base/request_fingerprint.h"
 #include "base/time.h"
 #include "base/update_queue.h"
-#include "membership/byte_rate_limiter.h"
 #include "membership/gossip_options.h"
 #include "quarantine/crash_ledger.h"
 #include "quarantine/request_evidence.h"
@@ -55,7 +55,7 @@
       base::Instant now,
       size_t room) const;
   // The budget that the resulting messages are charged to.
-  ByteRateLimiter& budget() { return budget_; }
+  base::ByteRateLimiter& budget() { return budget_; }
   // Called when there is no member to send to.
   void PostponeFlush(base::Instant next_flush) { next_flush_ = next_flush; }
 
@@ -77,7 +77,7 @@
   quarantine::CrashLedger& ledger_;
   GossipOptions options_;
   Queue updates_;
-  ByteRateLimiter budget_;
+  base::ByteRateLimiter budget_;
   base::Instant next_flush_;
 };
 
--- a/src/libs/membership/gossip.cc
+++ b/src/libs/membership/gossip.cc
@@ -310,7 +310,17 @@
     output.changes.push_back(
         {entry.ToMember(), was_visible ? old->state : MemberState::kGone});
   }
+  const MemberEntry* self = table_.Find(self_);
+  if (IsPredecessorAt(entry, self_, self->record->member.gossip_address))
+    output.predecessors.push_back(entry.ToMember());
   table_.Put(std::move(entry));
 }
 
+bool Gossip::IsPredecessorAt(const MemberEntry& entry,
+                             base::NodeId id,
+                             const base::SocketAddress& address) {
+  return entry.id != id && entry.record && entry.record->member.departure &&
+         entry.record->member.gossip_address == address;
+}
+
 }  // namespace chestnutport::membership
--- a/src/libs/membership/gossip.h
+++ b/src/libs/membership/gossip.h
@@ -12,11 +12,11 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "base/byte_rate_limiter.h"
 #include "base/random.h"
 #include "base/time.h"
 #include "base/update_queue.h"
 #include "evacuation/local_evacuations.h"
-#include "membership/byte_rate_limiter.h"
 #include "membership/datagram_authenticator.h"
 #include "membership/evidence_disseminator.h"
 #include "membership/gossip_counters.h"
@@ -129,6 +129,11 @@
   // Sets or cancels the timers that the state of the entry requires.
   void UpdateTimers(base::Instant now, const MemberEntry& entry);
   void ReplaceEntry(MemberEntry entry, GossipOutput& output);
+  // Whether the entry is of another node at `address`, whose server has told it
+  // that it leaves.
+  static bool IsPredecessorAt(const MemberEntry& entry,
+                              base::NodeId id,
+                              const base::SocketAddress& address);
 
   // gossip_sending.cc: building and sending messages.
   void EnqueueUpdate(base::Instant now, base::NodeId id, bool with_record);
@@ -146,7 +151,7 @@
   // `fleet_count`: how many receivers in any data centre.
   void FanOut(const GossipMessage& message,
               size_t fleet_count,
-              ByteRateLimiter& budget,
+              base::ByteRateLimiter& budget,
               GossipOutput& output);
   // Returns options_.fleet_fan_out for some members of the data centre, and
   // zero for the others; drawn for each message.
@@ -176,6 +181,10 @@
                   bool was_unknown,
                   GossipOutput& output);
   void AddUnlessAlive(base::NodeId id, GossipMessage& message) const;
+  // Adds the records of earlier runs of the node `id` at `address`.
+  void AddPredecessors(base::NodeId id,
+                       const base::SocketAddress& address,
+                       std::vector<MemberUpdate>& updates) const;
   void OnAck(base::Instant now, const GossipMessage& ack, GossipOutput& output);
   void OnPingRequest(base::Instant now,
                      const base::SocketAddress& from,
@@ -219,8 +228,8 @@
   base::UpdateQueue<base::NodeId> updates_;
   EvidenceDisseminator evidence_;
   evacuation::LocalEvacuations evacuations_;
-  ByteRateLimiter budget_;
-  ByteRateLimiter acks_;
+  base::ByteRateLimiter budget_;
+  base::ByteRateLimiter acks_;
   GossipCounters counters_;
   std::optional<base::Instant> last_contact_;
   bool has_left_ = false;
--- a/src/libs/membership/gossip_output.h
+++ b/src/libs/membership/gossip_output.h
@@ -38,6 +38,8 @@
   std::vector<OutgoingPull> pulls;
   std::vector<MemberChange> changes;
   std::optional<ReportedRevision> revision;
+  // Earlier runs of this node, as far as other members know them.
+  std::vector<Member> predecessors;
   // Whether new evidence was received on requests running at crashes.
   bool evidence_changed = false;
   bool evacuations_changed = false;
--- a/src/libs/membership/gossip_probing.cc
+++ b/src/libs/membership/gossip_probing.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr size_t kMaxRelays = 64;
+// Earlier runs of a node, each with another departure of its server.
+constexpr size_t kMaxPredecessors = 4;
 constexpr std::chrono::seconds kSweepInterval(5);
 // How often a second all members together ping each member that is gone or has
 // left. A restarted node may have no address of a live member to contact.
@@ -29,8 +31,10 @@
       MakeMessage(is_addressee ? MessageType::kAck : MessageType::kWrongTarget,
                   is_addressee ? self_ : ping.subject);
   ack.sequence = ping.sequence;
-  if (was_unknown || is_join)
+  if (was_unknown || is_join) {
     ack.updates.push_back(MakeUpdate(*table_.Find(self_), true));
+    AddPredecessors(ping.sender, from, ack.updates);
+  }
   AddUnlessAlive(ping.sender, ack);
   SendWithUpdates(now, from, std::move(ack), output);
 }
@@ -42,6 +46,27 @@
     message.updates.push_back(MakeUpdate(*entry, false));
 }
 
+void Gossip::AddPredecessors(base::NodeId id,
+                             const base::SocketAddress& address,
+                             std::vector<MemberUpdate>& updates) const {
+  std::vector<base::ServerDeparture> added;
+  for (const MemberEntry& entry : table_.entries()) {
+    if (added.size() == kMaxPredecessors)
+      return;
+    if (!IsPredecessorAt(entry, id, address) ||
+        std::ranges::find(added, *entry.record->member.departure) !=
+            added.end()) {
+      continue;
+    }
+    added.push_back(*entry.record->member.departure);
+    MemberUpdate item = MakeUpdate(entry, true);
+    // A gone member is not believed to be gone by others; one whose address is
+    // taken has left.
+    item.state = MemberState::kLeft;
+    updates.push_back(std::move(item));
+  }
+}
+
 void Gossip::OnAck(base::Instant now,
                    const GossipMessage& ack,
                    GossipOutput& output) {
--- a/src/libs/membership/gossip_pulling.cc
+++ b/src/libs/membership/gossip_pulling.cc
@@ -112,6 +112,11 @@
       response.members.push_back(MakeUpdate(entry, false));
     }
   }
+  const MemberEntry* sender = table_.Find(request->sender);
+  if (sender && sender->record) {
+    AddPredecessors(sender->id, sender->record->member.gossip_address,
+                    response.members);
+  }
   for (const base::NodeId& id : request->wanted_records) {
     const MemberEntry* entry = table_.Find(id);
     if (entry && entry->record &&
--- a/src/libs/membership/gossip_sending.cc
+++ b/src/libs/membership/gossip_sending.cc
@@ -115,7 +115,7 @@
 // whole data centre along the ring; random receivers only speed that up.
 void Gossip::FanOut(const GossipMessage& message,
                     size_t fleet_count,
-                    ByteRateLimiter& budget,
+                    base::ByteRateLimiter& budget,
                     GossipOutput& output) {
   std::vector<base::NodeId> receivers;
   const bool has_local = !table_.local().empty();
--- a/src/libs/membership/member.cc
+++ b/src/libs/membership/member.cc
@@ -38,6 +38,11 @@
     object["draining"] = server->draining;
     object["cold_rate"] = server->rate_limit;
   }
+  if (departure) {
+    object["departed"] = {{"instance", departure->instance},
+                          {"started_at", departure->started_at.count()},
+                          {"has_left", departure->has_left}};
+  }
   return object.dump();
 }
 
@@ -67,6 +72,13 @@
           object.value("service", ""), object.value("slots", 1),
           object.value("draining", false), object.value("cold_rate", 0.0)};
     }
+    if (object.contains("departed")) {
+      const json& departed = object["departed"];
+      member.departure = base::ServerDeparture{
+          departed.value("instance", ""),
+          std::chrono::milliseconds(departed.value("started_at", int64_t{0})),
+          departed.value("has_left", false)};
+    }
     return member;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/libs/membership/member.h
+++ b/src/libs/membership/member.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "base/node_id.h"
+#include "base/server_departure.h"
 #include "base/socket_address.h"
 
 namespace chestnutport::membership {
@@ -49,6 +50,10 @@
   bool has_lost_store = false;
   std::optional<ServerAnnouncement>
       server;  // Nothing if no server is announced.
+  // The server that last told this node, or an earlier run of it, that it
+  // leaves. A later run of the node learns it from the members that know this
+  // one.
+  std::optional<base::ServerDeparture> departure;
 
   std::string ToJson() const;
   static std::optional<Member> FromJson(std::string_view text);
--- a/src/libs/membership/member_record.cc
+++ b/src/libs/membership/member_record.cc
@@ -24,6 +24,9 @@
   kDraining = 10,
   kColdRate = 11,
   kHasLostStore = 12,
+  kDepartedInstance = 13,
+  kDepartedStart = 14,  // In milliseconds since the epoch.
+  kHasLeft = 15,
 };
 
 constexpr size_t kMaxTextSize = 64;
@@ -65,6 +68,12 @@
   return *member.server;
 }
 
+base::ServerDeparture& DepartureOf(Member& member) {
+  if (!member.departure)
+    member.departure.emplace();
+  return *member.departure;
+}
+
 int ReadSlots(const msgpack::object& value) {
   const auto slots = value.as<uint32_t>();
   if (slots > kMaxSlots)
@@ -120,6 +129,16 @@
     case kHasLostStore:
       member.has_lost_store = value.as<bool>();
       break;
+    case kDepartedInstance:
+      DepartureOf(member).instance = ReadText(value);
+      break;
+    case kDepartedStart:
+      DepartureOf(member).started_at =
+          std::chrono::milliseconds(value.as<int64_t>());
+      break;
+    case kHasLeft:
+      DepartureOf(member).has_left = value.as<bool>();
+      break;
     default:
       break;  // Written by a newer version; preserved in the bytes.
   }
@@ -136,8 +155,10 @@
   Packer packer(buffer);
   constexpr uint32_t kFields = 8;
   constexpr uint32_t kServerFields = 4;
+  constexpr uint32_t kDepartureFields = 3;
   packer.pack_map(kFields + (member.server ? kServerFields : 0) +
-                  (member.has_lost_store ? 1 : 0));
+                  (member.has_lost_store ? 1 : 0) +
+                  (member.departure ? kDepartureFields : 0));
   packer.pack(static_cast<uint32_t>(kId));
   packer.pack(member.id.value);
   PackText(packer, kName, member.name);
@@ -160,6 +181,13 @@
     packer.pack(static_cast<uint32_t>(kHasLostStore));
     packer.pack(true);
   }
+  if (member.departure) {
+    PackText(packer, kDepartedInstance, member.departure->instance);
+    packer.pack(static_cast<uint32_t>(kDepartedStart));
+    packer.pack(int64_t{member.departure->started_at.count()});
+    packer.pack(static_cast<uint32_t>(kHasLeft));
+    packer.pack(member.departure->has_left);
+  }
   MemberRecord record{member, std::string(buffer.data(), buffer.size())};
   record.hash = Hash(record.bytes);
   return record;
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -233,6 +233,10 @@
   membership_.OnEvidence([this] { quarantine_.OnEvidenceReceived(); });
   membership_.OnEvacuations(
       [this](const evacuation::Evacuations& held) { OnEvacuations(held); });
+  membership_.OnPredecessor([this](const membership::Member& predecessor) {
+    if (predecessor.departure)
+      local_server_.OnDepartureKnown(*predecessor.departure);
+  });
   quarantine_.OnAnnounce(
       [this](std::span<const base::RequestFingerprint> told) {
         membership_.AnnounceEvidence(told);
@@ -391,6 +395,7 @@
   const server::ServerState& server = local_server_.state();
   server_discovery_.Stop();
   ++self_.incarnation;
+  self_.departure = local_server_.departure();
   self_.server.reset();
   if (server.announced) {
     self_.server =
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -59,23 +59,33 @@
 
 void LocalServer::Drain(DrainSource source) {
   drain_sources_.insert(source);
-  UpdateDraining();
+  const bool is_departing =
+      source == DrainSource::kServer && state_.announced &&
+      SetDeparture({state_.instance, state_.started_at, false});
+  if (!UpdateDraining() && is_departing)
+    changed_();
 }
 
 void LocalServer::Undrain(DrainSource source) {
   const bool has_ended = drain_sources_.erase(source) > 0;
   if (has_ended && source == DrainSource::kEvacuation)
     ++state_.evacuations;
-  UpdateDraining();
+  const bool stays = has_ended && source == DrainSource::kServer &&
+                     departure_ && !departure_->has_left;
+  if (stays)
+    departure_.reset();
+  if (!UpdateDraining() && stays)
+    changed_();
 }
 
-void LocalServer::UpdateDraining() {
+bool LocalServer::UpdateDraining() {
   const bool draining = !drain_sources_.empty();
   if (std::exchange(state_.draining, draining) == draining)
-    return;
+    return false;
   if (draining)
     LogEvent(Event::kServerDraining, {{"service", state_.service}});
   changed_();
+  return true;
 }
 
 void LocalServer::OnRequest(const net::HttpRequest& request, net::Reply reply) {
@@ -178,11 +188,13 @@
   if (has_started)
     OnNewIncarnation(announcement);
   const bool is_cold_new = UpdateColdUntil(announcement, now);
+  const bool is_departing =
+      announcement.draining &&
+      SetDeparture({announcement.instance, announcement.started_at, false});
   if (announcement.draining)
     drain_sources_.insert(DrainSource::kServer);
-  if (is_changed || is_cold_new)
+  if (!UpdateDraining() && (is_changed || is_cold_new || is_departing))
     changed_();
-  UpdateDraining();
   return true;
 }
 
@@ -191,6 +203,8 @@
   state_.cold_until = {};
   state_.cold_reported_at = {};
   drain_sources_.erase(DrainSource::kServer);
+  if (departure_ && departure_->IsOf(state_.instance, state_.started_at))
+    drain_sources_.insert(DrainSource::kServer);
   was_leaving_reported_ = false;
   was_replaced_reported_ = false;
   const std::string started_at =
@@ -247,17 +261,55 @@
     LogFault(instance, "born");
     return false;
   }
-  if (incarnations_.OnLeft(std::string(instance), *started_at))
-    Withdraw();
+  base::ServerDeparture left{std::string(instance), *started_at, true};
+  const bool is_current = incarnations_.OnLeft(left.instance, left.started_at);
+  if (is_current && state_.announced)
+    left = {state_.instance, state_.started_at, true};
+  // The departure of the current server is not given up for that of another.
+  const bool is_recorded =
+      (is_current || !state_.draining) && SetDeparture(std::move(left));
+  if (is_current && Withdraw())
+    return true;
+  if (is_recorded)
+    changed_();
+  return true;
+}
+
+void LocalServer::OnDepartureKnown(const base::ServerDeparture& departure) {
+  const bool is_current =
+      state_.announced && departure.IsOf(state_.instance, state_.started_at);
+  if (departure.has_left)
+    incarnations_.OnLeft(departure.instance, departure.started_at);
+  // What this run was told itself is newer.
+  const bool is_recorded =
+      (is_current || !departure_) && SetDeparture(departure);
+  if (departure.has_left && is_current && Withdraw())
+    return;
+  if (is_current && !departure.has_left)
+    Drain(DrainSource::kServer);
+  else if (is_recorded)
+    changed_();
+}
+
+bool LocalServer::SetDeparture(base::ServerDeparture departure) {
+  if (departure.instance.empty() || departure_ == departure)
+    return false;
+  // A server that has left does not drain any more.
+  if (departure_ && departure_->has_left &&
+      departure_->IsOf(departure.instance, departure.started_at)) {
+    return false;
+  }
+  departure_ = std::move(departure);
   return true;
 }
 
-void LocalServer::Withdraw() {
+bool LocalServer::Withdraw() {
   presence_.OnLeft();
   if (!std::exchange(state_.announced, false))
-    return;
+    return false;
   LogEvent(Event::kServerWithdrawn, {{"service", state_.service}});
   changed_();
+  return true;
 }
 
 void LocalServer::CheckPresence() {
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -7,12 +7,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 
 #include "admission/server_liveness.h"
 #include "base/result.h"
+#include "base/server_departure.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 #include "server/server_announcement.h"
@@ -73,7 +75,16 @@
   // incarnation `life` has responded at its address.
   void OnReplacedReported(uint64_t life, bool is_replaced);
 
+  // Called with what an earlier run of this node published as its departure().
+  void OnDepartureKnown(const base::ServerDeparture& departure);
+
   const ServerState& state() const { return state_; }
+  // The server that last told this node, or an earlier run of it, that it
+  // leaves. Changes are published before the server gets its response, so that
+  // they outlive this process.
+  const std::optional<base::ServerDeparture>& departure() const {
+    return departure_;
+  }
   const base::SocketAddress& address() const { return listener_->address(); }
 
  private:
@@ -96,9 +107,13 @@
   bool HandleDeregistration(const net::HttpRequest& request,
                             std::string_view instance);
   void LogFault(std::string_view instance, const std::string& fault);
-  void Withdraw();
+  // Returns whether the state was published.
+  bool Withdraw();
+  // Returns whether departure() has changed.
+  bool SetDeparture(base::ServerDeparture departure);
   void CheckPresence();
-  void UpdateDraining();
+  // Returns whether the state was published.
+  bool UpdateDraining();
 
   net::EventLoop& loop_;
   AnnouncementRequirements requirements_;
@@ -111,6 +126,7 @@
   ServerIncarnationTracker incarnations_;
   std::string last_fault_;  // Repeated faults are logged once.
   std::set<DrainSource> drain_sources_;
+  std::optional<base::ServerDeparture> departure_;
   admission::ServerLiveness presence_;
   net::EventLoop::TimerId timer_ = 0;
   std::unique_ptr<net::HttpServer> listener_;
--- a/tests/auto/platform/server_leaving_test.cc
+++ b/tests/auto/platform/server_leaving_test.cc
@@ -1,4 +1,5 @@
-// Guards against requests to a server that has stated that it is leaving.
+// Guards against requests to a server that has stated that it is leaving, or
+// has left, also after its node was killed.
 #include <catch2/catch.hpp>
 
 #include "support/hosted_pair.h"
@@ -68,5 +69,31 @@
   }
 }
 
+TEST_CASE("a server leaves and its node is killed and started again") {
+  const bool deregisters = GENERATE(true, false);
+  HostedPair pair("left", deregisters ? 0 : 1000);
+  pair.StartCalls();
+  if (deregisters)
+    pair.Deregister();
+  else
+    pair.Announce("draining");
+  // Its health check goes on to pass. An announcement from before arrives late.
+  pair.RestartServerNode();
+  const Instant drained_at =
+      base::Clock::now() + HostedPair::kWork + kDrainTime;
+  REQUIRE(WaitUntilTime(drained_at));
+  const size_t before = pair.Arrivals().size();
+
+  SECTION("and gets no new requests") {
+    REQUIRE(WaitUntilTime(drained_at + kObserved));
+    pair.StopCalls();
+    CHECK(pair.Arrivals().size() == before);
+  }
+  SECTION("until another server has taken its address") {
+    pair.RestartServer("i-2", 2000);
+    CHECK(pair.WaitForRequests(100));
+  }
+}
+
 }  // namespace
 }  // namespace chestnutport::test
--- a/tests/support/gossip_fleet.cc
+++ b/tests/support/gossip_fleet.cc
@@ -70,6 +70,8 @@
   member.operator_address = AddressOf(slot);
   member.server = membership::ServerAnnouncement{
       absl::StrCat("service-", slot % kServices), 12, false};
+  member.departure.reset();
+  node.predecessors.clear();
   slot_of_[member.id] = slot;
   node.ledger = std::make_unique<quarantine::CrashLedger>();
   node.gossip = std::make_unique<membership::Gossip>(
@@ -196,6 +198,8 @@
   if (output.revision && on_revision_)
     on_revision_(slot, output.revision->revision);
   Slot& node = slots_[slot];
+  node.predecessors.insert(node.predecessors.end(), output.predecessors.begin(),
+                           output.predecessors.end());
   const base::Instant next = std::max(node.gossip->NextRun(), now_);
   if (node.timer == base::Instant() || next < node.timer) {
     node.timer = next;
@@ -329,6 +333,14 @@
   Apply(slot, output);
 }
 
+void GossipFleet::Depart(size_t slot, const base::ServerDeparture& departure) {
+  Slot& node = slots_[slot];
+  node.member.departure = departure;
+  GossipOutput output;
+  node.gossip->Update(now_, node.member, output);
+  Apply(slot, output);
+}
+
 void GossipFleet::AnnounceRevision(size_t slot, uint64_t revision) {
   GossipOutput output;
   slots_[slot].gossip->AnnounceRevision(now_, revision, output);
--- a/tests/support/gossip_fleet.h
+++ b/tests/support/gossip_fleet.h
@@ -73,6 +73,12 @@
   // Makes the node in `slot` ping another seed.
   void ContactSeed(size_t slot, size_t seed);
   void Drain(size_t slot);
+  // Publishes that the server beside the node leaves.
+  void Depart(size_t slot, const base::ServerDeparture& departure);
+  // Returns the earlier runs of the running node that it has heard of.
+  const std::vector<membership::Member>& predecessors(size_t slot) const {
+    return slots_[slot].predecessors;
+  }
   void AnnounceRevision(size_t slot, uint64_t revision);
   // Passes the evacuations to the node as read from the store.
   void ReadEvacuations(size_t slot, const evacuation::Evacuations& read);
@@ -118,6 +124,7 @@
     membership::Member member;
     std::unique_ptr<quarantine::CrashLedger> ledger;
     std::unique_ptr<membership::Gossip> gossip;
+    std::vector<membership::Member> predecessors;
     bool frozen = false;
     uint64_t life = 0;
     base::Instant timer{};
--- a/tests/support/hosted_node.cc
+++ b/tests/support/hosted_node.cc
@@ -129,6 +129,13 @@
     throw std::runtime_error("announcement refused: " + answer.body);
 }
 
+void HostedNode::Deregister(const HostedServer& server) {
+  const auto answer = SendRequest(server_api_address_, "DELETE",
+                                  "/v1/server/" + server.instance);
+  if (answer.status != kOk)
+    throw std::runtime_error("deregistration refused: " + answer.body);
+}
+
 net::HttpAnswer HostedNode::Call(const std::string& path,
                                  const std::string& id) const {
   RawSocket socket(caller_address_);
--- a/tests/support/hosted_pair.cc
+++ b/tests/support/hosted_pair.cc
@@ -71,6 +71,7 @@
 }
 
 void HostedPair::RestartServerNode() {
+  server_node_->KeepAddresses();
   server_node_->Restart();
   Require(WaitUntil([&] { return server_node_->IsReady(); }),
           "the node beside the server did not start again");
@@ -96,8 +97,12 @@
   Announce();
 }
 
-void HostedPair::Announce() {
-  server_node_->Announce(server_, "ready", ++sequence_, born_);
+void HostedPair::Announce(const std::string& state) {
+  server_node_->Announce(server_, state, ++sequence_, born_);
+}
+
+void HostedPair::Deregister() {
+  server_node_->Deregister(server_);
 }
 
 void HostedPair::StartCalls() {
--- a/tests/support/hosted_pair.h
+++ b/tests/support/hosted_pair.h
@@ -34,7 +34,8 @@
   // The server sends these headers with all responses to requests, and answers
   // health checks with `health_status`.
   void State(const net::HttpHeaders& notices, int health_status = 200);
-  // Restarts the node beside the server; the server goes on.
+  // Restarts the node beside the server at its addresses; the server goes on
+  // and announces itself as ready.
   void RestartServerNode();
   // Stops the process of the node beside the server for `time`.
   void FreezeServerNode(std::chrono::milliseconds time);
@@ -43,8 +44,9 @@
   // Starts the server again at its address, as `instance`, and announces it
   // with the start time `born`.
   void RestartServer(const std::string& instance, int born);
-  // Announces the server as ready.
-  void Announce();
+  // Announces the server as ready, or as `state`.
+  void Announce(const std::string& state = "ready");
+  void Deregister();
 
   // Sends as many calls as 16 connections carry, until StopCalls(). Returns
   // once the server has got one. Throws on failure.
