Confirm the first announcement after a start of the node

Cause: the next run of a node believes the first announcement that comes, which may be a late one of a server that has left.

Ruled out: waiting for a second announcement in every case; a server would be out of service for up to 2 s after each start of its node.

Change: if the node knows where its server is, the first announcement waits until discovery has had a good answer to the health check, which a leaving server does not give, or until another announcement follows at least 0.5 s later. One that says `draining` is believed at once. Event 2110 tells of it.

The new sections of own_server_test need the change.

--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -152,6 +152,11 @@
   if (NeedsProofs(settings))
     freshness_policy_.current_until = base::BootInstant();
   AddControlCalls();
+  // Discovery asks the server itself.
+  if (settings_.server_address.port != 0 &&
+      adapters.servers.announcement_requirements.has_instance) {
+    local_server_.RequireConfirmation();
+  }
 }
 
 operators::ManagedNode ControlPlane::MakeManagedNode() {
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -18,6 +18,9 @@
 constexpr char kServerPath[] = "/v1/server";
 constexpr char kInstance[] = "instance";
 constexpr std::chrono::milliseconds kPresenceCheckInterval(250);
+// Announcements that were delayed together arrive within this time. Those of a
+// running server are one or two seconds apart.
+constexpr std::chrono::milliseconds kMinConfirmationDelay(500);
 // Largest shift of the end of the cold phase that is not published as a change.
 // Announcements take about this long to arrive, so that the end computed from
 // each of them varies.
@@ -129,6 +132,11 @@
     return false;
   }
   last_fault_.clear();
+  if (!IsConfirmed(*announcement)) {
+    LogEvent(Event::kAnnouncementUnconfirmed,
+             {{"instance", announcement->instance}});
+    return true;
+  }
   if (!Apply(*announcement))
     LogEvent(Event::kAnnouncementLate, {{"instance", announcement->instance}});
   return true;
@@ -161,6 +169,23 @@
     Apply(found);
 }
 
+bool LocalServer::IsConfirmed(const ServerAnnouncement& announcement) {
+  // A draining server gets no requests, so nothing is lost by believing it.
+  if (!needs_confirmation_ || announcement.draining)
+    return true;
+  const base::Instant now = base::Clock::now();
+  const bool is_same = unconfirmed_ &&
+                       unconfirmed_->instance == announcement.instance &&
+                       unconfirmed_->started_at == announcement.started_at;
+  if (!is_same) {
+    unconfirmed_ = announcement;
+    unconfirmed_at_ = now;
+    return false;
+  }
+  return announcement.sequence > unconfirmed_->sequence &&
+         now - unconfirmed_at_ >= kMinConfirmationDelay;
+}
+
 bool LocalServer::Apply(const ServerAnnouncement& announcement) {
   using Verdict = ServerIncarnationTracker::Verdict;
   const base::Instant now = base::Clock::now();
@@ -169,6 +194,7 @@
   const Verdict verdict = incarnations_.OnAnnounced(announcement, is_doubtful);
   if (verdict == Verdict::kStale)
     return false;
+  needs_confirmation_ = false;
   presence_.OnAnnounced(now);
   const bool has_started = verdict == Verdict::kNewIncarnation ||
                            !state_.announced ||
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -52,6 +52,12 @@
   // Binds the listener for announcements, drain requests and deregistrations.
   base::Result<bool> Listen(const base::SocketAddress& address);
 
+  // Makes the first announcement after a start of the node wait for a
+  // confirmation: by OnDiscovered(), or by a later announcement. It may be a
+  // delayed one of a server that has left, which only an earlier run of this
+  // node knew. Call before the first announcement.
+  void RequireConfirmation() { needs_confirmation_ = true; }
+
   // Stops new requests to the server until Undrain() has been called for each
   // source that drains it.
   void Drain(DrainSource source);
@@ -93,6 +99,8 @@
   // instance is used. Returns false if the announcement is invalid.
   bool HandleAnnouncement(const net::HttpRequest& request,
                           std::string_view instance);
+  // Returns whether the announcement may be applied; see RequireConfirmation().
+  bool IsConfirmed(const ServerAnnouncement& announcement);
   // Returns false if the announcement is stale: it belongs to an incarnation
   // that has ended, or a later one was received before it.
   bool Apply(const ServerAnnouncement& announcement);
@@ -125,6 +133,10 @@
   bool was_replaced_reported_ = false;  // As of the gate's last report.
   ServerIncarnationTracker incarnations_;
   std::string last_fault_;  // Repeated faults are logged once.
+  bool needs_confirmation_ = false;
+  // The announcement that waits for a confirmation, and when it arrived.
+  std::optional<ServerAnnouncement> unconfirmed_;
+  base::Instant unconfirmed_at_;
   std::set<DrainSource> drain_sources_;
   std::optional<base::ServerDeparture> departure_;
   admission::ServerLiveness presence_;
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -176,6 +176,13 @@
                      "The server states a rate limit that is no number; the "
                      "limit before stays in force.",
                      "Correct the server."},
+    EventDescription{Event::kAnnouncementUnconfirmed,
+                     "announcement-unconfirmed", Level::kInfo,
+                     "The first announcement after the start of this node: it "
+                     "waits until the server's health check or a later "
+                     "announcement confirms it.",
+                     "If requests stay away, look at the server's health "
+                     "check."},
     EventDescription{Event::kVerdictPassed, "verdict-passed", Level::kWarning,
                      "This node suspects a request, or holds it in quarantine, "
                      "by the ends of servers that the line names.",
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -65,6 +65,7 @@
   kServerEnded = 2107,
   kServerNotice = 2108,
   kServerNoticeInvalid = 2109,
+  kAnnouncementUnconfirmed = 2110,
   kVerdictPassed = 2201,
   kVerdictEnded = 2202,
   kStoreUnavailable = 3001,
--- a/tests/auto/membership/predecessor_test.cc
+++ b/tests/auto/membership/predecessor_test.cc
@@ -1,5 +1,5 @@
-// Guards against a node that forgets at its restart which server has told it that
-// it leaves.
+// Guards against a node that forgets at its restart which server has told it
+// that it leaves.
 #include <catch2/catch.hpp>
 
 #include "support/gossip_fleet.h"
@@ -23,10 +23,9 @@
 TEST_CASE("a node is killed after its server has told it that it leaves") {
   constexpr size_t kSlot = 3;
   const auto seed = GENERATE(range(1, 6));
-  GossipFleet fleet(
-      {.members = GENERATE(size_t{4}, size_t{12}, size_t{100}),
-       .seed = static_cast<uint64_t>(seed),
-       .loss = GENERATE(0.0, 0.05)});
+  GossipFleet fleet({.members = GENERATE(size_t{4}, size_t{12}, size_t{100}),
+                     .seed = static_cast<uint64_t>(seed),
+                     .loss = GENERATE(0.0, 0.05)});
   fleet.RunFor(seconds(1));
   fleet.Depart(kSlot, kDeparture);
   const auto delay = GENERATE(milliseconds(2), milliseconds(200));
--- a/tests/auto/server/own_server_test.cc
+++ b/tests/auto/server/own_server_test.cc
@@ -48,6 +48,11 @@
     return status;
   }
 
+  void RunFor(base::Duration time) {
+    loop_.CallAfter(time, [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+
   int PostAnnouncement(const json& body) {
     return SendRequest("POST", body.dump());
   }
@@ -175,5 +180,38 @@
   }
 }
 
+TEST_CASE("the first announcement after the start of a node") {
+  LocalServerFixture fixture;
+  fixture.local_server.RequireConfirmation();
+  const json first = Announcement("dossie", 1000, 3);
+  REQUIRE(fixture.PostAnnouncement(first) == 200);
+  REQUIRE_FALSE(fixture.local_server.state().announced);
+
+  SECTION("is not confirmed by announcements that arrive with it") {
+    CHECK(fixture.PostAnnouncement(Announcement("dossie", 1000, 4)) == 200);
+    CHECK_FALSE(fixture.local_server.state().announced);
+  }
+  SECTION("is confirmed by a later one, but not by its repetition") {
+    fixture.RunFor(std::chrono::milliseconds(600));
+    CHECK(fixture.PostAnnouncement(first) == 200);
+    CHECK_FALSE(fixture.local_server.state().announced);
+    CHECK(fixture.PostAnnouncement(Announcement("dossie", 1000, 4)) == 200);
+    CHECK(fixture.local_server.state().announced);
+  }
+  SECTION("is confirmed by the server's health check") {
+    ServerAnnouncement found;
+    found.service = "dossie";
+    found.instance = "i-1";
+    fixture.local_server.OnDiscovered(found);
+    CHECK(fixture.local_server.state().announced);
+  }
+  SECTION("is believed if it says that the server drains") {
+    json leaving = Announcement("dossie", 1000, 4);
+    leaving["state"] = "draining";
+    CHECK(fixture.PostAnnouncement(leaving) == 200);
+    CHECK(fixture.local_server.state().draining);
+  }
+}
+
 }  // namespace
 }  // namespace chestnutport::server
