Move sockets and their options out of net

Change: a library below net, sockets, holds ListeningSocket and TcpOptions.

Measured: the build; nothing else changes.

--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -16,7 +16,7 @@
 #include "base/time.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
-#include "net/tcp_options.h"
+#include "sockets/tcp_options.h"
 
 namespace chestnutport::net {
 
@@ -53,7 +53,7 @@
   // connection is closed after the rejection of a request with a body: the next
   // request would wait until the other end has read the body.
   bool answers_after_reading = false;
-  TcpOptions tcp;
+  sockets::TcpOptions tcp;
 
   // Each request opens a connection, so that none can have gone silent before.
   static HttpClientOptions Fresh();
--- a/src/libs/net/http_client_connection.cc
+++ b/src/libs/net/http_client_connection.cc
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "net/http_transfer.h"
-#include "net/tcp_options.h"
+#include "sockets/tcp_options.h"
 
 namespace chestnutport::net {
 namespace {
@@ -31,7 +31,7 @@
   fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   if (fd_ < 0)
     return false;
-  SetTcpOptions(fd_, client_.options().tcp);
+  sockets::SetTcpOptions(fd_, client_.options().tcp);
   sockaddr_in raw{};
   raw.sin_family = AF_INET;
   raw.sin_addr.s_addr = htonl(to_.ip);
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -21,7 +21,7 @@
     const base::SocketAddress& address,
     const HttpServerLimits& limits,
     Handler handler) {
-  auto socket = ListeningSocket::Open(address);
+  auto socket = sockets::ListeningSocket::Open(address);
   if (!socket)
     return socket.error();
   std::unique_ptr<HttpServer> server(new HttpServer(
@@ -31,7 +31,7 @@
 }
 
 HttpServer::HttpServer(EventLoop& loop,
-                       ListeningSocket socket,
+                       sockets::ListeningSocket socket,
                        const HttpServerLimits& limits,
                        Handler handler)
     : loop_(loop),
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -12,8 +12,8 @@
 #include "base/result.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
-#include "net/listening_socket.h"
 #include "net/reply.h"
+#include "sockets/listening_socket.h"
 
 namespace chestnutport::net {
 
@@ -80,7 +80,7 @@
 
  private:
   HttpServer(EventLoop& loop,
-             ListeningSocket socket,
+             sockets::ListeningSocket socket,
              const HttpServerLimits& limits,
              Handler handler);
   void AcceptAll();
@@ -90,7 +90,7 @@
   void Sweep();
 
   EventLoop& loop_;
-  ListeningSocket socket_;
+  sockets::ListeningSocket socket_;
   HttpServerLimits limits_;
   Handler handler_;
   bool is_open_ = true;
--- a/src/libs/net/listening_socket.cc
+++ b/src/libs/sockets/listening_socket.cc
@@ -1,4 +1,4 @@
-#include "net/listening_socket.h"
+#include "sockets/listening_socket.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -7,9 +7,9 @@
 #include <cerrno>
 #include <utility>
 
-#include "net/tcp_options.h"
+#include "sockets/tcp_options.h"
 
-namespace chestnutport::net {
+namespace chestnutport::sockets {
 namespace {
 
 constexpr int kBacklog = 1024;
@@ -61,4 +61,4 @@
     close(std::exchange(fd_, -1));
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::sockets
--- a/src/libs/net/listening_socket.h
+++ b/src/libs/sockets/listening_socket.h
@@ -1,11 +1,11 @@
 // A bound, listening TCP socket.
-#ifndef NET_LISTENING_SOCKET_H_
-#define NET_LISTENING_SOCKET_H_
+#ifndef SOCKETS_LISTENING_SOCKET_H_
+#define SOCKETS_LISTENING_SOCKET_H_
 
 #include "base/result.h"
 #include "base/socket_address.h"
 
-namespace chestnutport::net {
+namespace chestnutport::sockets {
 
 class ListeningSocket {
  public:
@@ -31,6 +31,6 @@
   base::SocketAddress address_;
 };
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::sockets
 
-#endif  // NET_LISTENING_SOCKET_H_
+#endif  // SOCKETS_LISTENING_SOCKET_H_
--- a/src/libs/net/tcp_options.cc
+++ b/src/libs/sockets/tcp_options.cc
@@ -1,10 +1,10 @@
-#include "net/tcp_options.h"
+#include "sockets/tcp_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace chestnutport::net {
+namespace chestnutport::sockets {
 namespace {
 
 void SetOption(int fd, int level, int name, int value) {
@@ -24,4 +24,4 @@
             static_cast<int>(options.unacknowledged.count()));
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::sockets
--- a/src/libs/net/tcp_options.h
+++ b/src/libs/sockets/tcp_options.h
@@ -1,10 +1,10 @@
 // How a TCP connection finds out that its other end is gone.
-#ifndef NET_TCP_OPTIONS_H_
-#define NET_TCP_OPTIONS_H_
+#ifndef SOCKETS_TCP_OPTIONS_H_
+#define SOCKETS_TCP_OPTIONS_H_
 
 #include <chrono>
 
-namespace chestnutport::net {
+namespace chestnutport::sockets {
 
 struct TcpOptions {
   // Bytes that the other end does not acknowledge for this long end the
@@ -19,6 +19,6 @@
 // socket it holds for every connection accepted from it.
 void SetTcpOptions(int fd, const TcpOptions& options);
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::sockets
 
-#endif  // NET_TCP_OPTIONS_H_
+#endif  // SOCKETS_TCP_OPTIONS_H_
--- a/tests/auto/fleet_configuration/configuration_fetcher_test.cc
+++ b/tests/auto/fleet_configuration/configuration_fetcher_test.cc
@@ -10,7 +10,7 @@
 
 #include "configuration/packed_document_cache.h"
 #include "control_calls/control_listener.h"
-#include "net/listening_socket.h"
+#include "sockets/listening_socket.h"
 #include "support/relay.h"
 
 namespace chestnutport::fleet_configuration {
@@ -82,7 +82,7 @@
   }
 
   Member AddUnresponsivePeer() {
-    auto socket = net::ListeningSocket::Open(kAnyPort);
+    auto socket = sockets::ListeningSocket::Open(kAnyPort);
     REQUIRE(socket);
     unresponsive_.push_back(std::move(socket).value());
     return AddMember(unresponsive_.back().address());
@@ -144,7 +144,7 @@
   LocalConfiguration local_;
   Member self_;
   std::vector<Member> members_;
-  std::vector<net::ListeningSocket> unresponsive_;
+  std::vector<sockets::ListeningSocket> unresponsive_;
   std::vector<std::unique_ptr<Peer>> peers_;
   std::unique_ptr<test::Relay> relay_;
   std::unique_ptr<ConfigurationFetcher> fetcher_;
--- a/tests/auto/store/store_client_test.cc
+++ b/tests/auto/store/store_client_test.cc
@@ -6,7 +6,7 @@
 
 #include "net/event_loop.h"
 #include "net/http_server.h"
-#include "net/listening_socket.h"
+#include "sockets/listening_socket.h"
 #include "store/store_connections.h"
 #include "support/relay.h"
 
@@ -207,8 +207,8 @@
 
 TEST_CASE("a watch without a response ends soon after its wait") {
   net::EventLoop loop;
-  auto silent =
-      net::ListeningSocket::Open(*base::SocketAddress::Parse("127.0.0.1:0"));
+  auto silent = sockets::ListeningSocket::Open(
+      *base::SocketAddress::Parse("127.0.0.1:0"));
   REQUIRE(silent);
   net::HttpClient http(loop, {});
   StoreClient client(http, {silent.value().address()}, std::chrono::seconds(2));
--- a/tests/support/raw_server.cc
+++ b/tests/support/raw_server.cc
@@ -9,9 +9,9 @@
 
 RawServer::RawServer(Script script)
     : script_(std::move(script)),
-      socket_(
-          net::ListeningSocket::Open(*base::SocketAddress::Parse("127.0.0.1:0"))
-              .value()),
+      socket_(sockets::ListeningSocket::Open(
+                  *base::SocketAddress::Parse("127.0.0.1:0"))
+                  .value()),
       accept_thread_([this] { AcceptAll(); }) {}
 
 RawServer::~RawServer() {
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -8,7 +8,7 @@
 #include <thread>
 #include <vector>
 
-#include "net/listening_socket.h"
+#include "sockets/listening_socket.h"
 #include "support/raw_socket.h"
 
 namespace chestnutport::test {
@@ -29,7 +29,7 @@
   void AcceptAll();
 
   Script script_;
-  net::ListeningSocket socket_;
+  sockets::ListeningSocket socket_;
   std::mutex mutex_;
   std::list<RawSocket> connections_;
   std::vector<std::thread> threads_;
--- a/tests/support/relay.cc
+++ b/tests/support/relay.cc
@@ -15,9 +15,9 @@
 
 constexpr size_t kBufferSize = 65536;
 
-net::ListeningSocket OpenSocket() {
+sockets::ListeningSocket OpenSocket() {
   const auto any = base::SocketAddress::Parse("127.0.0.1:0");
-  auto socket = net::ListeningSocket::Open(any.value());
+  auto socket = sockets::ListeningSocket::Open(any.value());
   return std::move(socket).value();
 }
 
--- a/tests/support/relay.h
+++ b/tests/support/relay.h
@@ -11,7 +11,7 @@
 
 #include "base/socket_address.h"
 #include "net/event_loop.h"
-#include "net/listening_socket.h"
+#include "sockets/listening_socket.h"
 
 namespace chestnutport::test {
 
@@ -53,7 +53,7 @@
   void RunOnLoop(const std::function<void()>& task);
 
   base::SocketAddress target_;
-  net::ListeningSocket socket_;
+  sockets::ListeningSocket socket_;
   net::EventLoop loop_;
   std::map<uint64_t, std::unique_ptr<Connection>> connections_;
   uint64_t last_id_ = 0;
