Allocate nothing for the length that a message states

Callers saw: nothing yet. One head with a length of 99,999,999,999,999 ended the node: a caller's request, or a server's answer.

Cause: Beast's string_body reserves the stated length. The allocation fails and the exception ends the process; a smaller number is reserved in vain.

Ruled out: a limit in the parser; callers' limits change while a head is read, and a streamed answer is never in memory as a whole.

Change: PartBody takes the parts of a body as they come, for requests and answers.

Conclusion: memory follows the bytes that came, which the limits count.

--- a/src/libs/net/http_client_connection.h
+++ b/src/libs/net/http_client_connection.h
@@ -3,7 +3,6 @@
 #define NET_HTTP_CLIENT_CONNECTION_H_
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +11,7 @@
 #include "base/time.h"
 #include "net/beast_messages.h"
 #include "net/http_client.h"
+#include "net/part_body.h"
 
 namespace chestnutport::net {
 
@@ -45,7 +45,7 @@
   bool IsClosed() const { return closed_; }
 
  private:
-  using Parser = http::response_parser<http::string_body>;
+  using Parser = http::response_parser<PartBody>;
 
   void OnReady(uint32_t epoll_events);
   void OnConnected();
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -3,7 +3,6 @@
 #define NET_HTTP_CONNECTION_H_
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -15,6 +14,7 @@
 #include "net/beast_messages.h"
 #include "net/http_exchange.h"
 #include "net/http_message.h"
+#include "net/part_body.h"
 
 namespace chestnutport::net {
 
@@ -46,7 +46,7 @@
   bool IsBusy() const { return !exchanges_.empty() || HasOutput(); }
 
  private:
-  using Parser = http::request_parser<http::string_body>;
+  using Parser = http::request_parser<PartBody>;
 
   bool HasOutput() const { return out_offset_ < out_.size(); }
   bool MayParse() const;
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -413,6 +413,15 @@
     CHECK((answer.empty() || answer.starts_with("HTTP/1.1 4") ||
            answer.starts_with("HTTP/1.0 4")));
   }
+  SECTION("that states a body longer than any memory") {
+    const std::string length =
+        GENERATE("Content-Length: 99999999999999\r\n\r\n",
+                 "Transfer-Encoding: chunked\r\n\r\n5af3107a3fff\r\n");
+    caller.Send("POST / HTTP/1.1\r\nHost: x\r\n" + length +
+                std::string(2000, 'x'));
+    caller.CloseWriting();
+    CHECK_FALSE(Has(caller.ReadToEnd(), "200 OK"));
+  }
   SECTION("when the bodies at hand use up the budget") {
     caller.Send(
         "POST /keep HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n" +
