End no transfer while it begins

Callers saw: nothing known. The review read that `HttpClient::Stream` may call `done` from inside, against its contract, if a write to a kept connection fails at once; the gate and the sender of attempts would then use freed memory.

Cause: the first write on a kept connection handled its failure at once.

Ruled out: a deferred write for every request; it costs a round of the loop.

Change: a failure of the first write is left to the loop, which reports the broken connection in the next round.

Measured: http_client_test, "a write that fails at once ends the transfer after it has begun", passes; it shuts the kept connection down for writing between two requests.

Conclusion: the contract of Send() and Stream() holds in all cases.

--- a/src/libs/net/http_client_connection.cc
+++ b/src/libs/net/http_client_connection.cc
@@ -63,8 +63,10 @@
   transfer.connection = this;
   sent_ = 0;
   parser_.reset();
+  // A failure is reported in the next round of the loop: the transfer does not
+  // end while it begins.
   if (!connecting_)
-    Write();
+    TryWrite();
   Watch();
 }
 
@@ -129,22 +131,25 @@
 }
 
 void HttpClientConnection::Write() {
+  if (TryWrite())
+    return;
+  // An answer that came before the end is still to be read.
+  Read();
+  if (!closed_ && transfer_)
+    OnEnd(false);
+}
+
+bool HttpClientConnection::TryWrite() {
   while (transfer_ && sent_ < transfer_->bytes.size()) {
     const ssize_t size = send(fd_, transfer_->bytes.data() + sent_,
                               transfer_->bytes.size() - sent_, MSG_NOSIGNAL);
     if (size < 0 && errno == EINTR)
       continue;
-    if (size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
-      return;
-    if (size < 0) {
-      // An answer that came before the end is still to be read.
-      Read();
-      if (!closed_ && transfer_)
-        OnEnd(false);
-      return;
-    }
+    if (size < 0)
+      return errno == EAGAIN || errno == EWOULDBLOCK;
     sent_ += static_cast<size_t>(size);
   }
+  return true;
 }
 
 void HttpClientConnection::Read() {
--- a/src/libs/net/http_client_connection.h
+++ b/src/libs/net/http_client_connection.h
@@ -50,6 +50,8 @@
   void OnReady(uint32_t epoll_events);
   void OnConnected();
   void Write();
+  // Returns false if the connection has failed.
+  bool TryWrite();
   void Read();
   // Each returns whether there may be more to parse.
   bool Parse();
--- a/tests/auto/net/http_client_test.cc
+++ b/tests/auto/net/http_client_test.cc
@@ -1,8 +1,12 @@
 // A client against servers that answer in pieces, late, twice, or not at all.
 #include "net/http_client.h"
 
+#include <arpa/inet.h>
+#include <sys/socket.h>
+
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -432,5 +436,45 @@
   caller.loop.Run();
 }
 
+// Returns the descriptor of this process that is connected to `address`.
+int DescriptorTo(const base::SocketAddress& address) {
+  for (int fd = 0; fd < 1024; ++fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0 &&
+        peer.sin_family == AF_INET && ntohs(peer.sin_port) == address.port) {
+      return fd;
+    }
+  }
+  return -1;
+}
+
+TEST_CASE("a write that fails at once ends the transfer after it has begun") {
+  Client caller;
+  std::atomic<bool> is_done = false;
+  RawServer server([&](RawSocket& connection, int) {
+    connection.ReadUntil(kHeadEnd);
+    connection.Send(kOk);
+    test::WaitUntil([&] { return is_done.load(); });
+  });
+  REQUIRE(caller.Get(server.address()).end == TransferEnd::kComplete);
+  const int fd = DescriptorTo(server.address());
+  REQUIRE(fd >= 0);
+  // Seen by a write only, as by one that crosses a reset.
+  REQUIRE(shutdown(fd, SHUT_WR) == 0);
+  bool has_begun = false;
+  std::optional<TransferEnd> end;
+  caller.client.Send(server.address(), {.method = "GET", .target = "/"}, kLong,
+                     [&](const TransferResult& result) {
+                       CHECK(has_begun);
+                       end = result.end;
+                       caller.loop.Stop();
+                     });
+  has_begun = true;
+  caller.loop.Run();
+  is_done = true;
+  CHECK(end == TransferEnd::kNotSent);
+}
+
 }  // namespace
 }  // namespace chestnutport::net
