Bound what a node reads of a server whose bytes never end

Callers saw: nothing known; the users announce servers that send without end.

Cause: extensions and lengths of chunks and trailers were collected without a limit; interim answers and those to other requests were dropped without one, for as long as the request lasted; a streamed body had no limit, and one that is of no use was collected up to 8 MiB for each request and health check.

Ruled out: limits on time only; at the speed of loopback a second is gigabytes.

Change: 64 KiB for what the parser takes as a whole, 4 MiB for what is skipped (each skipped answer counts for 64 KiB at least), 256 MiB for a streamed body, 64 KiB for a collected one at the gate and in health checks. At a limit the connection is closed and the transfer is lost.

Conclusion: memory, processor and connection are bounded by stated limits, wherever a server's bytes are read.

--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -5,6 +5,7 @@
 #include "base/encoding.h"
 #include "gate/gate_log.h"
 #include "telemetry/log.h"
+#include "traffic/answer_relay.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
@@ -26,6 +27,8 @@
     const server::AnyServerProtocol& protocol) {
   net::HttpClientOptions options;
   options.answer_tag = protocol.answer_tag;
+  // Larger answers are streamed, unless they cannot be used.
+  options.largest_answer = traffic::kMaxCollectedBytes;
   return options;
 }
 
--- a/src/libs/net/http_client.h
+++ b/src/libs/net/http_client.h
@@ -45,7 +45,8 @@
   std::chrono::milliseconds connect_timeout{500};
   // A kept connection idle for longer is not used again.
   std::chrono::seconds longest_idle{10};
-  size_t largest_answer = 8 * 1024 * 1024;  // Bytes of a collected body.
+  size_t largest_answer = 8 * 1024 * 1024;      // Bytes of a collected body.
+  uint64_t largest_stream = 256 * 1024 * 1024;  // Bytes of one handed on.
   // A header that the other end echoes from the request: an answer in which it
   // differs is another request's, and is skipped. Empty: none.
   std::string answer_tag;
--- a/src/libs/net/http_client_connection_answer.cc
+++ b/src/libs/net/http_client_connection_answer.cc
@@ -11,7 +11,13 @@
 namespace chestnutport::net {
 namespace {
 
-constexpr uint32_t kLargestHead = 64 * 1024;  // Bytes, of an answer.
+// Bytes of a head, and of what else the parser takes as a whole: the length and
+// the extensions of a chunk, the trailer.
+constexpr uint32_t kLargestHead = 64 * 1024;
+// Of interim answers and those to other requests, before the one to a request:
+// their bytes, and what each counts for at least.
+constexpr size_t kMaxSkippedBytes = 4 * 1024 * 1024;
+constexpr size_t kMinSkippedBytes = 64 * 1024;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kFirstStatusAfterSuccess = 300;
 // Of the time for which the other end says that it keeps a connection, what is
@@ -60,9 +66,16 @@
   if (in_.empty())
     return false;
   boost::system::error_code error;
+  const size_t before = in_.size();
   const bool goes_on = FeedParser(*parser_, in_, error);
-  if (error)
+  if (transfer_->answer.status == 0)
+    transfer_->read_before_body += before - in_.size();
+  const bool is_too_large = (!goes_on && in_.size() > kLargestHead) ||
+                            transfer_->read_before_body > kMaxSkippedBytes;
+  if (error || is_too_large) {
     Fail(TransferEnd::kLost);
+    return false;
+  }
   return goes_on;
 }
 
@@ -86,6 +99,7 @@
   skips_answer_ = is_interim || is_others;
   if (skips_answer_) {
     client_.CountSkipped(is_others);
+    transfer_->read_before_body += kMinSkippedBytes;
   } else {
     transfer_->answer = std::move(head);
     if (const auto kept = KeptFor(transfer_->answer.headers))
@@ -139,6 +153,10 @@
       transfer.answer.body.append(part);
     return true;
   }
+  if (transfer.streamed + part.size() > client_.options().largest_stream) {
+    Fail(TransferEnd::kLost);
+    return false;
+  }
   const bool taken = transfer.on_body(part);
   if (closed_ || transfer_ != &transfer)
     return false;
@@ -148,6 +166,7 @@
     Watch();
     return false;
   }
+  transfer.streamed += part.size();
   // It may have paused in the middle of the last part of an answer.
   if (parser_ && parser_->is_done() && parser_->get().body().empty()) {
     OnAnswerWhole();
--- a/src/libs/net/http_transfer.h
+++ b/src/libs/net/http_transfer.h
@@ -20,6 +20,10 @@
   std::string bytes;  // The request as it goes over the connection.
   bool is_head = false;
   bool has_body = false;
+  // Bytes read so far up to the end of the answer's head: answers that were
+  // skipped included.
+  size_t read_before_body = 0;
+  uint64_t streamed = 0;  // Bytes of the body that were handed on.
   std::string tag;  // What the answer's tag must be; empty: any answer will do.
   HttpAnswer answer{.status = 0, .headers = {}, .body = ""};
   HttpClient::OnHead on_head;
--- a/src/libs/server/server_discovery.cc
+++ b/src/libs/server/server_discovery.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "server/health_check_connections.h"
+
 namespace chestnutport::server {
 namespace {
 
@@ -21,7 +23,7 @@
     : loop_(loop),
       protocol_(std::move(protocol)),
       handler_(std::move(handler)),
-      client_(loop, net::HttpClientOptions{}) {}
+      client_(loop, HealthCheckConnections()) {}
 
 ServerDiscovery::~ServerDiscovery() {
   loop_.Cancel(timer_);
--- a/src/libs/server/server_prober.cc
+++ b/src/libs/server/server_prober.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/encoding.h"
+#include "server/health_check_connections.h"
 #include "wire/header_names.h"
 
 namespace chestnutport::server {
@@ -16,7 +17,7 @@
 ServerProber::ServerProber(net::EventLoop& loop,
                            std::function<void()> probe_sent,
                            Handler handler)
-    : client_(loop, net::HttpClientOptions{}),
+    : client_(loop, HealthCheckConnections()),
       scheduler_(admission::ProbeOptions{}, base::Clock::now()),
       probe_sent_(std::move(probe_sent)),
       handler_(std::move(handler)) {}
--- a/src/libs/traffic/answer_relay.cc
+++ b/src/libs/traffic/answer_relay.cc
@@ -10,7 +10,6 @@
 namespace chestnutport::traffic {
 namespace {
 
-constexpr uint64_t kMaxCollectedBytes = 64 * 1024;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
--- a/src/libs/traffic/answer_relay.h
+++ b/src/libs/traffic/answer_relay.h
@@ -2,6 +2,7 @@
 #ifndef TRAFFIC_ANSWER_RELAY_H_
 #define TRAFFIC_ANSWER_RELAY_H_
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 
@@ -11,7 +12,10 @@
 
 namespace chestnutport::traffic {
 
-// Returns whether an answer to `method` is streamed: it is larger than 64 KB or
+// The largest body of an answer that is not streamed.
+inline constexpr size_t kMaxCollectedBytes = 64 * 1024;
+
+// Returns whether an answer to `method` is streamed: it is larger than that or
 // of unknown length. Other answers are collected and sent whole, so that an
 // incomplete one can still be replaced.
 bool ShouldRelay(std::string_view method, const net::HttpAnswer& head);
