Let the gate take bodies as large as callers may send

Callers saw: uploads over 1 MiB were answered 413, though the configuration allows 64 MiB, if their server is beside another node or this one (review, not made a case).

Cause: the listener between nodes kept the default limit of 1 MiB; only the callers' listener follows the configuration.

Ruled out: the configured limit at both ends; a version that lowers it while a request is between two nodes would reject what was accepted.

Change: the gate's listener takes a body up to the budget for all bodies, to which the callers' limit is held as well.

Conclusion: one limit for callers, kept by the node that takes the request.

--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -32,6 +32,14 @@
   return options;
 }
 
+// The peers have applied the limits of callers, which the configuration may
+// change at any time.
+net::HttpServerLimits PeerListenerLimits() {
+  net::HttpServerLimits limits;
+  limits.largest_body = limits.all_bodies;
+  return limits;
+}
+
 }  // namespace
 
 Gate::Gate(net::EventLoop& loop,
@@ -88,7 +96,7 @@
 base::Result<base::SocketAddress> Gate::Listen(
     const base::SocketAddress& address) {
   auto opened =
-      net::HttpServer::Open(loop_, address, net::HttpServerLimits{},
+      net::HttpServer::Open(loop_, address, PeerListenerLimits(),
                             [this](net::HttpRequest request, net::Reply reply) {
                               OnRequest(std::move(request), std::move(reply));
                             });
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -81,6 +81,7 @@
   size_t RequestCount(HostedServer& server);
 
  private:
+  static constexpr size_t kMaxBodyBytes = 64 * 1024 * 1024;
   // Time between the arrival of a request that crashes its server and the
   // crash.
   static constexpr std::chrono::milliseconds kCrashDelay{20};
