Forget a departure once its server is used again

Callers saw: nothing yet; found on reading the change. A server without start times that drains, stops and comes back under its name would drain for good after the next restart of its node, which inherits the departure.

Cause: a departure was kept until another server leaves.

Ruled out: no departures for servers without start times; their late announcements are no different.

Change: a departure that this run was told is dropped when the incarnation is used anew, and one that an earlier run knew after two minutes, when the server that it was about is gone.

Measured: own_server_test, new section, 296 checks pass; server_leaving_test passes.

Conclusion: the native protocol keeps its way of coming back under one name.

--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -21,6 +21,9 @@
 // Announcements that were delayed together arrive within this time. Those of a
 // running server are one or two seconds apart.
 constexpr std::chrono::milliseconds kMinConfirmationDelay(500);
+// A server that leaves is gone by then. Without a start time, its next
+// incarnation may have the same name.
+constexpr std::chrono::minutes kInheritedDepartureTime(2);
 // Largest shift of the end of the cold phase that is not published as a change.
 // Announcements take about this long to arrive, so that the end computed from
 // each of them varies.
@@ -229,8 +232,7 @@
   state_.cold_until = {};
   state_.cold_reported_at = {};
   drain_sources_.erase(DrainSource::kServer);
-  if (departure_ && departure_->IsOf(state_.instance, state_.started_at))
-    drain_sources_.insert(DrainSource::kServer);
+  CompareWithDeparture();
   was_leaving_reported_ = false;
   was_replaced_reported_ = false;
   const std::string started_at =
@@ -309,6 +311,8 @@
   // What this run was told itself is newer.
   const bool is_recorded =
       (is_current || !departure_) && SetDeparture(departure);
+  if (is_recorded)
+    inherited_until_ = base::Clock::now() + kInheritedDepartureTime;
   if (departure.has_left && is_current && Withdraw())
     return;
   if (is_current && !departure.has_left)
@@ -326,9 +330,27 @@
     return false;
   }
   departure_ = std::move(departure);
+  inherited_until_.reset();
   return true;
 }
 
+void LocalServer::CompareWithDeparture() {
+  if (!departure_ || !departure_->IsOf(state_.instance, state_.started_at))
+    return;
+  if (inherited_until_)
+    drain_sources_.insert(DrainSource::kServer);
+  else
+    departure_.reset();
+}
+
+void LocalServer::ForgetInheritedDeparture(base::Instant now) {
+  if (!inherited_until_ || now < *inherited_until_)
+    return;
+  inherited_until_.reset();
+  departure_.reset();
+  changed_();
+}
+
 bool LocalServer::Withdraw() {
   presence_.OnLeft();
   if (!std::exchange(state_.announced, false))
@@ -339,8 +361,10 @@
 }
 
 void LocalServer::CheckPresence() {
-  if (state_.announced && !presence_.IsAlive(base::Clock::now()))
+  const base::Instant now = base::Clock::now();
+  if (state_.announced && !presence_.IsAlive(now))
     Withdraw();
+  ForgetInheritedDeparture(now);
   timer_ = loop_.CallAfter(kPresenceCheckInterval, [this] { CheckPresence(); });
 }
 
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -119,6 +119,10 @@
   bool Withdraw();
   // Returns whether departure() has changed.
   bool SetDeparture(base::ServerDeparture departure);
+  // Called when an incarnation is used that is not known to drain, or is used
+  // again after it was withdrawn.
+  void CompareWithDeparture();
+  void ForgetInheritedDeparture(base::Instant now);
   void CheckPresence();
   // Returns whether the state was published.
   bool UpdateDraining();
@@ -139,6 +143,9 @@
   base::Instant unconfirmed_at_;
   std::set<DrainSource> drain_sources_;
   std::optional<base::ServerDeparture> departure_;
+  // Until when a departure that an earlier run of the node knew is held; not
+  // set if this run was told itself.
+  std::optional<base::Instant> inherited_until_;
   admission::ServerLiveness presence_;
   net::EventLoop::TimerId timer_ = 0;
   std::unique_ptr<net::HttpServer> listener_;
--- a/tests/auto/server/own_server_test.cc
+++ b/tests/auto/server/own_server_test.cc
@@ -120,6 +120,18 @@
     CHECK(fixture.local_server.state().instance == "i-1");
   }
 
+  SECTION("stops draining when the same incarnation is used anew") {
+    json leaving = Announcement("dossie", 1000, 4);
+    leaving["state"] = "draining";
+    REQUIRE(fixture.PostAnnouncement(leaving) == 200);
+    REQUIRE(fixture.local_server.departure());
+    json moved = Announcement("dossie", 1000, 5);
+    moved["address"] = "127.0.0.1:10";
+    REQUIRE(fixture.PostAnnouncement(moved) == 200);
+    CHECK_FALSE(fixture.local_server.state().draining);
+    CHECK_FALSE(fixture.local_server.departure());
+  }
+
   SECTION("stops draining when a new incarnation of the same instance starts") {
     json leaving = Announcement("dossie", 1000, 4);
     leaving["state"] = "draining";
