Reject the first announcement too if nobody has named its service

Cause: an undeclared service could not replace a declared one, but was accepted from the first announcement after a start. It ended discovery, so that the real server waited for its own announcement.

Ruled out: rejecting every undeclared service; a server may start before it is declared.

Change: an undeclared service is accepted only if the node's settings name it, or name none.

Measured: own_server_test, "an announcement before any other", 305 checks pass; its first section fails without the change, as 200 was the answer.

Conclusion: an announcement of another sender is judged the same before and after the first one.

--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -46,6 +46,15 @@
              : configuration::ShortWatches::kTwoInFleet;
 }
 
+server::AnnouncementRequirements RequirementsFor(
+    const settings::NodeSettings& settings,
+    const server::AnyServerProtocol& protocol) {
+  server::AnnouncementRequirements requirements =
+      protocol.announcement_requirements;
+  requirements.service = settings.service;
+  return requirements;
+}
+
 // Leaves most of the time for the read after a lost watch, and for the
 // distribution to the other nodes. Proofs that the configuration is current
 // need short watches in any case.
@@ -130,7 +139,7 @@
       evacuation_writer_(store_, adapters.evacuation),
       local_server_(
           loop,
-          adapters.servers.announcement_requirements,
+          RequirementsFor(settings, adapters.servers),
           [this](const std::string& service) { return IsDeclared(service); },
           [this] { OnLocalServerChanged(); }),
       server_discovery_(loop,
--- a/src/libs/server/announcement_requirements.h
+++ b/src/libs/server/announcement_requirements.h
@@ -1,5 +1,5 @@
-// What a protocol requires of the announcements and deregistrations of its
-// servers.
+// What is required of the announcements and deregistrations of the local
+// server.
 #ifndef SERVER_ANNOUNCEMENT_REQUIREMENTS_H_
 #define SERVER_ANNOUNCEMENT_REQUIREMENTS_H_
 
@@ -16,6 +16,8 @@
   // JSON fields of an announcement beside service, address and slots. Those
   // that a node does not read itself have to be strings.
   std::vector<std::string> fields;
+  // The service that a server may name before it is declared; any if empty.
+  std::string service;
 };
 
 }  // namespace chestnutport::server
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -149,12 +149,16 @@
     const ServerAnnouncement& announcement) const {
   if (requirements_.has_instance && announcement.instance.empty())
     return kInstance;
+  if (is_declared_(announcement.service))
+    return "";
   // A server may announce itself before its service is declared, but an
   // undeclared service does not replace a declared one.
   const bool displaces = state_.announced &&
                          state_.service != announcement.service &&
                          is_declared_(state_.service);
-  if (displaces && !is_declared_(announcement.service))
+  const bool is_expected = requirements_.service.empty() ||
+                           requirements_.service == announcement.service;
+  if (displaces || !is_expected)
     return absl::StrCat("service ", announcement.service, " is not declared");
   return "";
 }
--- a/tests/auto/server/own_server_test.cc
+++ b/tests/auto/server/own_server_test.cc
@@ -26,7 +26,9 @@
   LocalServerFixture()
       : local_server(
             loop_,
-            {.has_instance = true, .fields = {"zone", "state", "sequence"}},
+            {.has_instance = true,
+             .fields = {"zone", "state", "sequence"},
+             .service = "laudo"},
             [](const std::string& service) { return service == "dossie"; },
             [] {}),
         client_(loop_, net::HttpClientOptions{}) {
@@ -155,6 +157,19 @@
   }
 }
 
+TEST_CASE("an announcement before any other") {
+  LocalServerFixture fixture;
+  SECTION("is rejected if nobody has named its service") {
+    CHECK(fixture.PostAnnouncement(Announcement("unheard", 1000, 1)) == 400);
+    CHECK_FALSE(fixture.local_server.state().announced);
+  }
+  SECTION("is accepted if its service is declared, or expected") {
+    const std::string service = GENERATE("dossie", "laudo");
+    CHECK(fixture.PostAnnouncement(Announcement(service, 1000, 1)) == 200);
+    CHECK(fixture.local_server.state().service == service);
+  }
+}
+
 TEST_CASE("a server that an earlier run of the node knew to leave") {
   LocalServerFixture fixture;
   const base::ServerDeparture draining{"i-1", std::chrono::milliseconds(1000),
