Keep the departure of the local server in a class of its own

Cause: LocalServer held the departure, until when an inherited one counts, and four functions about both, beside its other state.

--- a/src/libs/membership/member.cc
+++ b/src/libs/membership/member.cc
@@ -39,9 +39,9 @@
     object["cold_rate"] = server->rate_limit;
   }
   if (departure) {
-    object["departed"] = {{"instance", departure->instance},
-                          {"started_at", departure->started_at.count()},
-                          {"has_left", departure->has_left}};
+    object["departure"] = {{"instance", departure->instance},
+                           {"started_at", departure->started_at.count()},
+                           {"has_left", departure->has_left}};
   }
   return object.dump();
 }
@@ -72,12 +72,12 @@
           object.value("service", ""), object.value("slots", 1),
           object.value("draining", false), object.value("cold_rate", 0.0)};
     }
-    if (object.contains("departed")) {
-      const json& departed = object["departed"];
+    if (object.contains("departure")) {
+      const json& read = object["departure"];
       member.departure = base::ServerDeparture{
-          departed.value("instance", ""),
-          std::chrono::milliseconds(departed.value("started_at", int64_t{0})),
-          departed.value("has_left", false)};
+          read.value("instance", ""),
+          std::chrono::milliseconds(read.value("started_at", int64_t{0})),
+          read.value("has_left", false)};
     }
     return member;
   } catch (const json::exception&) {
--- a/src/libs/membership/member_record.cc
+++ b/src/libs/membership/member_record.cc
@@ -24,9 +24,9 @@
   kDraining = 10,
   kColdRate = 11,
   kHasLostStore = 12,
-  kDepartedInstance = 13,
-  kDepartedStart = 14,  // In milliseconds since the epoch.
-  kHasLeft = 15,
+  kDepartureInstance = 13,
+  kDepartureStart = 14,  // In milliseconds since the epoch.
+  kDepartureHasLeft = 15,
 };
 
 constexpr size_t kMaxTextSize = 64;
@@ -129,14 +129,14 @@
     case kHasLostStore:
       member.has_lost_store = value.as<bool>();
       break;
-    case kDepartedInstance:
+    case kDepartureInstance:
       DepartureOf(member).instance = ReadText(value);
       break;
-    case kDepartedStart:
+    case kDepartureStart:
       DepartureOf(member).started_at =
           std::chrono::milliseconds(value.as<int64_t>());
       break;
-    case kHasLeft:
+    case kDepartureHasLeft:
       DepartureOf(member).has_left = value.as<bool>();
       break;
     default:
@@ -182,10 +182,10 @@
     packer.pack(true);
   }
   if (member.departure) {
-    PackText(packer, kDepartedInstance, member.departure->instance);
-    packer.pack(static_cast<uint32_t>(kDepartedStart));
+    PackText(packer, kDepartureInstance, member.departure->instance);
+    packer.pack(static_cast<uint32_t>(kDepartureStart));
     packer.pack(int64_t{member.departure->started_at.count()});
-    packer.pack(static_cast<uint32_t>(kHasLeft));
+    packer.pack(static_cast<uint32_t>(kDepartureHasLeft));
     packer.pack(member.departure->has_left);
   }
   MemberRecord record{member, std::string(buffer.data(), buffer.size())};
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -249,7 +249,7 @@
       [this](const evacuation::Evacuations& held) { OnEvacuations(held); });
   membership_.OnPredecessor([this](const membership::Member& predecessor) {
     if (predecessor.departure)
-      local_server_.OnDepartureKnown(*predecessor.departure);
+      local_server_.OnDepartureInherited(*predecessor.departure);
   });
   quarantine_.OnAnnounce(
       [this](std::span<const base::RequestFingerprint> told) {
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -21,9 +21,6 @@
 // Announcements that were delayed together arrive within this time. Those of a
 // running server are one or two seconds apart.
 constexpr std::chrono::milliseconds kMinConfirmationDelay(500);
-// A server that leaves is gone by then. Without a start time, its next
-// incarnation may have the same name.
-constexpr std::chrono::minutes kInheritedDepartureTime(2);
 // Largest shift of the end of the cold phase that is not published as a change.
 // Announcements take about this long to arrive, so that the end computed from
 // each of them varies.
@@ -67,7 +64,7 @@
   drain_sources_.insert(source);
   const bool is_departing =
       source == DrainSource::kServer && state_.announced &&
-      SetDeparture({state_.instance, state_.started_at, false});
+      departures_.OnTold({state_.instance, state_.started_at, false});
   if (!UpdateDraining() && is_departing)
     changed_();
 }
@@ -76,10 +73,8 @@
   const bool has_ended = drain_sources_.erase(source) > 0;
   if (has_ended && source == DrainSource::kEvacuation)
     ++state_.evacuations;
-  const bool stays = has_ended && source == DrainSource::kServer &&
-                     departure_ && !departure_->has_left;
-  if (stays)
-    departure_.reset();
+  const bool stays =
+      has_ended && source == DrainSource::kServer && departures_.OnUndrained();
   if (!UpdateDraining() && stays)
     changed_();
 }
@@ -223,7 +218,8 @@
   const bool is_cold_new = UpdateColdUntil(announcement, now);
   const bool is_departing =
       announcement.draining &&
-      SetDeparture({announcement.instance, announcement.started_at, false});
+      departures_.OnTold(
+          {announcement.instance, announcement.started_at, false});
   if (announcement.draining)
     drain_sources_.insert(DrainSource::kServer);
   if (!UpdateDraining() && (is_changed || is_cold_new || is_departing))
@@ -236,7 +232,8 @@
   state_.cold_until = {};
   state_.cold_reported_at = {};
   drain_sources_.erase(DrainSource::kServer);
-  CompareWithDeparture();
+  if (departures_.OnUsed(state_.instance, state_.started_at))
+    drain_sources_.insert(DrainSource::kServer);
   was_leaving_reported_ = false;
   was_replaced_reported_ = false;
   const std::string started_at =
@@ -299,7 +296,7 @@
     left = {state_.instance, state_.started_at, true};
   // The departure of the current server is not given up for that of another.
   const bool is_recorded =
-      (is_current || !state_.draining) && SetDeparture(std::move(left));
+      (is_current || !state_.draining) && departures_.OnTold(std::move(left));
   if (is_current && Withdraw())
     return true;
   if (is_recorded)
@@ -307,19 +304,17 @@
   return true;
 }
 
-void LocalServer::OnDepartureKnown(const base::ServerDeparture& departure) {
+void LocalServer::OnDepartureInherited(const base::ServerDeparture& departure) {
   const bool is_current =
       state_.announced && departure.IsOf(state_.instance, state_.started_at);
   if (departure.has_left)
     incarnations_.OnLeft(departure.instance, departure.started_at);
-  // What this run was told itself is newer.
   const bool is_recorded =
-      (is_current || !departure_) && SetDeparture(departure);
+      departures_.OnInherited(departure, is_current, base::Clock::now());
   if (is_recorded) {
     const std::string state = departure.has_left ? "left" : "draining";
     LogEvent(Event::kDepartureInherited,
              {{"instance", departure.instance}, {"state", state}});
-    inherited_until_ = base::Clock::now() + kInheritedDepartureTime;
   }
   if (departure.has_left && is_current && Withdraw())
     return;
@@ -329,36 +324,6 @@
     changed_();
 }
 
-bool LocalServer::SetDeparture(base::ServerDeparture departure) {
-  if (departure.instance.empty() || departure_ == departure)
-    return false;
-  // A server that has left does not drain any more.
-  if (departure_ && departure_->has_left &&
-      departure_->IsOf(departure.instance, departure.started_at)) {
-    return false;
-  }
-  departure_ = std::move(departure);
-  inherited_until_.reset();
-  return true;
-}
-
-void LocalServer::CompareWithDeparture() {
-  if (!departure_ || !departure_->IsOf(state_.instance, state_.started_at))
-    return;
-  if (inherited_until_)
-    drain_sources_.insert(DrainSource::kServer);
-  else
-    departure_.reset();
-}
-
-void LocalServer::ForgetInheritedDeparture(base::Instant now) {
-  if (!inherited_until_ || now < *inherited_until_)
-    return;
-  inherited_until_.reset();
-  departure_.reset();
-  changed_();
-}
-
 bool LocalServer::Withdraw() {
   presence_.OnLeft();
   if (!std::exchange(state_.announced, false))
@@ -372,7 +337,8 @@
   const base::Instant now = base::Clock::now();
   if (state_.announced && !presence_.IsAlive(now))
     Withdraw();
-  ForgetInheritedDeparture(now);
+  if (departures_.DropExpired(now))
+    changed_();
   timer_ = loop_.CallAfter(kPresenceCheckInterval, [this] { CheckPresence(); });
 }
 
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -17,6 +17,7 @@
 #include "base/server_departure.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
+#include "server/departure_record.h"
 #include "server/server_announcement.h"
 #include "server/server_incarnation_tracker.h"
 #include "server/server_state.h"
@@ -82,14 +83,14 @@
   void OnReplacedReported(uint64_t life, bool is_replaced);
 
   // Called with what an earlier run of this node published as its departure().
-  void OnDepartureKnown(const base::ServerDeparture& departure);
+  void OnDepartureInherited(const base::ServerDeparture& departure);
 
   const ServerState& state() const { return state_; }
   // The server that last told this node, or an earlier run of it, that it
   // leaves. Changes are published before the server gets its response, so that
   // they outlive this process.
   const std::optional<base::ServerDeparture>& departure() const {
-    return departure_;
+    return departures_.departure();
   }
   const base::SocketAddress& address() const { return listener_->address(); }
 
@@ -117,12 +118,6 @@
   void LogFault(std::string_view instance, const std::string& fault);
   // Returns whether the state was published.
   bool Withdraw();
-  // Returns whether departure() has changed.
-  bool SetDeparture(base::ServerDeparture departure);
-  // Called when an incarnation is used that is not known to drain, or is used
-  // again after it was withdrawn.
-  void CompareWithDeparture();
-  void ForgetInheritedDeparture(base::Instant now);
   void CheckPresence();
   // Returns whether the state was published.
   bool UpdateDraining();
@@ -142,10 +137,7 @@
   std::optional<ServerAnnouncement> unconfirmed_;
   base::Instant unconfirmed_at_;
   std::set<DrainSource> drain_sources_;
-  std::optional<base::ServerDeparture> departure_;
-  // Until when a departure that an earlier run of the node knew is held; not
-  // set if this run was told itself.
-  std::optional<base::Instant> inherited_until_;
+  DepartureRecord departures_;
   admission::ServerLiveness presence_;
   net::EventLoop::TimerId timer_ = 0;
   std::unique_ptr<net::HttpServer> listener_;
--- a/tests/auto/server/own_server_test.cc
+++ b/tests/auto/server/own_server_test.cc
@@ -178,29 +178,29 @@
   left.has_left = true;
 
   SECTION("is not used again after it has left") {
-    fixture.local_server.OnDepartureKnown(left);
+    fixture.local_server.OnDepartureInherited(left);
     REQUIRE(fixture.PostAnnouncement(Announcement("dossie", 1000, 3)) == 200);
     CHECK_FALSE(fixture.local_server.state().announced);
   }
   SECTION("is withdrawn if it was announced before that is known") {
     REQUIRE(fixture.PostAnnouncement(Announcement("dossie", 1000, 3)) == 200);
-    fixture.local_server.OnDepartureKnown(left);
+    fixture.local_server.OnDepartureInherited(left);
     CHECK_FALSE(fixture.local_server.state().announced);
   }
   SECTION("still drains, although a late announcement says that it is ready") {
     const bool is_announced_first = GENERATE(false, true);
     if (!is_announced_first)
-      fixture.local_server.OnDepartureKnown(draining);
+      fixture.local_server.OnDepartureInherited(draining);
     REQUIRE(fixture.PostAnnouncement(Announcement("dossie", 1000, 3)) == 200);
     if (is_announced_first)
-      fixture.local_server.OnDepartureKnown(draining);
+      fixture.local_server.OnDepartureInherited(draining);
     CHECK(fixture.local_server.state().draining);
     CHECK(fixture.local_server.departure() == draining);
     CHECK(fixture.SendRequest("DELETE", "") == 200);
     CHECK(fixture.local_server.departure() == left);
   }
   SECTION("does not keep the next server from being used") {
-    fixture.local_server.OnDepartureKnown(left);
+    fixture.local_server.OnDepartureInherited(left);
     REQUIRE(fixture.PostAnnouncement(Announcement("dossie", 5000, 1)) == 200);
     CHECK(fixture.local_server.state().AcceptsRequests());
     CHECK(fixture.local_server.departure() == left);
