Log what a server reports of its leave, and what changes its state

Change: leave-reported (2112) for each drain and deregistration that a server reports, with its start time, state and whether it is the one in use; server-draining says who drains, server-withdrawn whether the server left or is silent, server-announced and announcement-late the sequence, the latter start time, state and the instance in use. No decision changes.

Measured: own_server_test, server_leaving_test, tables_test pass.

--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -26,6 +26,34 @@
 // each of them varies.
 constexpr std::chrono::milliseconds kColdTolerance(100);
 
+std::string ToText(std::chrono::milliseconds started_at) {
+  return absl::StrCat(started_at.count(), "ms");
+}
+
+std::string_view SourceName(DrainSource source) {
+  switch (source) {
+    case DrainSource::kServer:
+      return "server";
+    case DrainSource::kOperator:
+      return "operator";
+    case DrainSource::kStop:
+      return "stop";
+    case DrainSource::kEvacuation:
+      return "evacuation";
+  }
+  return "";
+}
+
+void LogLeave(const std::string& instance,
+              std::chrono::milliseconds started_at,
+              bool has_left,
+              bool is_current) {
+  LogEvent(Event::kLeaveReported, {{"instance", instance},
+                                   {"started_at", ToText(started_at)},
+                                   {"state", has_left ? "left" : "draining"},
+                                   {"current", is_current ? "yes" : "no"}});
+}
+
 // Returns the path segment after kServerPath, or an empty string.
 std::string_view InstanceFromTarget(std::string_view target) {
   target.remove_prefix(sizeof(kServerPath) - 1);
@@ -84,11 +112,18 @@
   if (std::exchange(state_.draining, draining) == draining)
     return false;
   if (draining)
-    LogEvent(Event::kServerDraining, {{"service", state_.service}});
+    LogDraining();
   changed_();
   return true;
 }
 
+void LocalServer::LogDraining() const {
+  const std::string source(SourceName(*drain_sources_.begin()));
+  LogEvent(Event::kServerDraining, {{"service", state_.service},
+                                    {"instance", state_.instance},
+                                    {"source", source}});
+}
+
 void LocalServer::OnRequest(const net::HttpRequest& request, net::Reply reply) {
   const std::string call = request.method + " " + request.target;
   if (call == absl::StrCat("POST ", kServerPath, "/drain")) {
@@ -135,8 +170,13 @@
              {{"instance", announcement->instance}});
     return true;
   }
-  if (!Apply(*announcement))
-    LogEvent(Event::kAnnouncementLate, {{"instance", announcement->instance}});
+  const bool is_applied = Apply(*announcement);
+  if (!is_applied)
+    LogLate(*announcement);
+  if (announcement->draining) {
+    LogLeave(announcement->instance, announcement->started_at, false,
+             is_applied);
+  }
   return true;
 }
 
@@ -166,6 +206,15 @@
            {{"instance", std::string(instance)}, {"fault", fault}});
 }
 
+void LocalServer::LogLate(const ServerAnnouncement& announcement) const {
+  LogEvent(Event::kAnnouncementLate,
+           {{"instance", announcement.instance},
+            {"started_at", ToText(announcement.started_at)},
+            {"sequence", absl::StrCat(announcement.sequence)},
+            {"state", announcement.draining ? "draining" : "ready"},
+            {"current", state_.instance}});
+}
+
 void LocalServer::OnDiscovered(const ServerAnnouncement& found) {
   if (!state_.announced)
     Apply(found);
@@ -236,12 +285,12 @@
     drain_sources_.insert(DrainSource::kServer);
   was_leaving_reported_ = false;
   was_replaced_reported_ = false;
-  const std::string started_at =
-      absl::StrCat(announcement.started_at.count(), "ms");
-  LogEvent(Event::kServerAnnounced, {{"service", state_.service},
-                                     {"instance", state_.instance},
-                                     {"started_at", started_at},
-                                     {"address", state_.address.ToString()}});
+  LogEvent(Event::kServerAnnounced,
+           {{"service", state_.service},
+            {"instance", state_.instance},
+            {"started_at", ToText(announcement.started_at)},
+            {"sequence", absl::StrCat(announcement.sequence)},
+            {"address", state_.address.ToString()}});
 }
 
 bool LocalServer::UpdateColdUntil(const ServerAnnouncement& announcement,
@@ -292,12 +341,13 @@
   }
   base::ServerDeparture left{std::string(instance), *started_at, true};
   const bool is_current = incarnations_.OnLeft(left.instance, left.started_at);
+  LogLeave(left.instance, left.started_at, true, is_current);
   if (is_current && state_.announced)
     left = {state_.instance, state_.started_at, true};
   // The departure of the current server is not given up for that of another.
   const bool is_recorded =
       (is_current || !state_.draining) && departures_.OnTold(std::move(left));
-  if (is_current && Withdraw())
+  if (is_current && Withdraw("left"))
     return true;
   if (is_recorded)
     changed_();
@@ -316,7 +366,7 @@
     LogEvent(Event::kDepartureInherited,
              {{"instance", departure.instance}, {"state", state}});
   }
-  if (departure.has_left && is_current && Withdraw())
+  if (departure.has_left && is_current && Withdraw("left"))
     return;
   if (is_current && !departure.has_left)
     Drain(DrainSource::kServer);
@@ -324,11 +374,13 @@
     changed_();
 }
 
-bool LocalServer::Withdraw() {
+bool LocalServer::Withdraw(std::string_view reason) {
   presence_.OnLeft();
   if (!std::exchange(state_.announced, false))
     return false;
-  LogEvent(Event::kServerWithdrawn, {{"service", state_.service}});
+  LogEvent(Event::kServerWithdrawn, {{"service", state_.service},
+                                     {"instance", state_.instance},
+                                     {"reason", std::string(reason)}});
   changed_();
   return true;
 }
@@ -336,7 +388,7 @@
 void LocalServer::CheckPresence() {
   const base::Instant now = base::Clock::now();
   if (state_.announced && !presence_.IsAlive(now))
-    Withdraw();
+    Withdraw("silent");
   if (departures_.DropExpired(now))
     changed_();
   timer_ = loop_.CallAfter(kPresenceCheckInterval, [this] { CheckPresence(); });
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -116,8 +116,10 @@
   bool HandleDeregistration(const net::HttpRequest& request,
                             std::string_view instance);
   void LogFault(std::string_view instance, const std::string& fault);
-  // Returns whether the state was published.
-  bool Withdraw();
+  void LogLate(const ServerAnnouncement& announcement) const;
+  void LogDraining() const;
+  // `reason` is for the log. Returns whether the state was published.
+  bool Withdraw(std::string_view reason);
   void CheckPresence();
   // Returns whether the state was published.
   bool UpdateDraining();
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -142,10 +142,13 @@
                      "This node's server announced itself.", "None."},
     EventDescription{Event::kServerWithdrawn, "server-withdrawn",
                      Level::kWarning,
-                     "This node's server left or no longer announces itself.",
+                     "This node's server left or no longer announces itself; "
+                     "the line says which.",
                      "Check the server if that was not planned."},
     EventDescription{Event::kServerDraining, "server-draining", Level::kInfo,
-                     "The server takes no new work.", "None."},
+                     "The server takes no new work; the line says who drains "
+                     "it.",
+                     "None."},
     EventDescription{Event::kServerEmpty, "server-empty", Level::kInfo,
                      "A draining server has no work left.",
                      "It may be stopped now."},
@@ -189,6 +192,10 @@
                      "drains or has left, as an earlier run of this node was "
                      "told.",
                      "None."},
+    EventDescription{Event::kLeaveReported, "leave-reported", Level::kInfo,
+                     "A server reported to this node that it drains or has "
+                     "left; the line says whether it is the one in use.",
+                     "None."},
     EventDescription{Event::kVerdictPassed, "verdict-passed", Level::kWarning,
                      "This node suspects a request, or holds it in quarantine, "
                      "by the ends of servers that the line names.",
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -67,6 +67,7 @@
   kServerNoticeInvalid = 2109,
   kAnnouncementUnconfirmed = 2110,
   kDepartureInherited = 2111,
+  kLeaveReported = 2112,
   kVerdictPassed = 2201,
   kVerdictEnded = 2202,
   kStoreUnavailable = 3001,
