--- a/tests/support/hosted_node.cc
+++ b/tests/support/hosted_node.cc
@@ -130,10 +130,14 @@
 }
 
 void HostedNode::Deregister(const HostedServer& server) {
+  if (!TryDeregister(server))
+    throw std::runtime_error("deregistration refused");
+}
+
+bool HostedNode::TryDeregister(const HostedServer& server) {
   const auto answer = SendRequest(server_api_address_, "DELETE",
                                   "/v1/server/" + server.instance);
-  if (answer.status != kOk)
-    throw std::runtime_error("deregistration refused: " + answer.body);
+  return answer.status == kOk;
 }
 
 net::HttpAnswer HostedNode::Call(const std::string& path,
--- a/tests/support/hosted_node.h
+++ b/tests/support/hosted_node.h
@@ -46,6 +46,8 @@
                 int born = 0);
   // Deregisters the local server.
   void Deregister(const HostedServer& server);
+  // The same; returns whether the node acknowledged it.
+  bool TryDeregister(const HostedServer& server);
   // Sends a caller's GET request for `path` with the request id `id`.
   net::HttpAnswer Call(const std::string& path, const std::string& id) const;
   // The address of the callers' listener.
--- a/tests/support/hosted_pair.cc
+++ b/tests/support/hosted_pair.cc
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-HostedPair::HostedPair(const std::string& name, int born)
+HostedPair::HostedPair(const std::string& name, int born, bool finds_server)
     : folder_(std::filesystem::temp_directory_path() /
               absl::StrCat(name, "-", getpid())),
       server_(platform_.AddServer("dossie", "i-1")),
@@ -36,8 +36,10 @@
   platform_.Put("op/config", kConfiguration);
   callers_node_ = std::make_unique<HostedNode>(
       "callers", platform_.store_address(), folder_);
+  const std::string server_address =
+      finds_server ? server_.address.ToString() : "127.0.0.1:0";
   server_node_ = std::make_unique<HostedNode>(
-      "server", platform_.store_address(), folder_);
+      "server", platform_.store_address(), folder_, server_address);
   platform_.Run([&] {
     server_.defer_response = [this](const net::HttpRequest& request,
                                     net::Reply& reply) {
@@ -78,6 +80,21 @@
   Announce();
 }
 
+void HostedPair::RestartAllNodes() {
+  const std::vector<HostedNode*> nodes = {server_node_.get(),
+                                          callers_node_.get()};
+  for (HostedNode* node : nodes)
+    node->KeepAddresses();
+  for (HostedNode* node : nodes)
+    node->Kill();
+  for (HostedNode* node : nodes)
+    node->Start();
+  Require(WaitUntil([&] {
+            return callers_node_->IsReady() && server_node_->IsReady();
+          }),
+          "the nodes did not start again");
+}
+
 void HostedPair::FreezeServerNode(std::chrono::milliseconds time) {
   server_node_->process().Signal(SIGSTOP);
   WaitUntil([] { return false; }, time);
@@ -105,10 +122,20 @@
   server_node_->Deregister(server_);
 }
 
+bool HostedPair::TryDeregister() {
+  return server_node_->TryDeregister(server_);
+}
+
 void HostedPair::StartCalls() {
   // Counted before the first call: what the server states in its first
   // responses may keep further requests away.
   const size_t before = Arrivals().size();
+  SendCalls();
+  Require(WaitUntil([&] { return Arrivals().size() > before; }),
+          "no call reached the server");
+}
+
+void HostedPair::SendCalls() {
   is_calling_ = true;
   for (int i = 0; i < kCallers; ++i) {
     callers_.emplace_back([this, i] {
@@ -121,8 +148,6 @@
       }
     });
   }
-  Require(WaitUntil([&] { return Arrivals().size() > before; }),
-          "no call reached the server");
 }
 
 void HostedPair::StopCalls() {
--- a/tests/support/hosted_pair.h
+++ b/tests/support/hosted_pair.h
@@ -25,8 +25,11 @@
 
   // Starts both nodes and waits until a call is answered. Throws on failure.
   // `name` distinguishes the tests that run at the same time. The server
-  // announces the start time `born`; zero: none.
-  explicit HostedPair(const std::string& name, int born = 0);
+  // announces the start time `born`; zero: none. If `finds_server`, the node
+  // beside the server knows its address from the settings.
+  explicit HostedPair(const std::string& name,
+                      int born = 0,
+                      bool finds_server = false);
   ~HostedPair();
   HostedPair(const HostedPair&) = delete;
   HostedPair& operator=(const HostedPair&) = delete;
@@ -37,6 +40,9 @@
   // Restarts the node beside the server at its addresses; the server goes on
   // and announces itself as ready.
   void RestartServerNode();
+  // Kills both nodes and starts them again at their addresses. The server goes
+  // on. Call while no calls are sent.
+  void RestartAllNodes();
   // Stops the process of the node beside the server for `time`.
   void FreezeServerNode(std::chrono::milliseconds time);
   // Restarts the callers' node. Call while no calls are sent.
@@ -47,9 +53,15 @@
   // Announces the server as ready, or as `state`.
   void Announce(const std::string& state = "ready");
   void Deregister();
+  // The same; returns whether the node acknowledged it.
+  bool TryDeregister();
+  // Makes the store answer every further call with `status`; zero restores
+  // normal operation.
+  void FailStore(int status) { platform_.set_failure(status); }
 
-  // Sends as many calls as 16 connections carry, until StopCalls(). Returns
-  // once the server has got one. Throws on failure.
+  // Sends as many calls as 16 connections carry, until StopCalls().
+  void SendCalls();
+  // The same, and returns once the server has got one. Throws on failure.
   void StartCalls();
   void StopCalls();
   // Waits until the server has got `count` more requests.
