Keep a leave whatever start of the server a late message is of

What callers saw: a server that drains or has left gets requests again, in the same process of its node, after a late message of an earlier start under its name, or of its own from before.

Cause: an incarnation was told apart by comparing messages with the current one only, and what a leave says of others was not used. Five ways: - an earlier start under the same name had never left, so it could return after the leave, with requests that the server which leaves runs; - a deregistration ended nothing while an earlier start was taken for the server; - a drain was acknowledged as stale while such a start was in use; - sequence numbers did not count while a server was doubtful, and a withdrawn one is, so that an announcement from before the drain ended it; - only one departure was kept, which a late deregistration displaced.

Ruled out: Expected-Instance, which does not tell starts of one name apart; refusing late announcements when they come, as a restarted node cannot tell them from a new start.

Tried and dropped: a replaced later start returns with any announcement. A test of a restart after the clock was set back rightly forbids that; now only with a drain.

--- a/src/libs/base/server_departure.h
+++ b/src/libs/base/server_departure.h
@@ -19,6 +19,12 @@
   bool IsOf(const std::string& other_instance,
             std::chrono::milliseconds other_started_at) const;
 
+  // Whether the incarnation is one that had the same name and started before
+  // the one that leaves. It has ended, as a VM has one server at a time. False
+  // if one of the start times is unknown.
+  bool IsAfter(const std::string& other_instance,
+               std::chrono::milliseconds other_started_at) const;
+
   bool operator==(const ServerDeparture&) const = default;
 };
 
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -92,7 +92,8 @@
   drain_sources_.insert(source);
   const bool is_departing =
       source == DrainSource::kServer && state_.announced &&
-      departures_.OnTold({state_.instance, state_.started_at, false});
+      departures_.OnTold({state_.instance, state_.started_at, false},
+                         base::Clock::now());
   if (!UpdateDraining() && is_departing)
     changed_();
 }
@@ -102,11 +103,19 @@
   if (has_ended && source == DrainSource::kEvacuation)
     ++state_.evacuations;
   const bool stays =
-      has_ended && source == DrainSource::kServer && departures_.OnUndrained();
+      has_ended && source == DrainSource::kServer &&
+      departures_.OnUndrained(state_.instance, state_.started_at);
   if (!UpdateDraining() && stays)
     changed_();
 }
 
+std::optional<base::ServerDeparture> LocalServer::departure() const {
+  const base::ServerDeparture* current =
+      state_.announced ? departures_.Find(state_.instance, state_.started_at)
+                       : nullptr;
+  return current ? std::optional(*current) : departures_.departure();
+}
+
 bool LocalServer::UpdateDraining() {
   const bool draining = !drain_sources_.empty();
   if (std::exchange(state_.draining, draining) == draining)
@@ -171,8 +180,10 @@
     return true;
   }
   const bool is_applied = Apply(*announcement);
-  if (!is_applied)
+  if (!is_applied) {
     LogLate(*announcement);
+    RecordIfReplaced(*announcement);
+  }
   if (announcement->draining) {
     LogLeave(announcement->instance, announcement->started_at, false,
              is_applied);
@@ -220,6 +231,17 @@
     Apply(found);
 }
 
+// The incarnation in use may have taken its place because of a delayed
+// announcement.
+void LocalServer::RecordIfReplaced(const ServerAnnouncement& announcement) {
+  const bool is_leaving =
+      announcement.draining && incarnations_.IsReplaced(announcement);
+  const base::ServerDeparture departure{announcement.instance,
+                                        announcement.started_at, false};
+  if (is_leaving && departures_.OnTold(departure, base::Clock::now()))
+    changed_();
+}
+
 bool LocalServer::IsConfirmed(const ServerAnnouncement& announcement) {
   // A draining server gets no requests, so nothing is lost by believing it.
   if (!needs_confirmation_ || announcement.draining)
@@ -240,6 +262,10 @@
 bool LocalServer::Apply(const ServerAnnouncement& announcement) {
   using Verdict = ServerIncarnationTracker::Verdict;
   const base::Instant now = base::Clock::now();
+  if (departures_.IsEarlierStart(announcement.instance, announcement.started_at,
+                                 now)) {
+    return false;
+  }
   const bool is_doubtful = !state_.announced || was_replaced_reported_ ||
                            presence_.IsAnnouncementOverdue(now);
   const Verdict verdict = incarnations_.OnAnnounced(announcement, is_doubtful);
@@ -268,7 +294,7 @@
   const bool is_departing =
       announcement.draining &&
       departures_.OnTold(
-          {announcement.instance, announcement.started_at, false});
+          {announcement.instance, announcement.started_at, false}, now);
   if (announcement.draining)
     drain_sources_.insert(DrainSource::kServer);
   if (!UpdateDraining() && (is_changed || is_cold_new || is_departing))
@@ -342,11 +368,12 @@
   base::ServerDeparture left{std::string(instance), *started_at, true};
   const bool is_current = incarnations_.OnLeft(left.instance, left.started_at);
   LogLeave(left.instance, left.started_at, true, is_current);
-  if (is_current && state_.announced)
-    left = {state_.instance, state_.started_at, true};
-  // The departure of the current server is not given up for that of another.
+  if (is_current && state_.announced) {
+    left.instance = state_.instance;
+    left.started_at = std::max(left.started_at, state_.started_at);
+  }
   const bool is_recorded =
-      (is_current || !state_.draining) && departures_.OnTold(std::move(left));
+      departures_.OnTold(std::move(left), base::Clock::now());
   if (is_current && Withdraw("left"))
     return true;
   if (is_recorded)
@@ -356,7 +383,9 @@
 
 void LocalServer::OnDepartureInherited(const base::ServerDeparture& departure) {
   const bool is_current =
-      state_.announced && departure.IsOf(state_.instance, state_.started_at);
+      state_.announced &&
+      (departure.IsOf(state_.instance, state_.started_at) ||
+       departure.IsAfter(state_.instance, state_.started_at));
   if (departure.has_left)
     incarnations_.OnLeft(departure.instance, departure.started_at);
   const bool is_recorded =
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "admission/server_liveness.h"
 #include "base/result.h"
@@ -86,11 +87,13 @@
   void OnDepartureInherited(const base::ServerDeparture& departure);
 
   const ServerState& state() const { return state_; }
-  // The server that last told this node, or an earlier run of it, that it
-  // leaves. Changes are published before the server gets its response, so that
-  // they outlive this process.
-  const std::optional<base::ServerDeparture>& departure() const {
-    return departures_.departure();
+  // The server that leaves, or the one that last told this node, or an earlier
+  // run of it, that it does. Changes are published before the server gets its
+  // response, so that they outlive this process.
+  std::optional<base::ServerDeparture> departure() const;
+  // All departures that are known, of earlier servers as well.
+  std::vector<base::ServerDeparture> departures() const {
+    return departures_.departures();
   }
   const base::SocketAddress& address() const { return listener_->address(); }
 
@@ -100,6 +103,8 @@
   // instance is used. Returns false if the announcement is invalid.
   bool HandleAnnouncement(const net::HttpRequest& request,
                           std::string_view instance);
+  // Records that an incarnation leaves which another one has replaced.
+  void RecordIfReplaced(const ServerAnnouncement& announcement);
   // Returns whether the announcement may be applied; see RequireConfirmation().
   bool IsConfirmed(const ServerAnnouncement& announcement);
   // Returns false if the announcement is stale: it belongs to an incarnation
--- a/tests/auto/server/acknowledged_leave_test.cc
+++ b/tests/auto/server/acknowledged_leave_test.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "net/http_client.h"
 #include "server/local_server.h"
 
@@ -35,20 +36,23 @@
   }
 
   void Restart() {
+    history_ += "start\n";
     if (server_)
-      published_ = server_->departure();
+      published_ = server_->departures();
     server_ = std::make_unique<LocalServer>(
         loop_,
         AnnouncementRequirements{.has_instance = true,
                                  .fields = {"zone", "state", "sequence"}},
         [](const std::string& service) { return service == "dossie"; }, [] {});
     REQUIRE(server_->Listen(*base::SocketAddress::Parse("127.0.0.1:0")));
-    if (published_)
-      server_->OnDepartureInherited(*published_);
+    for (const base::ServerDeparture& departure : published_)
+      server_->OnDepartureInherited(departure);
   }
 
   // Returns whether the node acknowledged the message.
   bool Deliver(const Message& message) {
+    history_ += absl::StrCat(message.instance, "@", message.started_at, " ",
+                             message.sequence, " ", message.state, "\n");
     json body = {{"born", message.started_at}};
     if (!message.state.empty()) {
       body.update({{"service", "dossie"},
@@ -72,7 +76,10 @@
   }
 
   // Makes the node doubt the server that it uses.
-  void Doubt() { server_->OnReplacedReported(server_->state().life, true); }
+  void Doubt() {
+    history_ += "doubt\n";
+    server_->OnReplacedReported(server_->state().life, true);
+  }
 
   // Waits until the node withdraws the server because it is silent.
   void WaitForWithdrawal() {
@@ -88,11 +95,15 @@
            server_->state().instance == instance;
   }
 
+  // What has happened so far, a line each.
+  const std::string& history() const { return history_; }
+
  private:
+  std::string history_;
   net::EventLoop loop_;
   net::HttpClient client_;
   std::unique_ptr<LocalServer> server_;
-  std::optional<base::ServerDeparture> published_;
+  std::vector<base::ServerDeparture> published_;
 };
 
 const Message kEarlier{"i-1", 1000, 40, "ready"};
@@ -242,8 +253,10 @@
     Announce(servers, node);
     for (int i = 0; i < kSteps; ++i) {
       Step(*rc::gen::inRange(0, kKinds), servers, node);
-      RC_ASSERT(!servers.is_leave_acknowledged() ||
-                !node.Uses(servers.instance()));
+      const bool is_undone =
+          servers.is_leave_acknowledged() && node.Uses(servers.instance());
+      if (is_undone)
+        RC_FAIL(node.history());
     }
     // Whatever arrived before, a server that goes on announcing itself is used.
     if (!servers.IsReady())
--- a/tests/auto/server/departure_record_test.cc
+++ b/tests/auto/server/departure_record_test.cc
@@ -16,19 +16,19 @@
 
 TEST_CASE("a node that was told that its server drains") {
   DepartureRecord departures;
-  REQUIRE(departures.OnTold({"a", kStart, false}));
+  REQUIRE(departures.OnTold({"a", kStart, false}, kNow));
 
   SECTION("is told again, without a change") {
-    CHECK_FALSE(departures.OnTold({"a", kStart, false}));
+    CHECK_FALSE(departures.OnTold({"a", kStart, false}, kNow));
   }
   SECTION("is told that it has left, which it does not take back") {
-    CHECK(departures.OnTold({"a", kStart, true}));
-    CHECK_FALSE(departures.OnTold({"a", kStart, false}));
-    CHECK_FALSE(departures.OnUndrained());
+    CHECK(departures.OnTold({"a", kStart, true}, kNow));
+    CHECK_FALSE(departures.OnTold({"a", kStart, false}, kNow));
+    CHECK_FALSE(departures.OnUndrained("a", kStart));
     CHECK(departures.departure()->has_left);
   }
   SECTION("is told that it stays") {
-    CHECK(departures.OnUndrained());
+    CHECK(departures.OnUndrained("a", kStart));
     CHECK_FALSE(departures.departure());
   }
   SECTION("uses it anew: it drains no more") {
@@ -64,7 +64,7 @@
     CHECK_FALSE(departures.OnUsed("a", kStart));
   }
   SECTION("forgets it for what it is told itself") {
-    CHECK(departures.OnTold({"b", kStart, false}));
+    CHECK(departures.OnTold({"b", kStart, false}, kNow));
     CHECK_FALSE(departures.DropExpired(kNow + minutes(2)));
     CHECK(departures.departure()->instance == "b");
   }
@@ -72,7 +72,7 @@
 
 TEST_CASE("a server without a name") {
   DepartureRecord departures;
-  CHECK_FALSE(departures.OnTold({"", kStart, true}));
+  CHECK_FALSE(departures.OnTold({"", kStart, true}, kNow));
   CHECK_FALSE(departures.departure());
 }
 
