Acknowledge a server's leave only once the platform's store keeps it

Cause: an acknowledged leave was held by the memories of nodes only, and its evidence after a start was weak: a server that has deregistered may answer its health check well, and late announcements may come in any number.

Ruled out: more evidence alone. No health check or announcement tells a server that has left from one that has not, as long as late announcements may come; a token in the response to announcements would, at the price of two intervals without the server after each restart. Leases for the entry: another call for each leave.

Change: a node writes who leaves to an entry of its own in the store (one write a leave, repeated until it succeeds) and responds with 200 after that; while the store is away, with 503 after 0.7 s. The server gets no requests from the moment that it reports its leave, acknowledged or not. A node that starts reads its entry (one read, none on the first start of a fleet: [node] first_start) before it uses a server. If the store does not respond, a health check alone does not confirm a server any more; an announcement has to come as well.

Why it works: what is acknowledged is in the store, whose reads are linearizable, so that each later run that may use the server has read it.

--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "base/text.h"
 #include "ingress/tenant_limits.h"
 #include "net/error_answer.h"
@@ -22,6 +23,14 @@
 // Renewals of a short lease: at least this many in its time.
 constexpr int kRenewalsPerLease = 5;
 
+// The next run of a node is known by its address, as among the members.
+std::string DeparturesKey(const std::string& fleet,
+                          const base::SocketAddress& gossip_address) {
+  return absl::StrCat(
+      "chestnutport/", fleet, "/departures/",
+      absl::StrReplaceAll(gossip_address.ToString(), {{":", "/"}}));
+}
+
 std::string AllocatorKey(const std::string& fleet) {
   return absl::StrCat("chestnutport/", fleet, "/",
                       base::AbslView(limits::kAllocatorKey));
@@ -137,11 +146,23 @@
                            membership_.AnnounceEvacuations(read);
                          }),
       evacuation_writer_(store_, adapters.evacuation),
+      departure_store_(
+          loop,
+          store_,
+          settings.longest_store_wait,
+          {.read =
+               [this](const auto& departures) {
+                 local_server_.OnDeparturesRead(departures);
+               },
+           .unavailable = [this] { local_server_.OnDeparturesUnavailable(); },
+           .stored = [this] { local_server_.OnDeparturesStored(); }},
+          random),
       local_server_(
           loop,
           RequirementsFor(settings, adapters.servers),
           [this](const std::string& service) { return IsDeclared(service); },
-          [this] { OnLocalServerChanged(); }),
+          [this] { OnLocalServerChanged(); },
+          [this] { return departure_store_.IsStored(); }),
       server_discovery_(loop,
                         adapters.servers,
                         [this](const server::ServerAnnouncement& found) {
@@ -161,6 +182,8 @@
   if (NeedsProofs(settings))
     freshness_policy_.current_until = base::BootInstant();
   AddControlCalls();
+  if (!settings_.is_first_start)
+    local_server_.AwaitDepartures();
   // Discovery asks the server itself.
   if (settings_.server_address.port != 0 &&
       adapters.servers.announcement_requirements.has_instance) {
@@ -261,6 +284,8 @@
       [this](const base::SocketAddress& from, std::string_view payload) {
         limits_.OnDatagram(from, payload);
       });
+  departure_store_.Start(DeparturesKey(settings_.fleet, self_.gossip_address),
+                         !settings_.is_first_start);
   membership_.Start(self_, [this](std::vector<membership::Member> members) {
     OnMembers(std::move(members));
   });
@@ -411,6 +436,7 @@
     server_discovery_.Stop();
   ++self_.incarnation;
   self_.departure = local_server_.departure();
+  departure_store_.Keep(local_server_.departures());
   self_.server.reset();
   if (server.announced) {
     self_.server =
--- a/src/libs/node/control_plane.h
+++ b/src/libs/node/control_plane.h
@@ -14,6 +14,7 @@
 #include "control_calls/peer_keys.h"
 #include "evacuation_store/evacuation_reader.h"
 #include "evacuation_store/evacuation_writer.h"
+#include "fleet/departure_store.h"
 #include "fleet/evidence_store.h"
 #include "fleet/fleet_membership.h"
 #include "fleet/request_quarantine.h"
@@ -151,6 +152,7 @@
   evacuation_store::EvacuationReader evacuation_reader_;
   evacuation_store::EvacuationWriter evacuation_writer_;
   evacuation::Evacuations evacuations_;
+  fleet::DepartureStore departure_store_;
   server::LocalServer local_server_;
   server::ServerDiscovery server_discovery_;
   operators::MetricsApi metrics_;
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -15,12 +15,13 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
 constexpr char kServerPath[] = "/v1/server";
 constexpr char kInstance[] = "instance";
 constexpr std::chrono::milliseconds kPresenceCheckInterval(250);
-// Announcements that were delayed together arrive within this time. Those of a
-// running server are one or two seconds apart.
-constexpr std::chrono::milliseconds kMinConfirmationDelay(500);
+// How long a server waits for the response that its leave is stored. Its
+// clients wait for a second.
+constexpr std::chrono::milliseconds kMaxStoreWait(700);
 // Largest shift of the end of the cold phase that is not published as a change.
 // Announcements take about this long to arrive, so that the end computed from
 // each of them varies.
@@ -54,6 +55,12 @@
                                    {"current", is_current ? "yes" : "no"}});
 }
 
+net::HttpAnswer MakeAcknowledgement() {
+  return {.status = 200,
+          .headers = {{"Content-Type", "application/json"}},
+          .body = "{}\n"};
+}
+
 // Returns the path segment after kServerPath, or an empty string.
 std::string_view InstanceFromTarget(std::string_view target) {
   target.remove_prefix(sizeof(kServerPath) - 1);
@@ -65,11 +72,13 @@
 LocalServer::LocalServer(net::EventLoop& loop,
                          AnnouncementRequirements requirements,
                          DeclaredPredicate is_declared,
-                         ChangedHandler changed)
+                         ChangedHandler changed,
+                         StoredPredicate are_departures_stored)
     : loop_(loop),
       requirements_(std::move(requirements)),
       is_declared_(std::move(is_declared)),
-      changed_(std::move(changed)) {}
+      changed_(std::move(changed)),
+      are_departures_stored_(std::move(are_departures_stored)) {}
 
 LocalServer::~LocalServer() {
   loop_.Cancel(timer_);
@@ -134,34 +143,70 @@
 }
 
 void LocalServer::OnRequest(const net::HttpRequest& request, net::Reply reply) {
+  switch (Handle(request)) {
+    case Outcome::kDone:
+      reply.Send(MakeAcknowledgement());
+      break;
+    case Outcome::kLeaving:
+      Acknowledge(std::move(reply));
+      break;
+    case Outcome::kInvalid:
+      reply.Send({.status = kBadRequest, .body = last_fault_ + "\n"});
+      break;
+    case Outcome::kNoSuchCall:
+      reply.Send({.status = kNotFound, .body = "no such call\n"});
+      break;
+  }
+}
+
+LocalServer::Outcome LocalServer::Handle(const net::HttpRequest& request) {
   const std::string call = request.method + " " + request.target;
   if (call == absl::StrCat("POST ", kServerPath, "/drain")) {
     Drain(DrainSource::kServer);
-  } else if (call == absl::StrCat("POST ", kServerPath, "/undrain")) {
+    return Outcome::kLeaving;
+  }
+  if (call == absl::StrCat("POST ", kServerPath, "/undrain")) {
     Undrain(DrainSource::kServer);
-  } else if (request.method == "POST" &&
-             request.target.starts_with(kServerPath)) {
-    if (!HandleAnnouncement(request, InstanceFromTarget(request.target))) {
-      reply.Send({.status = kBadRequest, .body = last_fault_ + "\n"});
-      return;
-    }
-  } else if (request.method == "DELETE" &&
-             request.target.starts_with(kServerPath)) {
-    if (!HandleDeregistration(request, InstanceFromTarget(request.target))) {
-      reply.Send({.status = kBadRequest, .body = last_fault_ + "\n"});
-      return;
-    }
-  } else {
-    reply.Send({.status = kNotFound, .body = "no such call\n"});
-    return;
+    return Outcome::kDone;
   }
-  reply.Send({.status = 200,
-              .headers = {{"Content-Type", "application/json"}},
-              .body = "{}\n"});
+  if (!request.target.starts_with(kServerPath))
+    return Outcome::kNoSuchCall;
+  if (request.method == "POST")
+    return HandleAnnouncement(request, InstanceFromTarget(request.target));
+  if (request.method == "DELETE")
+    return HandleDeregistration(request, InstanceFromTarget(request.target));
+  return Outcome::kNoSuchCall;
 }
 
-bool LocalServer::HandleAnnouncement(const net::HttpRequest& request,
-                                     std::string_view instance) {
+void LocalServer::Acknowledge(net::Reply reply) {
+  if (are_departures_stored_())
+    reply.Send(MakeAcknowledgement());
+  else
+    unacknowledged_.push_back(
+        {std::move(reply), base::Clock::now() + kMaxStoreWait});
+}
+
+void LocalServer::OnDeparturesStored() {
+  for (Unacknowledged& waiting : std::exchange(unacknowledged_, {}))
+    waiting.reply.Send(MakeAcknowledgement());
+}
+
+void LocalServer::RejectUnacknowledged(base::Instant now) {
+  const auto expired = std::ranges::stable_partition(
+      unacknowledged_,
+      [now](const Unacknowledged& waiting) { return now < waiting.until; });
+  for (Unacknowledged& waiting : expired) {
+    LogEvent(Event::kLeaveNotStored, {{"instance", state_.instance}});
+    waiting.reply.Send(
+        {.status = kUnavailable,
+         .body = "the server drains, but that could not be stored yet\n"});
+  }
+  unacknowledged_.erase(expired.begin(), expired.end());
+}
+
+LocalServer::Outcome LocalServer::HandleAnnouncement(
+    const net::HttpRequest& request,
+    std::string_view instance) {
   std::string fault;
   auto announcement =
       ServerAnnouncement::FromJson(request.body, requirements_, &fault);
@@ -171,24 +216,35 @@
     fault = FindFault(*announcement);
   if (!fault.empty()) {
     LogFault(instance, fault);
-    return false;
+    return Outcome::kInvalid;
   }
   last_fault_.clear();
-  if (!IsConfirmed(*announcement)) {
+  if (announcement->draining) {
+    ApplyDrain(*announcement);
+    return Outcome::kLeaving;
+  }
+  if (is_start_confirmed_) {
+    if (!Apply(*announcement))
+      LogLate(*announcement);
+    return Outcome::kDone;
+  }
+  start_.OnAnnounced(*announcement, base::Clock::now());
+  if (!ApplyConfirmed()) {
     LogEvent(Event::kAnnouncementUnconfirmed,
              {{"instance", announcement->instance}});
-    return true;
   }
-  const bool is_applied = Apply(*announcement);
+  return Outcome::kDone;
+}
+
+// Believed without confirmation: a draining server gets no requests, so that
+// nothing is lost.
+void LocalServer::ApplyDrain(const ServerAnnouncement& announcement) {
+  const bool is_applied = Apply(announcement);
   if (!is_applied) {
-    LogLate(*announcement);
-    RecordIfReplaced(*announcement);
-  }
-  if (announcement->draining) {
-    LogLeave(announcement->instance, announcement->started_at, false,
-             is_applied);
+    LogLate(announcement);
+    RecordIfReplaced(announcement);
   }
-  return true;
+  LogLeave(announcement.instance, announcement.started_at, false, is_applied);
 }
 
 std::string LocalServer::FindFault(
@@ -227,8 +283,14 @@
 }
 
 void LocalServer::OnDiscovered(const ServerAnnouncement& found) {
-  if (!state_.announced)
+  if (state_.announced)
+    return;
+  if (is_start_confirmed_) {
     Apply(found);
+    return;
+  }
+  start_.OnHealthChecked(found);
+  ApplyConfirmed();
 }
 
 // The incarnation in use may have taken its place because of a delayed
@@ -242,21 +304,15 @@
     changed_();
 }
 
-bool LocalServer::IsConfirmed(const ServerAnnouncement& announcement) {
-  // A draining server gets no requests, so nothing is lost by believing it.
-  if (!needs_confirmation_ || announcement.draining)
-    return true;
-  const base::Instant now = base::Clock::now();
-  const bool is_same = unconfirmed_ &&
-                       unconfirmed_->instance == announcement.instance &&
-                       unconfirmed_->started_at == announcement.started_at;
-  if (!is_same) {
-    unconfirmed_ = announcement;
-    unconfirmed_at_ = now;
+bool LocalServer::ApplyConfirmed() {
+  const auto confirmed = start_.Confirmed();
+  if (!confirmed)
     return false;
+  if (!Apply(*confirmed)) {
+    LogLate(*confirmed);
+    start_.OnRejected();
   }
-  return announcement.sequence > unconfirmed_->sequence &&
-         now - unconfirmed_at_ >= kMinConfirmationDelay;
+  return true;
 }
 
 bool LocalServer::Apply(const ServerAnnouncement& announcement) {
@@ -271,7 +327,7 @@
   const Verdict verdict = incarnations_.OnAnnounced(announcement, is_doubtful);
   if (verdict == Verdict::kStale)
     return false;
-  needs_confirmation_ = false;
+  is_start_confirmed_ |= !announcement.draining;
   presence_.OnAnnounced(now);
   const bool has_started = verdict == Verdict::kNewIncarnation ||
                            !state_.announced ||
@@ -354,16 +410,17 @@
     was_replaced_reported_ = is_replaced;
 }
 
-bool LocalServer::HandleDeregistration(const net::HttpRequest& request,
-                                       std::string_view instance) {
+LocalServer::Outcome LocalServer::HandleDeregistration(
+    const net::HttpRequest& request,
+    std::string_view instance) {
   if (requirements_.has_instance && instance.empty()) {
     LogFault(instance, kInstance);
-    return false;
+    return Outcome::kInvalid;
   }
   const auto started_at = ReadStartedAt(request.body);
   if (!started_at) {
     LogFault(instance, "born");
-    return false;
+    return Outcome::kInvalid;
   }
   base::ServerDeparture left{std::string(instance), *started_at, true};
   const bool is_current = incarnations_.OnLeft(left.instance, left.started_at);
@@ -374,11 +431,29 @@
   }
   const bool is_recorded =
       departures_.OnTold(std::move(left), base::Clock::now());
-  if (is_current && Withdraw("left"))
-    return true;
-  if (is_recorded)
+  const bool is_published = is_current && Withdraw("left");
+  if (!is_published && is_recorded)
     changed_();
-  return true;
+  return Outcome::kLeaving;
+}
+
+void LocalServer::AwaitDepartures() {
+  start_.SetDepartures(StartConfirmation::Departures::kReading);
+}
+
+void LocalServer::OnDeparturesUnavailable() {
+  start_.SetDepartures(StartConfirmation::Departures::kUnavailable);
+  if (!is_start_confirmed_)
+    ApplyConfirmed();
+}
+
+void LocalServer::OnDeparturesRead(
+    const std::vector<base::ServerDeparture>& departures) {
+  for (const base::ServerDeparture& departure : departures)
+    OnDepartureInherited(departure);
+  start_.SetDepartures(StartConfirmation::Departures::kKnown);
+  if (!is_start_confirmed_)
+    ApplyConfirmed();
 }
 
 void LocalServer::OnDepartureInherited(const base::ServerDeparture& departure) {
@@ -393,7 +468,9 @@
   if (is_recorded) {
     const std::string state = departure.has_left ? "left" : "draining";
     LogEvent(Event::kDepartureInherited,
-             {{"instance", departure.instance}, {"state", state}});
+             {{"instance", departure.instance},
+              {"state", state},
+              {"in_use", is_current ? "yes" : "no"}});
   }
   if (departure.has_left && is_current && Withdraw("left"))
     return;
@@ -420,6 +497,7 @@
     Withdraw("silent");
   if (departures_.DropExpired(now))
     changed_();
+  RejectUnacknowledged(now);
   timer_ = loop_.CallAfter(kPresenceCheckInterval, [this] { CheckPresence(); });
 }
 
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -22,6 +22,7 @@
 #include "server/server_announcement.h"
 #include "server/server_incarnation_tracker.h"
 #include "server/server_state.h"
+#include "server/start_confirmation.h"
 
 namespace chestnutport::server {
 
@@ -39,26 +40,39 @@
   using ChangedHandler = std::function<void()>;
   // Whether the configuration that this node holds declares the service.
   using DeclaredPredicate = std::function<bool(const std::string& service)>;
+  // Whether departures() would survive the loss of all nodes.
+  using StoredPredicate = std::function<bool()>;
 
   // `loop` must outlive this object. Messages of the server that do not meet
   // `requirements` are rejected. `changed` is called after each change of
   // state() that has to be published. Small shifts of `cold_until` in
   // announcements are not published, nor are reports of the gate that do not
-  // change whether the server is cold.
+  // change whether the server is cold. A server gets the response to its leave
+  // once `are_departures_stored` holds; see OnDeparturesStored().
   LocalServer(net::EventLoop& loop,
               AnnouncementRequirements requirements,
               DeclaredPredicate is_declared,
-              ChangedHandler changed);
+              ChangedHandler changed,
+              StoredPredicate are_departures_stored);
   ~LocalServer();
 
   // Binds the listener for announcements, drain requests and deregistrations.
   base::Result<bool> Listen(const base::SocketAddress& address);
 
   // Makes the first announcement after a start of the node wait for a
-  // confirmation: by OnDiscovered(), or by a later announcement. It may be a
-  // delayed one of a server that has left, which only an earlier run of this
-  // node knew. Call before the first announcement.
-  void RequireConfirmation() { needs_confirmation_ = true; }
+  // confirmation: by OnDiscovered(), or by a later announcement. See
+  // StartConfirmation. Call before the first announcement.
+  void RequireConfirmation() { start_.RequireEvidence(); }
+  // Makes it wait also for one of the two functions below. Call before the
+  // first announcement.
+  void AwaitDepartures();
+  // Called when it is not known yet what earlier runs of this node were told.
+  void OnDeparturesUnavailable();
+  // Called with departures() of earlier runs of this node.
+  void OnDeparturesRead(const std::vector<base::ServerDeparture>& departures);
+  // Called when departures() is stored. Servers whose leave waits for that get
+  // their response; those that wait too long are told that it is not stored.
+  void OnDeparturesStored();
 
   // Stops new requests to the server until Undrain() has been called for each
   // source that drains it.
@@ -98,15 +112,32 @@
   const base::SocketAddress& address() const { return listener_->address(); }
 
  private:
+  // What a request of the server has led to.
+  enum class Outcome {
+    kDone,
+    kLeaving,  // A server has reported that it drains or has left.
+    kInvalid,  // See last_fault_.
+    kNoSuchCall,
+  };
+  struct Unacknowledged {
+    net::Reply reply;
+    base::Instant until;
+  };
+
   void OnRequest(const net::HttpRequest& request, net::Reply reply);
+  Outcome Handle(const net::HttpRequest& request);
+  // Responds to a leave, at once if it is stored.
+  void Acknowledge(net::Reply reply);
+  void RejectUnacknowledged(base::Instant now);
   // `instance` comes from the request's path; if it is empty, the body's
-  // instance is used. Returns false if the announcement is invalid.
-  bool HandleAnnouncement(const net::HttpRequest& request,
-                          std::string_view instance);
+  // instance is used.
+  Outcome HandleAnnouncement(const net::HttpRequest& request,
+                             std::string_view instance);
+  void ApplyDrain(const ServerAnnouncement& announcement);
   // Records that an incarnation leaves which another one has replaced.
   void RecordIfReplaced(const ServerAnnouncement& announcement);
-  // Returns whether the announcement may be applied; see RequireConfirmation().
-  bool IsConfirmed(const ServerAnnouncement& announcement);
+  // Applies the first announcement if it is confirmed. Returns whether it is.
+  bool ApplyConfirmed();
   // Returns false if the announcement is stale: it belongs to an incarnation
   // that has ended, or a later one was received before it.
   bool Apply(const ServerAnnouncement& announcement);
@@ -117,9 +148,8 @@
   // Returns the reason to reject the announcement, or an empty string if it is
   // accepted.
   std::string FindFault(const ServerAnnouncement& announcement) const;
-  // Returns false if the request is invalid.
-  bool HandleDeregistration(const net::HttpRequest& request,
-                            std::string_view instance);
+  Outcome HandleDeregistration(const net::HttpRequest& request,
+                               std::string_view instance);
   void LogFault(std::string_view instance, const std::string& fault);
   void LogLate(const ServerAnnouncement& announcement) const;
   void LogDraining() const;
@@ -133,16 +163,16 @@
   AnnouncementRequirements requirements_;
   DeclaredPredicate is_declared_;
   ChangedHandler changed_;
+  StoredPredicate are_departures_stored_;
+  std::vector<Unacknowledged> unacknowledged_;
   ServerState state_;
   bool was_cold_reported_ = false;  // As of the last report that was published.
   bool was_leaving_reported_ = false;   // As of the gate's last report.
   bool was_replaced_reported_ = false;  // As of the gate's last report.
   ServerIncarnationTracker incarnations_;
   std::string last_fault_;  // Repeated faults are logged once.
-  bool needs_confirmation_ = false;
-  // The announcement that waits for a confirmation, and when it arrived.
-  std::optional<ServerAnnouncement> unconfirmed_;
-  base::Instant unconfirmed_at_;
+  StartConfirmation start_;
+  bool is_start_confirmed_ = false;
   std::set<DrainSource> drain_sources_;
   DepartureRecord departures_;
   admission::ServerLiveness presence_;
--- a/src/libs/settings/node_settings.cc
+++ b/src/libs/settings/node_settings.cc
@@ -116,6 +116,11 @@
   return text == "yes" || text == "no";
 }
 
+bool ReadFirstStart(NodeSettings& settings, std::string_view text) {
+  settings.is_first_start = text == "yes";
+  return text == "yes" || text == "no";
+}
+
 bool ReadConfigurationApplyTime(NodeSettings& settings, std::string_view text) {
   const auto duration = base::ParseDuration(text);
   if (!duration || *duration < std::chrono::milliseconds(500) ||
@@ -222,6 +227,11 @@
         "Where the server beside this node is, to find it before it announces "
         "itself."},
        Address(&NodeSettings::server_address)},
+      {{"node", "first_start", "", "no", "yes or no",
+        "Whether the whole fleet starts for the first time. If not, the node "
+        "asks the store which servers have told earlier runs of it that they "
+        "leave."},
+       ReadFirstStart},
       {{"node", "first_contacts", "addresses", "none",
         "IPv4 addresses and ports, separated by commas; may be empty",
         "Nodes to greet before the store was asked, at this node's own gossip "
--- a/src/libs/settings/node_settings.h
+++ b/src/libs/settings/node_settings.h
@@ -45,6 +45,9 @@
   base::Duration leave_notice = std::chrono::milliseconds(1500);
   // Nodes that start together spread over two seconds how they look for others.
   base::Duration start_wait = std::chrono::seconds(3);
+  // Whether the fleet starts for the first time, so that no earlier run of this
+  // node was told anything.
+  bool is_first_start = false;
   // Which forms callers, servers and the store have.
   AdapterKind adapter = AdapterKind::kOwn;
   // Of the server beside this node; empty: it says so when it announces itself.
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -196,6 +196,13 @@
                      "A server reported to this node that it drains or has "
                      "left; the line says whether it is the one in use.",
                      "None."},
+    EventDescription{Event::kLeaveNotStored, "leave-not-stored",
+                     Level::kWarning,
+                     "A server's leave was not acknowledged, as the platform's "
+                     "store did not keep it in time. The server gets no "
+                     "requests all the same.",
+                     "Look at the store; the server may report its leave "
+                     "again."},
     EventDescription{Event::kVerdictPassed, "verdict-passed", Level::kWarning,
                      "This node suspects a request, or holds it in quarantine, "
                      "by the ends of servers that the line names.",
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -68,6 +68,7 @@
   kAnnouncementUnconfirmed = 2110,
   kDepartureInherited = 2111,
   kLeaveReported = 2112,
+  kLeaveNotStored = 2113,
   kVerdictPassed = 2201,
   kVerdictEnded = 2202,
   kStoreUnavailable = 3001,
--- a/tests/auto/server/acknowledged_leave_test.cc
+++ b/tests/auto/server/acknowledged_leave_test.cc
@@ -43,7 +43,8 @@
         loop_,
         AnnouncementRequirements{.has_instance = true,
                                  .fields = {"zone", "state", "sequence"}},
-        [](const std::string& service) { return service == "dossie"; }, [] {});
+        [](const std::string& service) { return service == "dossie"; }, [] {},
+        [] { return true; });
     REQUIRE(server_->Listen(*base::SocketAddress::Parse("127.0.0.1:0")));
     for (const base::ServerDeparture& departure : published_)
       server_->OnDepartureInherited(departure);
@@ -264,7 +265,8 @@
     Announce(servers, node);
     node.Doubt();
     Announce(servers, node);
-    RC_ASSERT(node.Uses(servers.instance()));
+    if (!node.Uses(servers.instance()))
+      RC_FAIL("not used:\n" + node.history());
   });
 }
 
--- a/tests/auto/server/own_server_test.cc
+++ b/tests/auto/server/own_server_test.cc
@@ -30,7 +30,8 @@
              .fields = {"zone", "state", "sequence"},
              .service = "laudo"},
             [](const std::string& service) { return service == "dossie"; },
-            [] {}),
+            [] {},
+            [] { return true; }),
         client_(loop_, net::HttpClientOptions{}) {
     REQUIRE(local_server.Listen(*base::SocketAddress::Parse("127.0.0.1:0")));
   }
