Ask callers to send a call again whose request outlived its node

Cause: a call of the server carries no key, and is let through because its name is that of a running request of this node. The next run knows none.

Ruled out: letting them through, as a request needs a key; 503 for all keyless requests after a start, as 401 is right for callers, and for calls of requests that ended.

Change: for a minute after a start that may follow an earlier run beside a server that was already running, a keyless request with the name of a nested call gets 503 call-unknown (2028) with Retry-After, and does not run.

--- a/src/libs/base/error_kind.cc
+++ b/src/libs/base/error_kind.cc
@@ -37,6 +37,10 @@
                 "this node cannot tell whether its configuration is current"},
     ErrorAnswer{ErrorKind::kRateLimited, "rate-limited", 429, Outcome::kNotRun,
                 seconds(1), 2026, "the tenant is at its rate limit"},
+    ErrorAnswer{ErrorKind::kCallUnknown, "call-unknown", 503, Outcome::kNotRun,
+                seconds(1), 2028,
+                "a call without a key, whose request this node may have sent "
+                "before it was restarted"},
     ErrorAnswer{ErrorKind::kRateLimitUnknown, "rate-limit-unknown", 503,
                 Outcome::kNotRun, seconds(1), 2027,
                 "this node holds no part of the tenant's rate limit"},
--- a/src/libs/base/error_kind.h
+++ b/src/libs/base/error_kind.h
@@ -25,6 +25,7 @@
   kUnauthorized,
   kUnknownKey,
   kConfigurationStale,
+  kCallUnknown,
   kRateLimited,
   kRateLimitUnknown,
   kConfigurationMissing,
--- a/src/libs/fleet/departure_store.cc
+++ b/src/libs/fleet/departure_store.cc
@@ -109,22 +109,21 @@
     return;
   is_writing_ = true;
   const std::string value = DepartureEntry{wanted_, WallClock()}.ToJson();
-  store_.Write(
-      key_, revision_, value, kNoLease,
-      [this, written = wanted_](
-          const base::Result<std::optional<int64_t>>& revision) {
-        const bool is_written = revision && revision.value();
-        if (is_written) {
-          stored_ = written;
-          revision_ = *revision.value();
-          OnWritten();
-        } else if (revision) {
-          Reconcile();
-        } else {
-          write_timer_ =
-              loop_.CallAfter(NextRetryDelay(), [this] { Reconcile(); });
-        }
-      });
+  store_.Write(key_, revision_, value, kNoLease,
+               [this, written = wanted_](
+                   const base::Result<std::optional<int64_t>>& revision) {
+                 const bool is_written = revision && revision.value();
+                 if (is_written) {
+                   stored_ = written;
+                   revision_ = *revision.value();
+                   OnWritten();
+                 } else if (revision) {
+                   Reconcile();
+                 } else {
+                   write_timer_ = loop_.CallAfter(NextRetryDelay(),
+                                                  [this] { Reconcile(); });
+                 }
+               });
 }
 
 void DepartureStore::OnWritten() {
--- a/src/libs/ingress/ingress.cc
+++ b/src/libs/ingress/ingress.cc
@@ -17,6 +17,15 @@
 // Time by which the idle time-out of connections exceeds the declared one.
 constexpr std::chrono::seconds kIdleSlack(2);
 
+CallOrigin OriginOf(const std::string& name,
+                    const std::optional<traffic::RunningRequest>& parent) {
+  if (parent)
+    return CallOrigin::kNested;
+  return traffic::RunningRequests::IsNameOfNestedCall(name)
+             ? CallOrigin::kNestedByName
+             : CallOrigin::kCaller;
+}
+
 base::RequestFingerprint FingerprintOf(const CallerRequest& request) {
   return base::RequestFingerprint::Of(
       {.tenant = request.tenant,
@@ -156,8 +165,9 @@
   }
   CallerRequest request = std::move(read).value();
   const auto parent = FindParent(request);
-  const auto key_error = key_policy_.FindError(
-      request.key_check, parent.has_value(), base::BootClock::now());
+  const auto key_error =
+      key_policy_.FindError(request.key_check, OriginOf(request.name, parent),
+                            base::BootClock::now());
   if (key_error) {
     Reject(request_id, std::move(reply), *key_error);
     return;
--- a/src/libs/ingress/key_policy.h
+++ b/src/libs/ingress/key_policy.h
@@ -6,6 +6,7 @@
 
 #include "base/boot_clock.h"
 #include "base/error_kind.h"
+#include "ingress/call_origin.h"
 #include "ingress/key_check.h"
 
 namespace chestnutport::ingress {
@@ -16,12 +17,14 @@
   // Until when requests that need a key may be judged by the configuration in
   // force; without a limit if not set.
   std::optional<base::BootInstant> current_until;
+  // Until when the local server may run requests that an earlier run of this
+  // node sent to it; not set if the server started after this node.
+  std::optional<base::BootInstant> earlier_requests_until;
 
-  // Returns the error to answer with, or nothing if the request is accepted.
-  // `is_nested`: the local server makes it for a request that it runs; such a
-  // request has no key.
+  // Returns the error to answer with, or nothing if the request is accepted. A
+  // nested call has no key.
   std::optional<base::ErrorKind> FindError(KeyCheck check,
-                                           bool is_nested,
+                                           CallOrigin origin,
                                            base::BootInstant now) const;
 };
 
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -309,6 +309,7 @@
   if (settings_.has_evacuations)
     evacuation_reader_.Start();
   PublishKeyView();
+  PublishKeyPolicy();
 }
 
 void ControlPlane::BeginStop() {
@@ -445,6 +446,7 @@
   }
   membership_.Update(self_);
   PublishServer();
+  PublishKeyPolicy();
 }
 
 void ControlPlane::OnStoreLossChanged(bool has_lost) {
--- a/src/libs/node/control_plane.h
+++ b/src/libs/node/control_plane.h
@@ -147,6 +147,7 @@
   limit_service::AllocatorStore allocator_store_;
   limit_service::LimitCoordinator limits_;
   fleet_configuration::ConfigurationManager configuration_;
+  const base::BootInstant started_at_ = base::BootClock::now();
   freshness::KeyPolicy freshness_policy_;  // As last published by the exchange.
   freshness_service::ProofExchange proof_exchange_;
   evacuation_store::EvacuationReader evacuation_reader_;
--- a/src/libs/node/control_plane_publishing.cc
+++ b/src/libs/node/control_plane_publishing.cc
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kKeyViewInterval(500);
 // Published for a server that accepts nothing, as zero means unlimited.
 constexpr double kMinPublishedRate = 0.01;
+// A request that an earlier run of this node has sent to the server ends within
+// this time.
+constexpr std::chrono::minutes kMaxRequestTime(1);
 
 routing::ServerCandidate ToCandidate(
     const membership::Member& member,
@@ -108,10 +111,12 @@
 }
 
 void ControlPlane::PublishKeyPolicy() {
-  outputs_.publish_key_policy(
-      {.is_behind =
-           configuration_.IsBehind() || freshness_policy_.newer_revision_known,
-       .current_until = freshness_policy_.current_until});
+  ingress::KeyPolicy policy{.is_behind = configuration_.IsBehind() ||
+                                         freshness_policy_.newer_revision_known,
+                            .current_until = freshness_policy_.current_until};
+  if (!settings_.is_first_start && !local_server_.has_seen_start())
+    policy.earlier_requests_until = started_at_ + kMaxRequestTime;
+  outputs_.publish_key_policy(policy);
 }
 
 void ControlPlane::PublishKeyView() {
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -18,6 +18,7 @@
 constexpr int kUnavailable = 503;
 constexpr char kServerPath[] = "/v1/server";
 constexpr char kInstance[] = "instance";
+constexpr int64_t kFirstSequence = 1;
 constexpr std::chrono::milliseconds kPresenceCheckInterval(250);
 // How long a server waits for the response that its leave is stored. Its
 // clients wait for a second.
@@ -365,6 +366,7 @@
   drain_sources_.erase(DrainSource::kServer);
   if (departures_.OnUsed(state_.instance, state_.started_at))
     drain_sources_.insert(DrainSource::kServer);
+  has_seen_start_ |= announcement.sequence == kFirstSequence;
   was_leaving_reported_ = false;
   was_replaced_reported_ = false;
   LogEvent(Event::kServerAnnounced,
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -109,6 +109,9 @@
   std::vector<base::ServerDeparture> departures() const {
     return departures_.departures();
   }
+  // Whether the server is known to have started after this object was created:
+  // its first announcement was received.
+  bool has_seen_start() const { return has_seen_start_; }
   const base::SocketAddress& address() const { return listener_->address(); }
 
  private:
@@ -171,6 +174,7 @@
   bool was_replaced_reported_ = false;  // As of the gate's last report.
   ServerIncarnationTracker incarnations_;
   std::string last_fault_;  // Repeated faults are logged once.
+  bool has_seen_start_ = false;
   StartConfirmation start_;
   bool is_start_confirmed_ = false;
   std::set<DrainSource> drain_sources_;
--- a/src/libs/server/start_confirmation.cc
+++ b/src/libs/server/start_confirmation.cc
@@ -30,8 +30,8 @@
 std::optional<ServerAnnouncement> StartConfirmation::Confirmed() const {
   if (departures_ == Departures::kReading)
     return std::nullopt;
-  const bool has_evidence = !needs_evidence_ || IsAnnouncedTwice() ||
-                            (last_ && IsHealthy());
+  const bool has_evidence =
+      !needs_evidence_ || IsAnnouncedTwice() || (last_ && IsHealthy());
   if (last_ && has_evidence)
     return last_;
   const bool is_found = departures_ == Departures::kKnown || !needs_evidence_;
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -117,6 +117,11 @@
                      "tenant's rate limit and the allocator did not answer.",
                      "Look for limit-allocator-started and "
                      "limit-allocator-stopped."},
+    EventDescription{Event::kCallUnknown, "call-unknown", Level::kInfo,
+                     "A call without a key was refused soon after the start of "
+                     "this node: the server may make it for a request that an "
+                     "earlier run of the node sent to it.",
+                     "None, if it ends a minute after the start."},
     EventDescription{Event::kCallEnded, "call-ended", Level::kInfo,
                      "A request ended in another way than a success in time at "
                      "the first server; the line has what decided it.",
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -50,6 +50,7 @@
   kConfigurationStale = 2025,
   kRateLimited = 2026,
   kRateLimitUnknown = 2027,
+  kCallUnknown = 2028,
   kCallEnded = 2031,
   kCallRejected = 2032,
   kCallerGone = 2033,
--- a/src/libs/traffic/running_requests.cc
+++ b/src/libs/traffic/running_requests.cc
@@ -1,5 +1,6 @@
 #include "traffic/running_requests.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/ascii.h"
@@ -10,6 +11,11 @@
 
 constexpr size_t kMaxAbandoned = 256;
 
+// Follows the name of the parent in that of a nested call.
+bool IsSeparator(char letter) {
+  return !absl::ascii_isalnum(static_cast<unsigned char>(letter));
+}
+
 }  // namespace
 
 void RunningRequests::OnStarted(const std::string& name,
@@ -56,6 +62,11 @@
                                     : std::optional(parent->second.request);
 }
 
+bool RunningRequests::IsNameOfNestedCall(std::string_view name) {
+  return std::any_of(name.begin() + (name.empty() ? 0 : 1), name.end(),
+                     &IsSeparator);
+}
+
 void RunningRequests::OnCallFailed(std::string_view name) {
   const std::lock_guard lock(mutex_);
   const auto parent = ParentIn(running_, name);
@@ -67,9 +78,7 @@
     const Requests& requests,
     std::string_view name) {
   for (size_t end = name.size(); end-- > 1;) {
-    const bool is_separator =
-        !absl::ascii_isalnum(static_cast<unsigned char>(name[end]));
-    if (!is_separator)
+    if (!IsSeparator(name[end]))
       continue;
     const auto found = requests.find(base::AbslView(name.substr(0, end)));
     if (found != requests.end())
--- a/src/libs/traffic/running_requests.h
+++ b/src/libs/traffic/running_requests.h
@@ -38,6 +38,8 @@
   std::optional<RunningRequest> FindParent(std::string_view name) const;
   // Returns the same of the requests that were abandoned.
   std::optional<RunningRequest> FindAbandoned(std::string_view name) const;
+  // Whether `name` has the form of the name of a nested call.
+  static bool IsNameOfNestedCall(std::string_view name);
   // The call `name` failed.
   void OnCallFailed(std::string_view name);
 
--- a/tests/auto/ingress/tenant_key_test.cc
+++ b/tests/auto/ingress/tenant_key_test.cc
@@ -93,8 +93,9 @@
 
 TEST_CASE("a request is accepted or refused by its key") {
   KeyPolicy policy;
-  const auto error = [&policy](KeyCheck check, bool is_nested = false) {
-    return policy.FindError(check, is_nested, kNow);
+  const auto error = [&policy](KeyCheck check,
+                               CallOrigin origin = CallOrigin::kCaller) {
+    return policy.FindError(check, origin, kNow);
   };
   SECTION("with a configuration that is current") {
     CHECK_FALSE(error(KeyCheck::kNotRequired));
@@ -103,8 +104,21 @@
     CHECK(error(KeyCheck::kMissing) == ErrorKind::kUnknownKey);
   }
   SECTION("a nested call passes without a key, but not with a wrong one") {
-    CHECK_FALSE(error(KeyCheck::kMissing, true));
-    CHECK(error(KeyCheck::kUnknown, true) == ErrorKind::kUnknownKey);
+    CHECK_FALSE(error(KeyCheck::kMissing, CallOrigin::kNested));
+    CHECK(error(KeyCheck::kUnknown, CallOrigin::kNested) ==
+          ErrorKind::kUnknownKey);
+  }
+  // A 401 would be final for a call of a request that outlived the node.
+  SECTION("a call that may be nested is not run, and may come back") {
+    const auto named = CallOrigin::kNestedByName;
+    CHECK(error(KeyCheck::kMissing, named) == ErrorKind::kUnknownKey);
+    policy.earlier_requests_until = kNow + base::Duration(1);
+    CHECK(error(KeyCheck::kMissing, named) == ErrorKind::kCallUnknown);
+    CHECK(error(KeyCheck::kMissing) == ErrorKind::kUnknownKey);
+    CHECK(error(KeyCheck::kUnknown, named) == ErrorKind::kUnknownKey);
+    policy.earlier_requests_until = kNow;
+    CHECK(error(KeyCheck::kMissing, named) == ErrorKind::kUnknownKey);
+    CHECK(base::AnswerTo(ErrorKind::kCallUnknown).http_status == 503);
   }
   // A 401 for a key that the newer revision adds would be wrong.
   SECTION("nothing is called unknown while a newer revision is known") {
@@ -112,7 +126,7 @@
     CHECK(error(KeyCheck::kUnknown) == ErrorKind::kConfigurationStale);
     CHECK(error(KeyCheck::kMissing) == ErrorKind::kConfigurationStale);
     CHECK_FALSE(error(KeyCheck::kKnown));
-    CHECK_FALSE(error(KeyCheck::kMissing, true));
+    CHECK_FALSE(error(KeyCheck::kMissing, CallOrigin::kNested));
   }
   // The key may have been revoked.
   SECTION("no key is accepted after the end of the proof") {
@@ -122,7 +136,7 @@
       CHECK(error(check) == ErrorKind::kConfigurationStale);
     }
     CHECK_FALSE(error(KeyCheck::kNotRequired));
-    CHECK_FALSE(error(KeyCheck::kMissing, true));
+    CHECK_FALSE(error(KeyCheck::kMissing, CallOrigin::kNested));
     policy.current_until = kNow + base::Duration(1);
     CHECK_FALSE(error(KeyCheck::kKnown));
     CHECK(error(KeyCheck::kUnknown) == ErrorKind::kUnknownKey);
--- a/tests/auto/platform/tenant_keys_test.cc
+++ b/tests/auto/platform/tenant_keys_test.cc
@@ -75,6 +75,16 @@
     REQUIRE(
         WaitUntil([&] { return Call("/open/x", "start", {}).status == 200; }));
   }
+  // Kills the node and starts it again; the server goes on.
+  void RestartNode() {
+    node->KeepAddresses();
+    node->Kill();
+    node->Start();
+    REQUIRE(WaitUntil([&] { return node->IsReady(); }));
+    node->Announce(server_, "ready", 2);
+    REQUIRE(
+        WaitUntil([&] { return Call("/open/x", "again", {}).status == 200; }));
+  }
   void Configure(const std::string& tenant_rows) {
     platform.Put("op/config", ConfigurationText(++version_, tenant_rows));
   }
@@ -232,6 +242,32 @@
     fleet.Release();
   }
 
+  // A 401 would be final, and the node cannot know that it is right.
+  SECTION("rejects a call of a request that outlived it, to be sent again") {
+    fleet.Hold("outer");
+    std::thread caller([&] {
+      SendAndWait(fleet.node->caller_address(),
+                  {.method = "GET",
+                   .target = "/p/x",
+                   .headers = {{"Host", "a.example"},
+                               {"Request-Id", "outer"},
+                               {"Credential", kAcmeKey}}});
+    });
+    const bool is_running =
+        WaitUntil([&] { return !fleet.HeadersOf("outer").empty(); });
+    fleet.RestartNode();
+    const auto nested = fleet.Call("/p/y", "outer.1", {});
+    fleet.Release();
+    caller.join();
+    CHECK(is_running);
+    CHECK(nested.status == 503);
+    CHECK_FALSE(FindHeader(nested.headers, "Retry-After").empty());
+    CHECK(fleet.HeadersOf("outer.1").empty());
+    CHECK(fleet.Call("/p/y", "keyless", {}).status == 401);
+    CHECK(fleet.Call("/p/y", "a.1", {{"Credential", kUnknownKey}}).status ==
+          401);
+  }
+
   // A key in a log or an answer is a key that others can use.
   SECTION("shows no key anywhere") {
     fleet.Call("/p/x", "known", acme);
