Limit the wait for the store at a start, and store undrains before their response

Change: after 0.5 s the departures count as unavailable, and an announcement is needed; POST /v1/server/undrain is acknowledged like a leave.

--- a/src/libs/fleet/departure_store.cc
+++ b/src/libs/fleet/departure_store.cc
@@ -13,6 +13,9 @@
 
 constexpr store::LeaseId kNoLease = 0;
 constexpr milliseconds kMinRetryDelay(100);
+// The server beside a node that starts gets no requests for this time at most
+// if the store is silent.
+constexpr milliseconds kMaxReadWait(500);
 
 milliseconds WallClock() {
   return std::chrono::duration_cast<milliseconds>(
@@ -45,14 +48,18 @@
 
 DepartureStore::~DepartureStore() {
   loop_.Cancel(read_timer_);
+  loop_.Cancel(read_wait_timer_);
   loop_.Cancel(write_timer_);
 }
 
 void DepartureStore::Start(std::string key, bool has_earlier_runs) {
   key_ = std::move(key);
   is_entry_known_ = !has_earlier_runs;
-  if (has_earlier_runs)
-    Read();
+  if (!has_earlier_runs)
+    return;
+  read_wait_timer_ =
+      loop_.CallAfter(kMaxReadWait, [this] { ReportReadFailure(); });
+  Read();
 }
 
 void DepartureStore::Read() {
@@ -67,12 +74,16 @@
           Write();
           return;
         }
-        if (!std::exchange(is_read_failure_reported_, true))
-          outputs_.unavailable();
+        ReportReadFailure();
         read_timer_ = loop_.CallAfter(NextRetryDelay(), [this] { Read(); });
       });
 }
 
+void DepartureStore::ReportReadFailure() {
+  if (!is_entry_known_ && !std::exchange(is_read_failure_reported_, true))
+    outputs_.unavailable();
+}
+
 void DepartureStore::OnEntry(const std::vector<store::StoreEntry>& entries) {
   stored_.clear();
   revision_ = entries.empty() ? 0 : entries.front().revision;
--- a/src/libs/fleet/departure_store.h
+++ b/src/libs/fleet/departure_store.h
@@ -24,7 +24,8 @@
   struct Outputs {
     // Called once, with what earlier runs of this node were told.
     std::function<void(const Departures&)> read;
-    // The first read has failed. read() is still called once one succeeds.
+    // The first read has failed, or takes long. read() is still called once one
+    // succeeds.
     std::function<void()> unavailable;
     // IsStored() has become true.
     std::function<void()> stored;
@@ -50,6 +51,7 @@
 
  private:
   void Read();
+  void ReportReadFailure();
   void Write();
   // Applies what the store holds.
   void OnEntry(const std::vector<store::StoreEntry>& entries);
@@ -74,6 +76,7 @@
   bool is_writing_ = false;  // Until the write and its repetitions are over.
   base::Duration retry_delay_;
   net::EventLoop::TimerId read_timer_ = 0;
+  net::EventLoop::TimerId read_wait_timer_ = 0;
   net::EventLoop::TimerId write_timer_ = 0;
 };
 
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -20,8 +20,8 @@
 constexpr char kInstance[] = "instance";
 constexpr int64_t kFirstSequence = 1;
 constexpr std::chrono::milliseconds kPresenceCheckInterval(250);
-// How long a server waits for the response that its leave is stored. Its
-// clients wait for a second.
+// How long the response to a leave waits until it is stored. Servers wait for a
+// second.
 constexpr std::chrono::milliseconds kMaxStoreWait(700);
 // Largest shift of the end of the cold phase that is not published as a change.
 // Announcements take about this long to arrive, so that the end computed from
@@ -148,8 +148,8 @@
     case Outcome::kDone:
       reply.Send(MakeAcknowledgement());
       break;
-    case Outcome::kLeaving:
-      Acknowledge(std::move(reply));
+    case Outcome::kDoneOnceStored:
+      AcknowledgeOnceStored(std::move(reply));
       break;
     case Outcome::kInvalid:
       reply.Send({.status = kBadRequest, .body = last_fault_ + "\n"});
@@ -164,11 +164,11 @@
   const std::string call = request.method + " " + request.target;
   if (call == absl::StrCat("POST ", kServerPath, "/drain")) {
     Drain(DrainSource::kServer);
-    return Outcome::kLeaving;
+    return Outcome::kDoneOnceStored;
   }
   if (call == absl::StrCat("POST ", kServerPath, "/undrain")) {
     Undrain(DrainSource::kServer);
-    return Outcome::kDone;
+    return Outcome::kDoneOnceStored;
   }
   if (!request.target.starts_with(kServerPath))
     return Outcome::kNoSuchCall;
@@ -179,7 +179,7 @@
   return Outcome::kNoSuchCall;
 }
 
-void LocalServer::Acknowledge(net::Reply reply) {
+void LocalServer::AcknowledgeOnceStored(net::Reply reply) {
   if (are_departures_stored_())
     reply.Send(MakeAcknowledgement());
   else
@@ -200,7 +200,7 @@
     LogEvent(Event::kLeaveNotStored, {{"instance", state_.instance}});
     waiting.reply.Send(
         {.status = kUnavailable,
-         .body = "the server drains, but that could not be stored yet\n"});
+         .body = "in effect, but the store could not keep it yet\n"});
   }
   unacknowledged_.erase(expired.begin(), expired.end());
 }
@@ -222,7 +222,7 @@
   last_fault_.clear();
   if (announcement->draining) {
     ApplyDrain(*announcement);
-    return Outcome::kLeaving;
+    return Outcome::kDoneOnceStored;
   }
   if (is_start_confirmed_) {
     if (!Apply(*announcement))
@@ -436,7 +436,7 @@
   const bool is_published = is_current && Withdraw("left");
   if (!is_published && is_recorded)
     changed_();
-  return Outcome::kLeaving;
+  return Outcome::kDoneOnceStored;
 }
 
 void LocalServer::AwaitDepartures() {
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -118,8 +118,8 @@
   // What a request of the server has led to.
   enum class Outcome {
     kDone,
-    kLeaving,  // A server has reported that it drains or has left.
-    kInvalid,  // See last_fault_.
+    kDoneOnceStored,  // Done, and to be acknowledged once it is stored.
+    kInvalid,         // See last_fault_.
     kNoSuchCall,
   };
   struct Unacknowledged {
@@ -129,8 +129,8 @@
 
   void OnRequest(const net::HttpRequest& request, net::Reply reply);
   Outcome Handle(const net::HttpRequest& request);
-  // Responds to a leave, at once if it is stored.
-  void Acknowledge(net::Reply reply);
+  // Responds once departures() is stored.
+  void AcknowledgeOnceStored(net::Reply reply);
   void RejectUnacknowledged(base::Instant now);
   // `instance` comes from the request's path; if it is empty, the body's
   // instance is used.
--- a/src/libs/settings/node_settings.cc
+++ b/src/libs/settings/node_settings.cc
@@ -230,7 +230,7 @@
       {{"node", "first_start", "", "no", "yes or no",
         "Whether the whole fleet starts for the first time. If not, the node "
         "asks the store which servers have told earlier runs of it that they "
-        "leave."},
+        "leave. Must be no at each later start."},
        ReadFirstStart},
       {{"node", "first_contacts", "addresses", "none",
         "IPv4 addresses and ports, separated by commas; may be empty",
--- a/tests/auto/fleet/departure_store_test.cc
+++ b/tests/auto/fleet/departure_store_test.cc
@@ -29,11 +29,10 @@
  public:
   explicit Run(test::HostedPlatform& platform, bool has_earlier_runs = true)
       : http_(loop_, store::StoreConnections()),
-        client_(
-            http_,
-            {platform.store_address()},
-            milliseconds(500),
-            store::AnyStoreProtocol::Of(platform::HostedStoreProtocol())),
+        client_(http_,
+                {platform.store_address()},
+                milliseconds(500),
+                store::AnyStoreProtocol::Of(platform::HostedStoreProtocol())),
         departures(loop_,
                    client_,
                    kMaxRetryDelay,
--- a/tests/auto/server/start_confirmation_test.cc
+++ b/tests/auto/server/start_confirmation_test.cc
@@ -91,9 +91,8 @@
 TEST_CASE("a node that needs no evidence") {
   StartConfirmation start;
   const auto announcement = Announcement("", 0);
-  const auto departures =
-      GENERATE(Departures::kReading, Departures::kUnavailable,
-               Departures::kKnown);
+  const auto departures = GENERATE(
+      Departures::kReading, Departures::kUnavailable, Departures::kKnown);
   start.SetDepartures(departures);
   start.OnAnnounced(announcement, kNow);
   CHECK(start.Confirmed().has_value() == (departures != Departures::kReading));
