--- a/src/libs/fleet/departure_store.cc
+++ b/src/libs/fleet/departure_store.cc
@@ -80,8 +80,10 @@
 }
 
 void DepartureStore::ReportReadFailure() {
-  if (!is_entry_known_ && !std::exchange(is_read_failure_reported_, true))
-    outputs_.unavailable();
+  if (is_entry_known_ || std::exchange(is_read_failure_reported_, true))
+    return;
+  telemetry::LogEvent(telemetry::Event::kDeparturesUnknown, {{"key", key_}});
+  outputs_.unavailable();
 }
 
 void DepartureStore::OnEntry(const std::vector<store::StoreEntry>& entries) {
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -15,14 +15,10 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 constexpr char kServerPath[] = "/v1/server";
 constexpr char kInstance[] = "instance";
 constexpr int64_t kFirstSequence = 1;
 constexpr std::chrono::milliseconds kPresenceCheckInterval(250);
-// How long the response to a leave waits until it is stored. Servers wait for a
-// second.
-constexpr std::chrono::milliseconds kMaxStoreWait(700);
 // Largest shift of the end of the cold phase that is not published as a change.
 // Announcements take about this long to arrive, so that the end computed from
 // each of them varies.
@@ -56,12 +52,6 @@
                                    {"current", is_current ? "yes" : "no"}});
 }
 
-net::HttpAnswer MakeAcknowledgement() {
-  return {.status = 200,
-          .headers = {{"Content-Type", "application/json"}},
-          .body = "{}\n"};
-}
-
 // Returns the path segment after kServerPath, or an empty string.
 std::string_view InstanceFromTarget(std::string_view target) {
   target.remove_prefix(sizeof(kServerPath) - 1);
@@ -146,7 +136,7 @@
 void LocalServer::OnRequest(const net::HttpRequest& request, net::Reply reply) {
   switch (Handle(request)) {
     case Outcome::kDone:
-      reply.Send(MakeAcknowledgement());
+      AcknowledgementQueue::Acknowledge(std::move(reply));
       break;
     case Outcome::kDoneOnceStored:
       AcknowledgeOnceStored(std::move(reply));
@@ -181,28 +171,9 @@
 
 void LocalServer::AcknowledgeOnceStored(net::Reply reply) {
   if (are_departures_stored_())
-    reply.Send(MakeAcknowledgement());
+    AcknowledgementQueue::Acknowledge(std::move(reply));
   else
-    unacknowledged_.push_back(
-        {std::move(reply), base::Clock::now() + kMaxStoreWait});
-}
-
-void LocalServer::OnDeparturesStored() {
-  for (Unacknowledged& waiting : std::exchange(unacknowledged_, {}))
-    waiting.reply.Send(MakeAcknowledgement());
-}
-
-void LocalServer::RejectUnacknowledged(base::Instant now) {
-  const auto expired = std::ranges::stable_partition(
-      unacknowledged_,
-      [now](const Unacknowledged& waiting) { return now < waiting.until; });
-  for (Unacknowledged& waiting : expired) {
-    LogEvent(Event::kLeaveNotStored, {{"instance", state_.instance}});
-    waiting.reply.Send(
-        {.status = kUnavailable,
-         .body = "in effect, but the store could not keep it yet\n"});
-  }
-  unacknowledged_.erase(expired.begin(), expired.end());
+    acknowledgements_.Add(std::move(reply), base::Clock::now());
 }
 
 LocalServer::Outcome LocalServer::HandleAnnouncement(
@@ -499,7 +470,8 @@
     Withdraw("silent");
   if (departures_.DropExpired(now))
     changed_();
-  RejectUnacknowledged(now);
+  if (acknowledgements_.RejectExpired(now) > 0)
+    LogEvent(Event::kLeaveNotStored, {{"instance", state_.instance}});
   timer_ = loop_.CallAfter(kPresenceCheckInterval, [this] { CheckPresence(); });
 }
 
--- a/src/libs/server/local_server.h
+++ b/src/libs/server/local_server.h
@@ -18,6 +18,7 @@
 #include "base/server_departure.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
+#include "server/acknowledgement_queue.h"
 #include "server/departure_record.h"
 #include "server/server_announcement.h"
 #include "server/server_incarnation_tracker.h"
@@ -72,7 +73,7 @@
   void OnDeparturesRead(const std::vector<base::ServerDeparture>& departures);
   // Called when departures() is stored. Servers whose leave waits for that get
   // their response; those that wait too long are told that it is not stored.
-  void OnDeparturesStored();
+  void OnDeparturesStored() { acknowledgements_.OnStored(); }
 
   // Stops new requests to the server until Undrain() has been called for each
   // source that drains it.
@@ -122,16 +123,11 @@
     kInvalid,         // See last_fault_.
     kNoSuchCall,
   };
-  struct Unacknowledged {
-    net::Reply reply;
-    base::Instant until;
-  };
 
   void OnRequest(const net::HttpRequest& request, net::Reply reply);
   Outcome Handle(const net::HttpRequest& request);
   // Responds once departures() is stored.
   void AcknowledgeOnceStored(net::Reply reply);
-  void RejectUnacknowledged(base::Instant now);
   // `instance` comes from the request's path; if it is empty, the body's
   // instance is used.
   Outcome HandleAnnouncement(const net::HttpRequest& request,
@@ -167,7 +163,7 @@
   DeclaredPredicate is_declared_;
   ChangedHandler changed_;
   StoredPredicate are_departures_stored_;
-  std::vector<Unacknowledged> unacknowledged_;
+  AcknowledgementQueue acknowledgements_;
   ServerState state_;
   bool was_cold_reported_ = false;  // As of the last report that was published.
   bool was_leaving_reported_ = false;   // As of the gate's last report.
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -208,6 +208,13 @@
                      "requests all the same.",
                      "Look at the store; the server may report its leave "
                      "again."},
+    EventDescription{Event::kDeparturesUnknown, "departures-unknown",
+                     Level::kWarning,
+                     "The platform's store did not say in time which servers "
+                     "have told earlier runs of this node that they leave. The "
+                     "node goes on asking, and needs more evidence before it "
+                     "uses its server.",
+                     "Look at the store."},
     EventDescription{Event::kVerdictPassed, "verdict-passed", Level::kWarning,
                      "This node suspects a request, or holds it in quarantine, "
                      "by the ends of servers that the line names.",
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -70,6 +70,7 @@
   kDepartureInherited = 2111,
   kLeaveReported = 2112,
   kLeaveNotStored = 2113,
+  kDeparturesUnknown = 2114,
   kVerdictPassed = 2201,
   kVerdictEnded = 2202,
   kStoreUnavailable = 3001,
