Write names of servers that are no text without ending the node

Cause: JSON of a departure is written with the name that a server gave, and the library throws at bytes that are no UTF-8. A deregistration with such a name, by whatever sender, would have ended the node as soon as it was written to the store; the members' JSON for operators has held departures in the same way.

Ruled out: rejecting such names, which says nothing of a server that has one.

Change: such bytes are replaced in both.

Result: departure_store_test, "a name that is no text is stored": ended with an exception before, passes. The members' JSON has no test of its own.

--- a/src/libs/fleet/departure_entry.cc
+++ b/src/libs/fleet/departure_entry.cc
@@ -34,7 +34,9 @@
                     {"started_at", departure.started_at.count()},
                     {"has_left", departure.has_left}});
   }
-  return json{{"departures", list}, {"written_at", written_at.count()}}.dump();
+  const json object{{"departures", list}, {"written_at", written_at.count()}};
+  // The names come from servers and may hold any bytes.
+  return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<DepartureEntry> DepartureEntry::FromJson(std::string_view text) {
--- a/src/libs/membership/member.cc
+++ b/src/libs/membership/member.cc
@@ -43,7 +43,8 @@
                            {"started_at", departure->started_at.count()},
                            {"has_left", departure->has_left}};
   }
-  return object.dump();
+  // The instance comes from a server and may hold any bytes.
+  return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 std::optional<Member> Member::FromJson(std::string_view text) {
--- a/tests/auto/fleet/departure_store_test.cc
+++ b/tests/auto/fleet/departure_store_test.cc
@@ -113,6 +113,10 @@
     platform.set_failure(0);
     CHECK(run.RunUntilStored());
   }
+  SECTION("a name that is no text is stored") {
+    run.departures.Keep({{"\xff\x01", milliseconds(1000), true}});
+    CHECK(run.RunUntilStored());
+  }
   SECTION("another one is told while the first is written") {
     run.departures.Keep({kLeft});
     run.departures.Keep({kLeft, kOther});
