--- a/src/libs/server/acknowledgement_queue.cc
+++ b/src/libs/server/acknowledgement_queue.cc
@@ -1,6 +1,5 @@
 #include "server/acknowledgement_queue.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace chestnutport::server {
@@ -28,15 +27,15 @@
 }
 
 size_t AcknowledgementQueue::RejectExpired(base::Instant now) {
-  const auto expired = std::ranges::stable_partition(
-      waiting_, [now](const Waiting& message) { return now < message.until; });
-  const size_t count = expired.size();
-  for (Waiting& message : expired) {
-    message.reply.Send(
+  size_t count = 0;
+  // In the order of their arrival, and so of their times.
+  while (!waiting_.empty() && now >= waiting_.front().until) {
+    waiting_.front().reply.Send(
         {.status = kUnavailable,
          .body = "in effect, but the store could not keep it yet\n"});
+    waiting_.pop_front();
+    ++count;
   }
-  waiting_.erase(expired.begin(), expired.end());
   return count;
 }
 
--- a/src/libs/server/acknowledgement_queue.h
+++ b/src/libs/server/acknowledgement_queue.h
@@ -3,7 +3,7 @@
 #ifndef SERVER_ACKNOWLEDGEMENT_QUEUE_H_
 #define SERVER_ACKNOWLEDGEMENT_QUEUE_H_
 
-#include <vector>
+#include <deque>
 
 #include "base/time.h"
 #include "net/reply.h"
@@ -28,7 +28,7 @@
     base::Instant until;
   };
 
-  std::vector<Waiting> waiting_;
+  std::deque<Waiting> waiting_;
 };
 
 }  // namespace chestnutport::server
