--- a/tests/auto/platform/lost_nodes_leave_test.cc
+++ b/tests/auto/platform/lost_nodes_leave_test.cc
@@ -1,6 +1,4 @@
-// Guards against requests to a server whose leave was acknowledged by nodes
-// that were all killed since, and against leaves that are acknowledged though
-// they would be lost with the nodes.
+// Guards against an acknowledged leave that is lost with all nodes.
 #include <catch2/catch.hpp>
 
 #include "support/hosted_pair.h"
--- a/tests/auto/server/acknowledged_leave_test.cc
+++ b/tests/auto/server/acknowledged_leave_test.cc
@@ -1,6 +1,4 @@
-// Guards against a server that is used after its leave was acknowledged,
-// whatever messages of it and of earlier starts arrive later, and however often
-// its node restarts. Guards as well against a next start that is never used.
+// Guards against a server that is used after its leave was acknowledged.
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
