--- a/src/app/chestnutport/api_client.cc
+++ b/src/app/chestnutport/api_client.cc
@@ -3,8 +3,8 @@
 #include <iostream>
 #include <utility>
 
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 
 namespace chestnutport::cli {
 namespace {
@@ -15,13 +15,13 @@
 constexpr std::chrono::seconds kTimeout(25);
 constexpr int kFirstErrorStatus = 400;
 
-net::TransferResult Transfer(const base::SocketAddress& node,
-                             net::HttpRequest request) {
+http_client::TransferResult Transfer(const base::SocketAddress& node,
+                                     net::HttpRequest request) {
   net::EventLoop loop;
-  net::HttpClient http(loop, net::HttpClientOptions{});
-  net::TransferResult result;
+  http_client::HttpClient http(loop, http_client::HttpClientOptions{});
+  http_client::TransferResult result;
   http.Send(node, std::move(request), kTimeout,
-            [&](net::TransferResult answer) {
+            [&](http_client::TransferResult answer) {
               result = std::move(answer);
               loop.Stop();
             });
@@ -43,15 +43,15 @@
                   const std::string& method,
                   const std::string& target,
                   const std::string& body) {
-  const net::TransferResult result = Transfer(
+  const http_client::TransferResult result = Transfer(
       context.node, {.method = method,
                      .target = target,
                      .headers = {{"Authorization", "Bearer " + context.token},
                                  {"Content-Type", "application/json"}},
                      .body = body});
   const bool may_have_run =
-      method == "POST" && result.end != net::TransferEnd::kNotSent;
-  if (result.end != net::TransferEnd::kComplete) {
+      method == "POST" && result.end != http_client::TransferEnd::kNotSent;
+  if (result.end != http_client::TransferEnd::kComplete) {
     std::cerr << "chestnutport: no answer from " << context.node.ToString()
               << "\n";
     return {may_have_run ? kExitUnknown : kExitUnreachable, json::object()};
--- a/src/libs/control_calls/control_caller.cc
+++ b/src/libs/control_calls/control_caller.cc
@@ -10,7 +10,8 @@
 namespace chestnutport::control_calls {
 
 ControlCaller::ControlCaller(net::EventLoop& loop, PeerKeys keys)
-    : http_(loop, net::HttpClientOptions::Fresh()), keys_(std::move(keys)) {}
+    : http_(loop, http_client::HttpClientOptions::Fresh()),
+      keys_(std::move(keys)) {}
 
 void ControlCaller::Call(const base::SocketAddress& node,
                          const std::string& method,
@@ -29,12 +30,12 @@
   };
   http_.Stream(
       node, std::move(request), timeout, on_head, nullptr,
-      [method,
-       handler = std::move(handler)](const net::TransferResult& result) {
+      [method, handler = std::move(handler)](
+          const http_client::TransferResult& result) {
         std::string text;
         std::string error;
         const bool answered =
-            result.end == net::TransferEnd::kComplete &&
+            result.end == http_client::TransferEnd::kComplete &&
             rpc::DecodeAnswer(method, result.answer.body, &text, &error);
         if (answered)
           handler(std::move(text));
--- a/src/libs/control_calls/control_caller.h
+++ b/src/libs/control_calls/control_caller.h
@@ -8,8 +8,8 @@
 #include "base/result.h"
 #include "base/socket_address.h"
 #include "control_calls/peer_keys.h"
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 
 namespace chestnutport::control_calls {
 
@@ -37,7 +37,7 @@
   size_t open_calls() const { return http_.transfers(); }
 
  private:
-  net::HttpClient http_;
+  http_client::HttpClient http_;
   PeerKeys keys_;
 };
 
--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -23,9 +23,9 @@
 
 // Returns the options of the connections to the own server. They need no limit:
 // there is only one server, and admission bounds its concurrent requests.
-net::HttpClientOptions ServerConnections(
+http_client::HttpClientOptions ServerConnections(
     const server::AnyServerProtocol& protocol) {
-  net::HttpClientOptions options;
+  http_client::HttpClientOptions options;
   options.answer_tag = protocol.answer_tag;
   // Larger answers are streamed, unless they cannot be used.
   options.largest_answer = traffic::kMaxCollectedBytes;
--- a/src/libs/gate/gate.h
+++ b/src/libs/gate/gate.h
@@ -20,8 +20,8 @@
 #include "gate/gate_log.h"
 #include "gate/gate_report.h"
 #include "gate/keyed_requests.h"
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
 #include "quarantine/quarantine_filter.h"
 #include "quarantine/server_crash.h"
@@ -152,11 +152,12 @@
   // it does.
   bool StartRelay(const base::AttemptId& id, const net::HttpAnswer& head);
   bool RelayPart(const base::AttemptId& id, std::string_view part);
-  void OnServerDone(const base::AttemptId& id, net::TransferResult result);
+  void OnServerDone(const base::AttemptId& id,
+                    http_client::TransferResult result);
   // Passes the result to the server observer and to the quarantine filter.
   void RecordEnd(const GateAttempt& attempt,
                  server::RequestResult end,
-                 const net::TransferResult& result,
+                 const http_client::TransferResult& result,
                  base::Instant now);
   // The server crashed while it ran these requests.
   void OnServerCrashed(
@@ -189,7 +190,7 @@
   server::AnyServerProtocol protocol_;
   traffic::RunningRequests& running_;
   KeyedRequests keyed_requests_;
-  net::HttpClient client_;
+  http_client::HttpClient client_;
   server::ServerObserver observer_;
   server::ServerNotices notices_;
   std::optional<double> logged_rate_limit_;
--- a/src/libs/gate/gate_attempt.h
+++ b/src/libs/gate/gate_attempt.h
@@ -9,7 +9,7 @@
 
 #include "base/attempt_id.h"
 #include "base/time.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "net/http_message.h"
 #include "net/reply.h"
 #include "quarantine/quarantine_filter.h"
@@ -38,7 +38,7 @@
   std::string method;
   net::HttpRequest request;
   net::Reply reply;
-  net::HttpClient::TransferId transfer = 0;
+  http_client::HttpClient::TransferId transfer = 0;
   // An earlier request had used the connection to the server.
   bool on_kept_connection = false;
   // Of an answer that is streamed.
--- a/src/libs/gate/gate_serving.cc
+++ b/src/libs/gate/gate_serving.cc
@@ -100,7 +100,8 @@
   return found == attempts_.end() || found->second->relay->Write(part);
 }
 
-void Gate::OnServerDone(const AttemptId& id, net::TransferResult result) {
+void Gate::OnServerDone(const AttemptId& id,
+                        http_client::TransferResult result) {
   // A stopped attempt was removed when it was cancelled, so its result is
   // ignored.
   const auto ended = attempts_.extract(id);
@@ -110,14 +111,14 @@
   attempt.on_kept_connection = result.on_kept_connection;
   const base::Instant now = base::Clock::now();
   const server::ServerVerdict verdict =
-      result.end == net::TransferEnd::kComplete
+      result.end == http_client::TransferEnd::kComplete
           ? protocol_.classify_response(result.answer)
           : server::ServerVerdict::kUnusable;
-  const bool has_failed_call = result.end == net::TransferEnd::kComplete
+  const bool has_failed_call = result.end == http_client::TransferEnd::kComplete
                                    ? running_.OnEnded(attempt.name)
                                    : running_.OnAbandoned(attempt.name);
   // Of a streamed answer, the head was evaluated when it arrived.
-  const bool has_notice = result.end == net::TransferEnd::kComplete &&
+  const bool has_notice = result.end == http_client::TransferEnd::kComplete &&
                           verdict != server::ServerVerdict::kOtherInstance &&
                           verdict != server::ServerVerdict::kUnusable &&
                           attempt.life == server_.life && !attempt.relay;
@@ -145,7 +146,7 @@
 
 void Gate::RecordEnd(const GateAttempt& attempt,
                      server::RequestResult end,
-                     const net::TransferResult& result,
+                     const http_client::TransferResult& result,
                      base::Instant now) {
   end.life = attempt.life;
   end.is_refused = result.is_refused;
@@ -156,7 +157,7 @@
   end.instance = attempt.instance;
   observer_.OnRequestResult(end, result.answer, now);
   // An answer that cannot be relayed still shows that the server is running.
-  const bool is_answered = end.end == net::TransferEnd::kComplete &&
+  const bool is_answered = end.end == http_client::TransferEnd::kComplete &&
                            (end.verdict == server::ServerVerdict::kAnswered ||
                             end.verdict == server::ServerVerdict::kUnusable);
   const auto answered_by = is_answered ? std::optional(end.life) : std::nullopt;
--- a/src/libs/gate/server_answer.cc
+++ b/src/libs/gate/server_answer.cc
@@ -21,15 +21,15 @@
 
 }  // namespace
 
-admission::ServerResult ToServerResult(net::TransferEnd end,
+admission::ServerResult ToServerResult(http_client::TransferEnd end,
                                        server::ServerVerdict verdict) {
   switch (end) {
-    case net::TransferEnd::kComplete:
+    case http_client::TransferEnd::kComplete:
       break;
-    case net::TransferEnd::kNotSent:
+    case http_client::TransferEnd::kNotSent:
       return ServerResult::kNotSent;
-    case net::TransferEnd::kLost:
-    case net::TransferEnd::kTimedOut:
+    case http_client::TransferEnd::kLost:
+    case http_client::TransferEnd::kTimedOut:
       return ServerResult::kUncertain;
   }
   switch (verdict) {
@@ -46,16 +46,16 @@
   return ServerResult::kUncertain;
 }
 
-std::optional<ErrorKind> ErrorOf(net::TransferEnd end,
+std::optional<ErrorKind> ErrorOf(http_client::TransferEnd end,
                                  server::ServerVerdict verdict) {
   switch (end) {
-    case net::TransferEnd::kNotSent:
+    case http_client::TransferEnd::kNotSent:
       return ErrorKind::kConnectFailed;
-    case net::TransferEnd::kLost:
+    case http_client::TransferEnd::kLost:
       return ErrorKind::kServerLost;
-    case net::TransferEnd::kTimedOut:
+    case http_client::TransferEnd::kTimedOut:
       return ErrorKind::kDeadlinePassed;
-    case net::TransferEnd::kComplete:
+    case http_client::TransferEnd::kComplete:
       break;
   }
   switch (verdict) {
--- a/src/libs/gate/server_answer.h
+++ b/src/libs/gate/server_answer.h
@@ -8,18 +8,18 @@
 #include "admission/server_result.h"
 #include "base/error_kind.h"
 #include "base/time.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "net/http_message.h"
 #include "server/server_protocol.h"
 
 namespace chestnutport::gate {
 
 // Returns the result of a transfer; `verdict` applies to a complete answer.
-admission::ServerResult ToServerResult(net::TransferEnd end,
+admission::ServerResult ToServerResult(http_client::TransferEnd end,
                                        server::ServerVerdict verdict);
 
 // Returns nothing if the server answered.
-std::optional<base::ErrorKind> ErrorOf(net::TransferEnd end,
+std::optional<base::ErrorKind> ErrorOf(http_client::TransferEnd end,
                                        server::ServerVerdict verdict);
 
 // Returns the server's answer, or its head, with the headers for another node,
--- a/src/libs/net/http_client.cc
+++ b/src/libs/http_client/http_client.cc
@@ -1,14 +1,14 @@
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "http_client/http_client_connection.h"
+#include "http_client/http_transfer.h"
 #include "net/beast_messages.h"
-#include "net/http_client_connection.h"
-#include "net/http_transfer.h"
 
-namespace chestnutport::net {
+namespace chestnutport::http_client {
 namespace {
 
 constexpr int kPortBits = 16;
@@ -17,29 +17,30 @@
   return static_cast<uint64_t>(address.ip) << kPortBits | address.port;
 }
 
-bool CarriesBody(const HttpRequest& request) {
+bool CarriesBody(const net::HttpRequest& request) {
   return !request.body.empty() || request.method == "POST" ||
          request.method == "PUT" || request.method == "PATCH";
 }
 
 // The request as it goes over a connection; the framing is the client's own.
 std::string Serialize(const base::SocketAddress& to,
-                      const HttpRequest& request) {
-  http::request<http::empty_body> head;
-  head.version(kHttp11);
-  head.method_string(ToBeast(request.method));
-  head.target(ToBeast(request.target));
-  if (FindHeader(request.headers, "Host").empty())
-    head.set(http::field::host, to.ToString());
-  for (const HttpHeader& header : request.headers) {
-    if (!IsFraming(header.name))
-      head.insert(ToBeast(header.name), ToBeast(header.value));
+                      const net::HttpRequest& request) {
+  net::http::request<net::http::empty_body> head;
+  head.version(net::kHttp11);
+  head.method_string(net::ToBeast(request.method));
+  head.target(net::ToBeast(request.target));
+  if (net::FindHeader(request.headers, "Host").empty())
+    head.set(net::http::field::host, to.ToString());
+  for (const net::HttpHeader& header : request.headers) {
+    if (!net::IsFraming(header.name))
+      head.insert(net::ToBeast(header.name), net::ToBeast(header.value));
   }
   if (CarriesBody(request)) {
-    head.set(http::field::content_length, absl::StrCat(request.body.size()));
+    head.set(net::http::field::content_length,
+             absl::StrCat(request.body.size()));
   }
   std::string bytes;
-  AppendHead(head, bytes);
+  net::AppendHead(head, bytes);
   bytes.append(request.body);
   return bytes;
 }
@@ -52,7 +53,7 @@
   return options;
 }
 
-HttpClient::HttpClient(EventLoop& loop, const HttpClientOptions& options)
+HttpClient::HttpClient(net::EventLoop& loop, const HttpClientOptions& options)
     : loop_(loop), options_(options) {}
 
 HttpClient::~HttpClient() {
@@ -64,7 +65,7 @@
 }
 
 HttpClient::TransferId HttpClient::Send(const base::SocketAddress& to,
-                                        HttpRequest request,
+                                        net::HttpRequest request,
                                         base::Duration timeout,
                                         Done done) {
   return Stream(to, std::move(request), timeout, nullptr, nullptr,
@@ -72,7 +73,7 @@
 }
 
 HttpClient::TransferId HttpClient::Stream(const base::SocketAddress& to,
-                                          HttpRequest request,
+                                          net::HttpRequest request,
                                           base::Duration timeout,
                                           OnHead on_head,
                                           OnBody on_body,
@@ -87,15 +88,15 @@
   transfer.done = std::move(done);
   transfers_.emplace(transfer.id, std::move(created));
   // Freed at the end of this call: the transfer keeps the bytes only.
-  const HttpRequest given = std::move(request);
-  if (!IsWritable(given)) {
+  const net::HttpRequest given = std::move(request);
+  if (!net::IsWritable(given)) {
     FailSoon(transfer.id);
     return transfer.id;
   }
   transfer.is_head = given.method == "HEAD";
   transfer.has_body = !given.body.empty();
   if (!options_.answer_tag.empty())
-    transfer.tag = FindHeader(given.headers, options_.answer_tag);
+    transfer.tag = net::FindHeader(given.headers, options_.answer_tag);
   transfer.bytes = Serialize(to, given);
   Assign(transfer);
   return transfer.id;
@@ -324,4 +325,4 @@
     SweepSoon();
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::http_client
--- a/src/libs/net/http_client.h
+++ b/src/libs/http_client/http_client.h
@@ -1,7 +1,7 @@
 // HTTP/1.1 requests over pooled connections on an event loop, with
 // Boost.Beast's parser and serializer.
-#ifndef NET_HTTP_CLIENT_H_
-#define NET_HTTP_CLIENT_H_
+#ifndef HTTP_CLIENT_HTTP_CLIENT_H_
+#define HTTP_CLIENT_HTTP_CLIENT_H_
 
 #include <cstdint>
 #include <deque>
@@ -18,7 +18,7 @@
 #include "net/http_message.h"
 #include "sockets/tcp_options.h"
 
-namespace chestnutport::net {
+namespace chestnutport::http_client {
 
 // How far a request got. Only kNotSent says that the other end cannot have
 // seen any of it.
@@ -32,7 +32,7 @@
 struct TransferResult {
   TransferEnd end = TransferEnd::kLost;
   // The head, and the body unless it was streamed; status zero: no head came.
-  HttpAnswer answer{.status = 0, .headers = {}, .body = ""};
+  net::HttpAnswer answer{.status = 0, .headers = {}, .body = ""};
   bool is_streamed = false;  // The body was handed on.
   // Of kNotSent: nobody listens at the address.
   bool is_refused = false;
@@ -72,12 +72,12 @@
   using Done = std::function<void(TransferResult)>;
   // Called with the head as soon as it is whole. Returns whether the body is to
   // be handed on; if not, it is collected into the answer.
-  using OnHead = std::function<bool(const HttpAnswer& head)>;
+  using OnHead = std::function<bool(const net::HttpAnswer& head)>;
   // Called with each part of the body. Returns false to have the same part
   // again once Continue() is called.
   using OnBody = std::function<bool(std::string_view bytes)>;
 
-  HttpClient(EventLoop& loop, const HttpClientOptions& options);
+  HttpClient(net::EventLoop& loop, const HttpClientOptions& options);
   ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
@@ -85,12 +85,12 @@
   // `done` is called exactly once, never from inside this call, unless the
   // transfer is cancelled first.
   TransferId Send(const base::SocketAddress& to,
-                  HttpRequest request,
+                  net::HttpRequest request,
                   base::Duration timeout,
                   Done done);
   // The same, with the body handed on as it comes if `on_head` wants that.
   TransferId Stream(const base::SocketAddress& to,
-                    HttpRequest request,
+                    net::HttpRequest request,
                     base::Duration timeout,
                     OnHead on_head,
                     OnBody on_body,
@@ -124,7 +124,7 @@
 
   // The steps below are taken by HttpClientConnection.
 
-  EventLoop& loop() { return loop_; }
+  net::EventLoop& loop() { return loop_; }
   const HttpClientOptions& options() const { return options_; }
   void OnConnected(HttpClientConnection& connection);
   // The connection may carry another transfer.
@@ -158,7 +158,7 @@
   void SweepSoon();
   void Sweep();
 
-  EventLoop& loop_;
+  net::EventLoop& loop_;
   HttpClientOptions options_;
   TransferId last_transfer_ = 0;
   uint64_t connections_opened_ = 0;
@@ -172,9 +172,9 @@
   std::vector<std::unique_ptr<HttpTransfer>> ended_transfers_;
   std::vector<std::unique_ptr<HttpClientConnection>> ended_connections_;
   bool destroys_soon_ = false;
-  EventLoop::TimerId sweep_timer_ = 0;
+  net::EventLoop::TimerId sweep_timer_ = 0;
 };
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::http_client
 
-#endif  // NET_HTTP_CLIENT_H_
+#endif  // HTTP_CLIENT_HTTP_CLIENT_H_
--- a/src/libs/net/http_client_connection.cc
+++ b/src/libs/http_client/http_client_connection.cc
@@ -1,4 +1,4 @@
-#include "net/http_client_connection.h"
+#include "http_client/http_client_connection.h"
 
 #include <arpa/inet.h>
 #include <sys/epoll.h>
@@ -9,10 +9,10 @@
 #include <cerrno>
 #include <utility>
 
-#include "net/http_transfer.h"
+#include "http_client/http_transfer.h"
 #include "sockets/tcp_options.h"
 
-namespace chestnutport::net {
+namespace chestnutport::http_client {
 namespace {
 
 constexpr size_t kReadSize = 16 * 1024;
@@ -227,4 +227,4 @@
   close(std::exchange(fd_, -1));
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::http_client
--- a/src/libs/net/http_client_connection.h
+++ b/src/libs/http_client/http_client_connection.h
@@ -1,6 +1,6 @@
 // One connection of an HttpClient. Internal to the library.
-#ifndef NET_HTTP_CLIENT_CONNECTION_H_
-#define NET_HTTP_CLIENT_CONNECTION_H_
+#ifndef HTTP_CLIENT_HTTP_CLIENT_CONNECTION_H_
+#define HTTP_CLIENT_HTTP_CLIENT_CONNECTION_H_
 
 #include <boost/beast/http/parser.hpp>
 #include <cstdint>
@@ -9,11 +9,11 @@
 
 #include "base/socket_address.h"
 #include "base/time.h"
+#include "http_client/http_client.h"
 #include "net/beast_messages.h"
-#include "net/http_client.h"
 #include "net/part_body.h"
 
-namespace chestnutport::net {
+namespace chestnutport::http_client {
 
 struct HttpTransfer;
 
@@ -45,7 +45,7 @@
   bool IsClosed() const { return closed_; }
 
  private:
-  using Parser = http::response_parser<PartBody>;
+  using Parser = net::http::response_parser<net::PartBody>;
 
   void OnReady(uint32_t epoll_events);
   void OnConnected();
@@ -86,6 +86,6 @@
   base::Instant usable_until_ = base::Instant::max();
 };
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::http_client
 
-#endif  // NET_HTTP_CLIENT_CONNECTION_H_
+#endif  // HTTP_CLIENT_HTTP_CLIENT_CONNECTION_H_
--- a/src/libs/net/http_client_connection_answer.cc
+++ b/src/libs/http_client/http_client_connection_answer.cc
@@ -5,10 +5,10 @@
 #include <utility>
 
 #include "base/text.h"
-#include "net/http_client_connection.h"
-#include "net/http_transfer.h"
+#include "http_client/http_client_connection.h"
+#include "http_client/http_transfer.h"
 
-namespace chestnutport::net {
+namespace chestnutport::http_client {
 namespace {
 
 // Bytes of a head, and of what else the parser takes as a whole: the length and
@@ -25,8 +25,9 @@
 constexpr double kKeptShare = 0.8;
 
 // The time a kept connection may stay idle, by its Keep-Alive header.
-std::optional<base::Duration> KeptFor(const HttpHeaders& headers) {
-  for (const auto part : base::Split(FindHeader(headers, "Keep-Alive"), ',')) {
+std::optional<base::Duration> KeptFor(const net::HttpHeaders& headers) {
+  for (const auto part :
+       base::Split(net::FindHeader(headers, "Keep-Alive"), ',')) {
     std::string_view word = base::Trim(part);
     constexpr std::string_view kTimeout = "timeout=";
     if (!word.starts_with(kTimeout))
@@ -67,7 +68,7 @@
     return false;
   boost::system::error_code error;
   const size_t before = in_.size();
-  const bool goes_on = FeedParser(*parser_, in_, error);
+  const bool goes_on = net::FeedParser(*parser_, in_, error);
   if (transfer_->answer.status == 0)
     transfer_->read_before_body += before - in_.size();
   const bool is_too_large = (!goes_on && in_.size() > kLargestHead) ||
@@ -87,13 +88,13 @@
   head_done_ = true;
   parser_->eager(true);
   const unsigned status = parser_->get().result_int();
-  HttpAnswer head{.status = static_cast<int>(status),
-                  .headers = ToHeaders(parser_->get().base()),
-                  .body = ""};
+  net::HttpAnswer head{.status = static_cast<int>(status),
+                       .headers = net::ToHeaders(parser_->get().base()),
+                       .body = ""};
   const std::string_view tag =
       client_.options().answer_tag.empty()
           ? std::string_view()
-          : FindHeader(head.headers, client_.options().answer_tag);
+          : net::FindHeader(head.headers, client_.options().answer_tag);
   const bool is_interim = status < kFirstFinalStatus;
   const bool is_others = !tag.empty() && tag != transfer_->tag;
   skips_answer_ = is_interim || is_others;
@@ -205,4 +206,4 @@
   client_.Finish(done, TransferEnd::kComplete);
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::http_client
--- a/src/libs/net/http_transfer.h
+++ b/src/libs/http_client/http_transfer.h
@@ -1,16 +1,16 @@
 // One request of an HttpClient and its answer. Internal to the library.
-#ifndef NET_HTTP_TRANSFER_H_
-#define NET_HTTP_TRANSFER_H_
+#ifndef HTTP_CLIENT_HTTP_TRANSFER_H_
+#define HTTP_CLIENT_HTTP_TRANSFER_H_
 
 #include <string>
 
 #include "base/socket_address.h"
 #include "base/time.h"
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 #include "net/http_message.h"
 
-namespace chestnutport::net {
+namespace chestnutport::http_client {
 
 class HttpClientConnection;
 
@@ -25,7 +25,7 @@
   size_t read_before_body = 0;
   uint64_t streamed = 0;  // Bytes of the body that were handed on.
   std::string tag;  // What the answer's tag must be; empty: any answer will do.
-  HttpAnswer answer{.status = 0, .headers = {}, .body = ""};
+  net::HttpAnswer answer{.status = 0, .headers = {}, .body = ""};
   HttpClient::OnHead on_head;
   HttpClient::OnBody on_body;
   HttpClient::Done done;
@@ -36,9 +36,9 @@
   std::string held_part;  // Of a paused transfer, to be handed on again.
   bool is_paused = false;
   HttpClientConnection* connection = nullptr;  // Null: waits for one.
-  EventLoop::TimerId timer = 0;
+  net::EventLoop::TimerId timer = 0;
 };
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::http_client
 
-#endif  // NET_HTTP_TRANSFER_H_
+#endif  // HTTP_CLIENT_HTTP_TRANSFER_H_
--- a/src/libs/ingress/attempt_control_client.cc
+++ b/src/libs/ingress/attempt_control_client.cc
@@ -25,10 +25,10 @@
     {"finished", AttemptStatus::kFinished},
     {"unknown-here", AttemptStatus::kUnknownHere}};
 
-AttemptStatus ReadStatus(const net::TransferResult& result) {
+AttemptStatus ReadStatus(const http_client::TransferResult& result) {
   std::string text;
   std::string error;
-  if (result.end != net::TransferEnd::kComplete ||
+  if (result.end != http_client::TransferEnd::kComplete ||
       !rpc::DecodeAnswer(traffic::kSettleMethod, result.answer.body, &text,
                          &error)) {
     return AttemptStatus::kNoAnswer;
@@ -47,7 +47,8 @@
 
 AttemptControlClient::AttemptControlClient(net::EventLoop& loop,
                                            control_calls::PeerKeys keys)
-    : keys_(std::move(keys)), client_(loop, net::HttpClientOptions::Fresh()) {}
+    : keys_(std::move(keys)),
+      client_(loop, http_client::HttpClientOptions::Fresh()) {}
 
 void AttemptControlClient::SendCommand(const routing::ServerCandidate& server,
                                        const base::AttemptId& attempt,
@@ -65,11 +66,11 @@
       {"cancel", command != AttemptCommand::kQueryStatus},
       {"stop_running", command == AttemptCommand::kStop}};
   request.body = rpc::EncodeCall(traffic::kSettleMethod, params.dump());
-  client_.Send(
-      server.peer_address, std::move(request), timeout,
-      [handler = std::move(handler)](const net::TransferResult& result) {
-        handler(ReadStatus(result));
-      });
+  client_.Send(server.peer_address, std::move(request), timeout,
+               [handler = std::move(handler)](
+                   const http_client::TransferResult& result) {
+                 handler(ReadStatus(result));
+               });
 }
 
 }  // namespace chestnutport::ingress
--- a/src/libs/ingress/attempt_control_client.h
+++ b/src/libs/ingress/attempt_control_client.h
@@ -8,7 +8,7 @@
 #include "base/attempt_id.h"
 #include "calls/attempt_status.h"
 #include "control_calls/peer_keys.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "routing/server_candidate.h"
 
 namespace chestnutport::ingress {
@@ -35,7 +35,7 @@
 
  private:
   control_calls::PeerKeys keys_;
-  net::HttpClient client_;
+  http_client::HttpClient client_;
 };
 
 }  // namespace chestnutport::ingress
--- a/src/libs/ingress/attempt_sender.cc
+++ b/src/libs/ingress/attempt_sender.cc
@@ -31,8 +31,8 @@
 // whose link is in use by other bodies within 150 ms.
 constexpr std::chrono::milliseconds kInquiryTimeout(250);
 
-net::HttpClientOptions PeerClientOptions() {
-  net::HttpClientOptions options;
+http_client::HttpClientOptions PeerClientOptions() {
+  http_client::HttpClientOptions options;
   options.connect_timeout = kConnectTimeout;
   options.answers_after_reading = true;
   return options;
@@ -48,16 +48,16 @@
          error == ErrorKind::kKeyRecordUnavailable;
 }
 
-calls::AttemptEnd ReadEnd(const net::TransferResult& result,
+calls::AttemptEnd ReadEnd(const http_client::TransferResult& result,
                           const wire::PeerAnswerHead& head) {
   switch (result.end) {
-    case net::TransferEnd::kNotSent:
+    case http_client::TransferEnd::kNotSent:
       return {AttemptVerdict::kNotSent, ErrorKind::kConnectFailed};
-    case net::TransferEnd::kTimedOut:
+    case http_client::TransferEnd::kTimedOut:
       return {AttemptVerdict::kLost, ErrorKind::kDeadlinePassed};
-    case net::TransferEnd::kLost:
+    case http_client::TransferEnd::kLost:
       return {AttemptVerdict::kLost, ErrorKind::kConnectionLost};
-    case net::TransferEnd::kComplete:
+    case http_client::TransferEnd::kComplete:
       break;
   }
   const ErrorKind error = head.error.value_or(ErrorKind::kConnectionLost);
@@ -128,7 +128,7 @@
       [this, attempt](std::string_view part) {
         return RelayPart(attempt, part);
       },
-      [this, attempt](net::TransferResult result) {
+      [this, attempt](http_client::TransferResult result) {
         OnDone(attempt, std::move(result));
       });
 }
@@ -143,23 +143,24 @@
   sent.transfer = client_.Send(
       pending.to, std::move(inquiry),
       std::min<base::Duration>(pending.head.remaining, kInquiryTimeout),
-      [this, attempt = pending.head.attempt](net::TransferResult result) {
+      [this,
+       attempt = pending.head.attempt](http_client::TransferResult result) {
         OnCapacityReply(attempt, std::move(result));
       });
 }
 
 void AttemptSender::OnCapacityReply(const base::AttemptId& attempt,
-                                    net::TransferResult result) {
+                                    http_client::TransferResult result) {
   const auto found = in_flight_.find(attempt);
   if (found == in_flight_.end())
     return;
   InFlight& sent = found->second;
-  const bool is_complete = result.end == net::TransferEnd::kComplete;
+  const bool is_complete = result.end == http_client::TransferEnd::kComplete;
   const bool has_capacity =
       is_complete && result.answer.status == traffic::kCapacityAvailable;
   // The request itself was not sent, regardless of the result of the inquiry.
   if (!is_complete)
-    result.end = net::TransferEnd::kNotSent;
+    result.end = http_client::TransferEnd::kNotSent;
   if (!has_capacity || !sent.handler) {
     OnDone(attempt, std::move(result));
     return;
@@ -200,7 +201,7 @@
       !traffic::ShouldRelay(found->second.method, head))
     return false;
   const calls::AttemptEnd end =
-      ReadEnd({.end = net::TransferEnd::kComplete, .answer = head},
+      ReadEnd({.end = http_client::TransferEnd::kComplete, .answer = head},
               wire::PeerAnswerHead::Read(head.headers));
   // A failure is not relayed yet: a retry at another server may succeed.
   if (end.verdict != AttemptVerdict::kAnswered)
@@ -259,7 +260,7 @@
 }
 
 void AttemptSender::OnDone(const base::AttemptId& attempt,
-                           net::TransferResult result) {
+                           http_client::TransferResult result) {
   auto node = in_flight_.extract(attempt);
   if (node.empty())
     return;
--- a/src/libs/ingress/attempt_sender.h
+++ b/src/libs/ingress/attempt_sender.h
@@ -12,13 +12,13 @@
 #include "base/attempt_id.h"
 #include "calls/attempt_end.h"
 #include "control_calls/peer_keys.h"
-#include "ingress/known_server_notices.h"
+#include "http_client/http_client.h"
 #include "ingress/service_traffic.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 #include "net/reply.h"
 #include "routing/server_candidate.h"
 #include "traffic/answer_relay.h"
+#include "traffic/known_server_notices.h"
 #include "wire/peer_request_head.h"
 
 namespace chestnutport::ingress {
@@ -67,7 +67,7 @@
     base::NodeId node;
     base::SocketAddress to;
     base::Instant sent_at;
-    net::HttpClient::TransferId transfer = 0;
+    http_client::HttpClient::TransferId transfer = 0;
     std::string method;
     std::unique_ptr<PendingRequest> pending;  // Set during a capacity inquiry.
     Handler handler;                          // Empty once abandoned.
@@ -80,18 +80,19 @@
   // Sends only the head, to query whether the gate has capacity.
   void InquireCapacity(InFlight& sent);
   void OnCapacityReply(const base::AttemptId& attempt,
-                       net::TransferResult result);
+                       http_client::TransferResult result);
   bool StartRelay(const base::AttemptId& attempt, const net::HttpAnswer& head);
   bool RelayPart(const base::AttemptId& attempt, std::string_view part);
   // Closes the connection of an attempt whose answer is not needed.
   void CancelTransfer(const base::AttemptId& attempt);
 
-  void OnDone(const base::AttemptId& attempt, net::TransferResult result);
+  void OnDone(const base::AttemptId& attempt,
+              http_client::TransferResult result);
 
   net::EventLoop& loop_;
   control_calls::PeerKeys keys_;
-  net::HttpClient client_;
-  KnownServerNotices notices_;
+  http_client::HttpClient client_;
+  traffic::KnownServerNotices notices_;
   absl::flat_hash_map<base::AttemptId, InFlight> in_flight_;
 };
 
--- a/src/libs/net/beast_messages.h
+++ b/src/libs/net/beast_messages.h
@@ -1,6 +1,6 @@
-// Between Boost.Beast's messages and the project's own. Internal to the
-// library: only the parsers and serializers of Beast are used, not its
-// transport.
+// Between Boost.Beast's messages and the project's own, for the
+// HTTP server and client: only the parsers and serializers of Beast are used,
+// not its transport.
 #ifndef NET_BEAST_MESSAGES_H_
 #define NET_BEAST_MESSAGES_H_
 
--- a/src/libs/net/part_body.h
+++ b/src/libs/net/part_body.h
@@ -1,4 +1,4 @@
-// A body type for Boost.Beast's parsers. Internal to the library.
+// A body type for Boost.Beast's parsers, for the HTTP server and client.
 #ifndef NET_PART_BODY_H_
 #define NET_PART_BODY_H_
 
--- a/src/libs/node/control_plane.h
+++ b/src/libs/node/control_plane.h
@@ -22,6 +22,7 @@
 #include "freshness/key_policy.h"
 #include "freshness_service/proof_exchange.h"
 #include "gate/gate_report.h"
+#include "http_client/http_client.h"
 #include "ingress/key_policy.h"
 #include "ingress/traffic_snapshot.h"
 #include "keys/key_ownership.h"
@@ -31,7 +32,6 @@
 #include "limits/tenant_limiter.h"
 #include "membership/member.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
 #include "node/adapters.h"
 #include "operators/metrics_api.h"
@@ -137,7 +137,7 @@
   const settings::NodeSettings& settings_;
   membership::Member self_;
   Outputs outputs_;
-  net::HttpClient store_http_;
+  http_client::HttpClient store_http_;
   store::StoreClient store_;
   control_calls::ControlListener control_listener_;
   control_calls::ControlCaller control_caller_;
--- a/src/libs/server/health_check_connections.h
+++ b/src/libs/server/health_check_connections.h
@@ -2,13 +2,13 @@
 #ifndef SERVER_HEALTH_CHECK_CONNECTIONS_H_
 #define SERVER_HEALTH_CHECK_CONNECTIONS_H_
 
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 
 namespace chestnutport::server {
 
 // Only the head of the response is evaluated.
-inline net::HttpClientOptions HealthCheckConnections() {
-  net::HttpClientOptions options;
+inline http_client::HttpClientOptions HealthCheckConnections() {
+  http_client::HttpClientOptions options;
   options.largest_answer = 64 * 1024;
   return options;
 }
--- a/src/libs/server/server_discovery.cc
+++ b/src/libs/server/server_discovery.cc
@@ -51,15 +51,16 @@
   }
   client_.Send(
       expected_.address, {.method = "GET", .target = expected_.health_path},
-      kProbeTimeout,
-      [this](const net::TransferResult& result) { OnProbeResult(result); });
+      kProbeTimeout, [this](const http_client::TransferResult& result) {
+        OnProbeResult(result);
+      });
 }
 
-void ServerDiscovery::OnProbeResult(const net::TransferResult& result) {
+void ServerDiscovery::OnProbeResult(const http_client::TransferResult& result) {
   if (is_stopped_)
     return;
-  const bool is_healthy =
-      result.end == net::TransferEnd::kComplete && result.answer.status == kOk;
+  const bool is_healthy = result.end == http_client::TransferEnd::kComplete &&
+                          result.answer.status == kOk;
   const std::string instance = protocol_.instance(result.answer.headers);
   const auto load = protocol_.load(result.answer.headers);
   if (!is_healthy || instance.empty() || !load || load->slots < 1) {
--- a/src/libs/server/server_discovery.h
+++ b/src/libs/server/server_discovery.h
@@ -6,8 +6,8 @@
 #include <functional>
 #include <string>
 
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 #include "server/server_announcement.h"
 #include "server/server_protocol.h"
 
@@ -43,12 +43,12 @@
 
  private:
   void SendProbe();
-  void OnProbeResult(const net::TransferResult& result);
+  void OnProbeResult(const http_client::TransferResult& result);
 
   net::EventLoop& loop_;
   AnyServerProtocol protocol_;
   Handler handler_;
-  net::HttpClient client_;
+  http_client::HttpClient client_;
   ExpectedServer expected_;
   bool is_stopped_ = false;
   int probes_sent_ = 0;
--- a/src/libs/server/server_observer.cc
+++ b/src/libs/server/server_observer.cc
@@ -22,9 +22,8 @@
       prober_(
           loop,
           outputs_.probe_sent,
-          [this](const net::TransferResult& result, const ProbeStart& probe) {
-            OnProbeResult(result, probe);
-          }) {}
+          [this](const http_client::TransferResult& result,
+                 const ProbeStart& probe) { OnProbeResult(result, probe); }) {}
 
 void ServerObserver::SetServer(const ServerState& server, bool has_started) {
   instance_ = server.instance;
@@ -52,14 +51,14 @@
 void ServerObserver::OnRequestResult(const RequestResult& request,
                                      const net::HttpAnswer& answer,
                                      base::Instant now) {
-  const bool is_complete = request.end == net::TransferEnd::kComplete;
+  const bool is_complete = request.end == http_client::TransferEnd::kComplete;
   if (is_complete && request.verdict == ServerVerdict::kOtherInstance) {
     telemetry::LogEvent(telemetry::Event::kServerReplaced,
                         {{"expected", instance_},
                          {"meant_for", request.instance},
                          {"found", protocol_.instance(answer.headers)}});
   }
-  if (request.end == net::TransferEnd::kLost) {
+  if (request.end == http_client::TransferEnd::kLost) {
     crash_detector_.OnInterrupted(
         {.fingerprint = request.fingerprint,
          .is_suspect = request.is_suspect,
@@ -80,7 +79,7 @@
 void ServerObserver::OnCurrentRequestResult(const RequestResult& request,
                                             const net::HttpAnswer& answer,
                                             base::Instant now) {
-  const bool is_complete = request.end == net::TransferEnd::kComplete;
+  const bool is_complete = request.end == http_client::TransferEnd::kComplete;
   if (is_complete) {
     prober_.OnAnswer(now);
     UpdateFromHeaders(answer.headers, now);
@@ -102,30 +101,31 @@
   performance_.OnResult(is_answered && answer.status < kServerError, now);
 }
 
-void ServerObserver::OnProbeResult(const net::TransferResult& result,
+void ServerObserver::OnProbeResult(const http_client::TransferResult& result,
                                    const ProbeStart& probe) {
   if (probe.life == life_)
     OnCurrentProbeResult(result, probe.started_at, base::Clock::now());
   outputs_.probe_ended();
 }
 
-void ServerObserver::OnCurrentProbeResult(const net::TransferResult& result,
-                                          base::Instant started_at,
-                                          base::Instant now) {
+void ServerObserver::OnCurrentProbeResult(
+    const http_client::TransferResult& result,
+    base::Instant started_at,
+    base::Instant now) {
   const std::string found = protocol_.instance(result.answer.headers);
   const bool is_own = found.empty() || instance_.empty() || found == instance_;
-  if (result.end == net::TransferEnd::kComplete && is_own)
+  if (result.end == http_client::TransferEnd::kComplete && is_own)
     crash_detector_.OnAnswer(started_at);
   if (result.is_refused)
     crash_detector_.OnConnectionRefused(now);
-  if (result.end == net::TransferEnd::kComplete) {
+  if (result.end == http_client::TransferEnd::kComplete) {
     UpdateFromHeaders(result.answer.headers, now);
     const auto& headers = result.answer.headers;
     if (is_own && protocol_.reports_cold_state && !protocol_.cold_for(headers))
       outputs_.warm_reported();
     if (is_own)
       outputs_.health_checked(headers, started_at);
-  } else if (result.end == net::TransferEnd::kTimedOut) {
+  } else if (result.end == http_client::TransferEnd::kTimedOut) {
     performance_.OnProbeTimeout(now);
   } else {
     performance_.OnResult(false, now);
--- a/src/libs/server/server_observer.h
+++ b/src/libs/server/server_observer.h
@@ -22,7 +22,7 @@
 
 // How a request to the server ended.
 struct RequestResult {
-  net::TransferEnd end = net::TransferEnd::kLost;
+  http_client::TransferEnd end = http_client::TransferEnd::kLost;
   ServerVerdict verdict = ServerVerdict::kUnusable;
   // A call that the server made to handle the request has failed.
   bool has_failed_call = false;
@@ -88,10 +88,10 @@
   }
 
  private:
-  void OnProbeResult(const net::TransferResult& result,
+  void OnProbeResult(const http_client::TransferResult& result,
                      const ProbeStart& probe);
   // Evaluates the result of a probe of the current incarnation.
-  void OnCurrentProbeResult(const net::TransferResult& result,
+  void OnCurrentProbeResult(const http_client::TransferResult& result,
                             base::Instant started_at,
                             base::Instant now);
   // Evaluates the result of a request to the current incarnation.
--- a/src/libs/server/server_prober.cc
+++ b/src/libs/server/server_prober.cc
@@ -65,10 +65,10 @@
   probe_sent_();
   client_.Send(
       address_, std::move(request), timeout,
-      [this,
-       probe = ProbeStart{now, life_}](const net::TransferResult& result) {
+      [this, probe = ProbeStart{now, life_}](
+          const http_client::TransferResult& result) {
         const base::Instant ended_at = base::Clock::now();
-        const bool answered = result.end == net::TransferEnd::kComplete;
+        const bool answered = result.end == http_client::TransferEnd::kComplete;
         scheduler_.End(ended_at - probe.started_at, answered, ended_at);
         if (answered)
           last_answer_ = ended_at;
--- a/src/libs/server/server_prober.h
+++ b/src/libs/server/server_prober.h
@@ -7,8 +7,8 @@
 #include <functional>
 
 #include "admission/probe_scheduler.h"
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 #include "server/server_state.h"
 
 namespace chestnutport::server {
@@ -23,8 +23,8 @@
  public:
   // Called with the result of each probe, which is kTimedOut if no response
   // arrived in time.
-  using Handler =
-      std::function<void(const net::TransferResult&, const ProbeStart&)>;
+  using Handler = std::function<void(const http_client::TransferResult&,
+                                     const ProbeStart&)>;
 
   // `loop` must outlive this object. `probe_sent` is called for each
   // probe, before it is sent.
@@ -52,7 +52,7 @@
   // Sends a probe that ends within `max_duration`.
   void SendProbe(base::Duration max_duration, base::Instant now);
 
-  net::HttpClient client_;
+  http_client::HttpClient client_;
   admission::ProbeScheduler scheduler_;
   base::SocketAddress address_;
   std::string path_;
--- a/src/libs/store/hedged_reads.cc
+++ b/src/libs/store/hedged_reads.cc
@@ -40,18 +40,18 @@
   Read& read = reads_[id];
   read.transfers[copy] = http_.Send(
       read.addresses[copy], read.request, read.deadline - base::Clock::now(),
-      [this, id, copy](net::TransferResult result) {
+      [this, id, copy](http_client::TransferResult result) {
         OnResult(id, copy, std::move(result));
       });
 }
 
 void HedgedReads::OnResult(uint64_t id,
                            size_t copy,
-                           net::TransferResult result) {
+                           http_client::TransferResult result) {
   Read& read = reads_[id];
   read.transfers[copy] = kNone;
   const TransferId other = read.transfers[1 - copy];
-  if (result.end != net::TransferEnd::kComplete) {
+  if (result.end != http_client::TransferEnd::kComplete) {
     ++read.unanswered;
     if (other != kNone)
       return;
--- a/src/libs/store/hedged_reads.h
+++ b/src/libs/store/hedged_reads.h
@@ -10,7 +10,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "base/socket_address.h"
 #include "base/time.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 
 namespace chestnutport::store {
 
@@ -22,10 +22,10 @@
  public:
   // Receives the result, and how many copies got no response.
   using Handler =
-      std::function<void(net::TransferResult result, int unanswered)>;
+      std::function<void(http_client::TransferResult result, int unanswered)>;
 
   // `http` must outlive this object.
-  explicit HedgedReads(net::HttpClient& http) : http_(http) {}
+  explicit HedgedReads(http_client::HttpClient& http) : http_(http) {}
   ~HedgedReads();
   HedgedReads(const HedgedReads&) = delete;
   HedgedReads& operator=(const HedgedReads&) = delete;
@@ -39,7 +39,7 @@
             Handler handler);
 
  private:
-  using TransferId = net::HttpClient::TransferId;
+  using TransferId = http_client::HttpClient::TransferId;
   static constexpr TransferId kNone = 0;
 
   struct Read {
@@ -53,9 +53,9 @@
   };
 
   void SendCopy(uint64_t id, size_t copy);
-  void OnResult(uint64_t id, size_t copy, net::TransferResult result);
+  void OnResult(uint64_t id, size_t copy, http_client::TransferResult result);
 
-  net::HttpClient& http_;
+  http_client::HttpClient& http_;
   uint64_t last_id_ = 0;
   absl::flat_hash_map<uint64_t, Read> reads_;
 };
--- a/src/libs/store/store_client.cc
+++ b/src/libs/store/store_client.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-StoreClient::StoreClient(net::HttpClient& http,
+StoreClient::StoreClient(http_client::HttpClient& http,
                          std::vector<base::SocketAddress> addresses,
                          std::chrono::milliseconds timeout,
                          AnyStoreProtocol form)
@@ -185,29 +185,29 @@
                        AnswerHandler handler) {
   const base::SocketAddress& to = addresses_[current_];
   if (kind != CallKind::kRead && kind != CallKind::kList) {
-    http_.Send(
-        to, std::move(request), timeout,
-        [this, kind, handler = std::move(handler)](net::TransferResult result) {
-          if (result.end != net::TransferEnd::kComplete)
-            calls_.Add(kind, CallResult::kNoAnswer);
-          OnResult(std::move(result), kind, handler);
-        });
+    http_.Send(to, std::move(request), timeout,
+               [this, kind, handler = std::move(handler)](
+                   http_client::TransferResult result) {
+                 if (result.end != http_client::TransferEnd::kComplete)
+                   calls_.Add(kind, CallResult::kNoAnswer);
+                 OnResult(std::move(result), kind, handler);
+               });
     return;
   }
   const base::SocketAddress& second =
       addresses_[(current_ + 1) % addresses_.size()];
   reads_.Send(to, second, std::move(request), timeout,
               [this, kind, handler = std::move(handler)](
-                  net::TransferResult result, int unanswered) {
+                  http_client::TransferResult result, int unanswered) {
                 calls_.Add(kind, CallResult::kNoAnswer, unanswered);
                 OnResult(std::move(result), kind, handler);
               });
 }
 
-void StoreClient::OnResult(net::TransferResult result,
+void StoreClient::OnResult(http_client::TransferResult result,
                            CallKind kind,
                            const AnswerHandler& handler) {
-  if (result.end == net::TransferEnd::kComplete) {
+  if (result.end == http_client::TransferEnd::kComplete) {
     // The next call goes to another address if this one refuses calls.
     const bool is_refused = result.answer.status >= kTooManyRequests;
     calls_.Add(kind, is_refused ? CallResult::kRefused : CallResult::kAnswered);
@@ -221,7 +221,7 @@
   current_ = (current_ + 1) % addresses_.size();
   const bool is_write = kind == CallKind::kWrite || kind == CallKind::kLease;
   const bool may_have_run =
-      is_write && result.end != net::TransferEnd::kNotSent;
+      is_write && result.end != http_client::TransferEnd::kNotSent;
   handler(make_error_code(may_have_run ? ErrorKind::kStoreOutcomeUnknown
                                        : ErrorKind::kStoreUnavailable));
 }
--- a/src/libs/store/store_client.h
+++ b/src/libs/store/store_client.h
@@ -11,7 +11,7 @@
 
 #include "base/result.h"
 #include "base/socket_address.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "store/etcd_protocol.h"
 #include "store/hedged_reads.h"
 #include "store/store_call_counts.h"
@@ -38,7 +38,7 @@
   using ChangesHandler = std::function<void(base::Result<StoreChanges>)>;
 
   // The references must outlive the client.
-  StoreClient(net::HttpClient& http,
+  StoreClient(http_client::HttpClient& http,
               std::vector<base::SocketAddress> addresses,
               std::chrono::milliseconds timeout,
               AnyStoreProtocol form = AnyStoreProtocol::Of(EtcdProtocol()));
@@ -106,11 +106,11 @@
             std::chrono::milliseconds timeout,
             CallKind kind,
             AnswerHandler handler);
-  void OnResult(net::TransferResult result,
+  void OnResult(http_client::TransferResult result,
                 CallKind kind,
                 const AnswerHandler& handler);
 
-  net::HttpClient& http_;
+  http_client::HttpClient& http_;
   std::vector<base::SocketAddress> addresses_;
   std::chrono::milliseconds timeout_;
   AnyStoreProtocol form_;
--- a/src/libs/store/store_connections.cc
+++ b/src/libs/store/store_connections.cc
@@ -7,8 +7,8 @@
 
 }  // namespace
 
-net::HttpClientOptions StoreConnections() {
-  net::HttpClientOptions options;
+http_client::HttpClientOptions StoreConnections() {
+  http_client::HttpClientOptions options;
   options.tcp.keepalive_idle = kMaxIdle;
   options.longest_idle = kMaxIdle;
   return options;
--- a/src/libs/store/store_connections.h
+++ b/src/libs/store/store_connections.h
@@ -2,7 +2,7 @@
 #ifndef STORE_STORE_CONNECTIONS_H_
 #define STORE_STORE_CONNECTIONS_H_
 
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 
 namespace chestnutport::store {
 
@@ -10,7 +10,7 @@
 // seconds, so TCP keep-alive probes start after one second to detect a lost
 // connection. A connection that was idle for longer is not reused, as it may
 // have been lost.
-net::HttpClientOptions StoreConnections();
+http_client::HttpClientOptions StoreConnections();
 
 }  // namespace chestnutport::store
 
--- a/src/libs/traffic/answer_relay.cc
+++ b/src/libs/traffic/answer_relay.cc
@@ -22,9 +22,10 @@
   return std::nullopt;
 }
 
-base::ErrorKind ErrorOf(net::TransferEnd end) {
-  return end == net::TransferEnd::kTimedOut ? base::ErrorKind::kDeadlinePassed
-                                            : base::ErrorKind::kConnectionLost;
+base::ErrorKind ErrorOf(http_client::TransferEnd end) {
+  return end == http_client::TransferEnd::kTimedOut
+             ? base::ErrorKind::kDeadlinePassed
+             : base::ErrorKind::kConnectionLost;
 }
 
 }  // namespace
@@ -38,8 +39,8 @@
   return !length || *length > kMaxCollectedBytes;
 }
 
-AnswerRelay::AnswerRelay(net::HttpClient& client,
-                         net::HttpClient::TransferId transfer,
+AnswerRelay::AnswerRelay(http_client::HttpClient& client,
+                         http_client::HttpClient::TransferId transfer,
                          net::HttpAnswer head,
                          net::Reply reply,
                          std::function<void()> on_gone)
@@ -61,8 +62,8 @@
   return true;
 }
 
-void AnswerRelay::End(net::TransferEnd end) {
-  if (end == net::TransferEnd::kComplete)
+void AnswerRelay::End(http_client::TransferEnd end) {
+  if (end == http_client::TransferEnd::kComplete)
     reply_.Finish();
   else if (reply_.IsHeadTaken())
     reply_.Abort();
--- a/src/libs/traffic/answer_relay.h
+++ b/src/libs/traffic/answer_relay.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <string_view>
 
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "net/http_message.h"
 #include "net/reply.h"
 
@@ -30,8 +30,8 @@
 
   // Sends the head at once. `on_gone` is called if the receiver disconnects;
   // the rest of the answer is then discarded. `client` must outlive the relay.
-  AnswerRelay(net::HttpClient& client,
-              net::HttpClient::TransferId transfer,
+  AnswerRelay(http_client::HttpClient& client,
+              http_client::HttpClient::TransferId transfer,
               net::HttpAnswer head,
               net::Reply reply,
               std::function<void()> on_gone);
@@ -40,7 +40,7 @@
   bool Write(std::string_view part);
   // An incomplete transfer closes the receiver's connection, or sends an error
   // if no part of the answer has been taken yet.
-  void End(net::TransferEnd end);
+  void End(http_client::TransferEnd end);
 
  private:
   net::Reply reply_;
--- a/src/libs/ingress/known_server_notices.cc
+++ b/src/libs/traffic/known_server_notices.cc
@@ -1,10 +1,10 @@
-#include "ingress/known_server_notices.h"
+#include "traffic/known_server_notices.h"
 
 #include <utility>
 
 #include "wire/header_names.h"
 
-namespace chestnutport::ingress {
+namespace chestnutport::traffic {
 namespace {
 
 // A notice that was not confirmed for this time is dropped. The gate or the
@@ -50,4 +50,4 @@
   });
 }
 
-}  // namespace chestnutport::ingress
+}  // namespace chestnutport::traffic
--- a/src/libs/ingress/known_server_notices.h
+++ b/src/libs/traffic/known_server_notices.h
@@ -1,8 +1,8 @@
 // The notices of servers that this node has received with answers. It returns
 // them to the gates with its requests: a gate that has just started knows
 // nothing of its server, but this node remains bound by what it has passed on.
-#ifndef INGRESS_KNOWN_SERVER_NOTICES_H_
-#define INGRESS_KNOWN_SERVER_NOTICES_H_
+#ifndef TRAFFIC_KNOWN_SERVER_NOTICES_H_
+#define TRAFFIC_KNOWN_SERVER_NOTICES_H_
 
 #include <optional>
 
@@ -12,7 +12,7 @@
 #include "net/http_message.h"
 #include "wire/peer_server_notice.h"
 
-namespace chestnutport::ingress {
+namespace chestnutport::traffic {
 
 class KnownServerNotices {
  public:
@@ -42,6 +42,6 @@
   absl::flat_hash_map<base::SocketAddress, Known> notices_;
 };
 
-}  // namespace chestnutport::ingress
+}  // namespace chestnutport::traffic
 
-#endif  // INGRESS_KNOWN_SERVER_NOTICES_H_
+#endif  // TRAFFIC_KNOWN_SERVER_NOTICES_H_
--- a/tests/auto/admission/gate_quarantine_test.cc
+++ b/tests/auto/admission/gate_quarantine_test.cc
@@ -130,7 +130,8 @@
     const auto other = fixture.BeginKeyed({kQuarantinedRequest}, "another");
     REQUIRE(fixture.RunUntil([&] { return fixture.results.size() == 3; }));
     CHECK(Outcome(fixture.results[again.sequence]) == "answered");
-    const net::TransferResult& refused = fixture.results[other.sequence];
+    const http_client::TransferResult& refused =
+        fixture.results[other.sequence];
     CHECK(Error(refused) == "request-quarantined");
     CHECK(Outcome(refused) == "not-run");
     CHECK(net::FindHeader(refused.answer.headers, wire::kKeyNewHeader) ==
--- a/tests/auto/admission/gate_test.cc
+++ b/tests/auto/admission/gate_test.cc
@@ -103,7 +103,7 @@
 
   SECTION("an answer too large for the receiver is cut off") {
     fixture.answer.body.assign(9 * 1024 * 1024, 'x');
-    CHECK(fixture.Run("POST").end == net::TransferEnd::kLost);
+    CHECK(fixture.Run("POST").end == http_client::TransferEnd::kLost);
   }
 
   SECTION("a request to an unreachable server did not run") {
@@ -287,10 +287,10 @@
                                         reply.Send({});
                                       })
                     .value();
-  net::HttpClient client(loop, net::HttpClientOptions{});
-  net::TransferEnd end = net::TransferEnd::kComplete;
+  http_client::HttpClient client(loop, http_client::HttpClientOptions{});
+  http_client::TransferEnd end = http_client::TransferEnd::kComplete;
   client.Send(server->address(), {.method = "POST", .target = "/"},
-              milliseconds(20), [&](const net::TransferResult& result) {
+              milliseconds(20), [&](const http_client::TransferResult& result) {
                 end = result.end;
                 loop.Stop();
               });
@@ -298,7 +298,7 @@
   while (base::Clock::now() <= deadline) {
   }
   loop.Run();
-  CHECK(end == net::TransferEnd::kNotSent);
+  CHECK(end == http_client::TransferEnd::kNotSent);
   CHECK(served == 0);
 }
 
--- a/tests/auto/failures/not_run_test.cc
+++ b/tests/auto/failures/not_run_test.cc
@@ -115,8 +115,10 @@
 
 TEST_CASE("the audit sees a false not run") {
   const std::vector<CallRecord> records = {
-      {.id = "a", .end = net::TransferEnd::kComplete, .outcome = "not-run"},
-      {.id = "b", .end = net::TransferEnd::kNotSent}};
+      {.id = "a",
+       .end = http_client::TransferEnd::kComplete,
+       .outcome = "not-run"},
+      {.id = "b", .end = http_client::TransferEnd::kNotSent}};
   const Audit audit = Audit::Make(records, {{"a", {1, 1}}, {"b", {1, 0}}});
   CHECK(audit.said_not_run_but_ran == 2);
 }
--- a/tests/auto/fleet/departure_store_test.cc
+++ b/tests/auto/fleet/departure_store_test.cc
@@ -61,7 +61,7 @@
 
  private:
   net::EventLoop loop_;
-  net::HttpClient http_;
+  http_client::HttpClient http_;
   store::StoreClient client_;
 
  public:
--- a/tests/auto/fleet_configuration/configuration_manager_test.cc
+++ b/tests/auto/fleet_configuration/configuration_manager_test.cc
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "configuration/fetch.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "net/http_server.h"
 #include "node/native_configuration_format.h"
 #include "platform/hosted_store_protocol.h"
@@ -97,7 +97,7 @@
   net::EventLoop loop_;
   settings::NodeSettings settings_;
   std::unique_ptr<net::HttpServer> store_;
-  net::HttpClient http_;
+  http_client::HttpClient http_;
   store::StoreClient client_;
   control_calls::ControlListener listener_;
   control_calls::ControlListener peer_listener_;
--- a/tests/auto/fleet_configuration/configuration_reader_test.cc
+++ b/tests/auto/fleet_configuration/configuration_reader_test.cc
@@ -11,7 +11,7 @@
 
 #include "absl/strings/escaping.h"
 #include "configuration/reader_selection.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "net/http_server.h"
 #include "node/native_configuration_format.h"
 #include "platform/hosted_store_protocol.h"
@@ -162,7 +162,7 @@
  private:
   net::EventLoop loop_;
   EmptyStore store_;
-  net::HttpClient http_;
+  http_client::HttpClient http_;
   store::StoreClient client_;
   ConfigurationStore configuration_;
   configuration::LocalConfiguration local_;
--- a/tests/auto/fleet_configuration/silent_store_test.cc
+++ b/tests/auto/fleet_configuration/silent_store_test.cc
@@ -6,7 +6,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "fleet_configuration/configuration_reader.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "platform/hosted_configuration_format.h"
 #include "platform/hosted_store_protocol.h"
 #include "store/store_connections.h"
@@ -118,7 +118,7 @@
   test::HostedPlatform platform_;
   test::Relay relay_;
   net::EventLoop loop_;
-  net::HttpClient http_;
+  http_client::HttpClient http_;
   store::StoreClient client_;
   ConfigurationStore configuration_;
   configuration::LocalConfiguration local_;
--- a/tests/auto/net/endless_answer_test.cc
+++ b/tests/auto/http_client/endless_answer_test.cc
@@ -7,10 +7,10 @@
 #include <optional>
 #include <string>
 
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "support/raw_server.h"
 
-namespace chestnutport::net {
+namespace chestnutport::http_client {
 namespace {
 
 using std::chrono::seconds;
@@ -100,9 +100,9 @@
       connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
   });
 
-  EventLoop loop;
+  net::EventLoop loop;
   HttpClient client(loop, Options());
-  const HttpRequest request{
+  const net::HttpRequest request{
       .method = "GET", .target = "/", .headers = {{kTag, "r-1"}}};
   std::optional<TransferResult> result;
   uint64_t handed_on = 0;
@@ -110,7 +110,7 @@
   bool is_awaited = false;
   client.Stream(
       endless.address(), request, kTimeout,
-      [&](const HttpAnswer&) { return is_streamed; },
+      [&](const net::HttpAnswer&) { return is_streamed; },
       [&](std::string_view part) {
         handed_on += part.size();
         return true;
@@ -151,4 +151,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::net
+}  // namespace chestnutport::http_client
--- a/tests/auto/net/http_client_test.cc
+++ b/tests/auto/http_client/http_client_test.cc
@@ -1,5 +1,5 @@
 // A client against servers that answer in pieces, late, twice, or not at all.
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 
 #include <arpa/inet.h>
 #include <sys/socket.h>
@@ -13,7 +13,7 @@
 #include "support/raw_server.h"
 #include "support/wait.h"
 
-namespace chestnutport::net {
+namespace chestnutport::http_client {
 namespace {
 
 using std::chrono::milliseconds;
@@ -27,7 +27,7 @@
 
 struct Client {
   TransferResult Ask(const base::SocketAddress& to,
-                     HttpRequest request,
+                     net::HttpRequest request,
                      base::Duration timeout = kLong) {
     TransferResult result;
     client.Send(to, std::move(request), timeout, [&](TransferResult answer) {
@@ -47,7 +47,7 @@
   explicit Client(const HttpClientOptions& options = {})
       : client(loop, options) {}
 
-  EventLoop loop;
+  net::EventLoop loop;
   HttpClient client;
 };
 
@@ -100,12 +100,12 @@
   SECTION("a request that is no HTTP: not sent, and nothing is connected to") {
     std::atomic<int> connections = 0;
     RawServer server([&](RawSocket&, int) { ++connections; });
-    const std::vector<HttpRequest> requests = {
+    const std::vector<net::HttpRequest> requests = {
         {.method = "GET", .target = "/a\r\nX-Injected: 1"},
         {.method = "GET\r\nX: 1", .target = "/"},
         {.method = "GET", .target = "/", .headers = {{"X", "a\r\nY: b"}}},
         {.method = "GET", .target = "/", .headers = {{"X\r\nY", "b"}}}};
-    for (const HttpRequest& request : requests)
+    for (const net::HttpRequest& request : requests)
       CHECK(caller.Ask(server.address(), request).end == TransferEnd::kNotSent);
     CHECK(connections == 0);
   }
@@ -179,7 +179,8 @@
                 "2\r\nok\r\n0\r\nChestnutport-Outcome: not-run\r\n\r\n"}));
     const auto result = caller.Get(server.address());
     REQUIRE(result.end == TransferEnd::kComplete);
-    CHECK(FindHeader(result.answer.headers, "Chestnutport-Outcome").empty());
+    CHECK(
+        net::FindHeader(result.answer.headers, "Chestnutport-Outcome").empty());
   }
 
   SECTION("an interim answer is not the answer") {
@@ -187,7 +188,7 @@
         {std::string("HTTP/1.1 103 Early\r\nX-Early: 1\r\n\r\n") + kOk}));
     const auto result = caller.Get(server.address());
     CHECK(result.answer.status == 200);
-    CHECK(FindHeader(result.answer.headers, "X-Early").empty());
+    CHECK(net::FindHeader(result.answer.headers, "X-Early").empty());
   }
 }
 
@@ -205,9 +206,9 @@
 
 TEST_CASE("an answer of another name is skipped, and the right one is taken") {
   Client caller(Tagged());
-  const HttpRequest second{
+  const net::HttpRequest second{
       .method = "GET", .target = "/", .headers = {{"X-Id", "2"}}};
-  const HttpRequest first{
+  const net::HttpRequest first{
       .method = "GET", .target = "/", .headers = {{"X-Id", "1"}}};
   RawServer server([](RawSocket& connection, int) {
     connection.ReadUntil(kHeadEnd);
@@ -249,7 +250,7 @@
     connection.Send(kOk);
     connection.ReadToEnd();
   });
-  const HttpRequest large{
+  const net::HttpRequest large{
       .method = "POST", .target = "/", .body = std::string(30'000'000, 'x')};
   CHECK(caller.Ask(server.address(), large).end == TransferEnd::kComplete);
   CHECK(caller.Get(server.address()).end == TransferEnd::kComplete);
@@ -325,7 +326,7 @@
     const auto head =
         caller.Ask(other.address(), {.method = "HEAD", .target = "/"});
     CHECK(head.end == TransferEnd::kComplete);
-    CHECK(FindHeader(head.answer.headers, "Content-Length") == "1000");
+    CHECK(net::FindHeader(head.answer.headers, "Content-Length") == "1000");
     CHECK(caller.Get(other.address()).answer.body == "ok");
   }
 }
@@ -342,8 +343,8 @@
   HttpClient& client = caller.client;
   HttpClient::TransferId transfer = 0;
   int done = 0;
-  const HttpRequest get{.method = "GET", .target = "/"};
-  const auto always = [](const HttpAnswer&) { return true; };
+  const net::HttpRequest get{.method = "GET", .target = "/"};
+  const auto always = [](const net::HttpAnswer&) { return true; };
   const auto stop_when_idle = [&] {
     caller.loop.CallAfter(milliseconds(0), [&] { caller.loop.Stop(); });
   };
@@ -351,7 +352,7 @@
   SECTION("cancelled from its head") {
     transfer = client.Stream(
         server.address(), get, kLong,
-        [&](const HttpAnswer&) {
+        [&](const net::HttpAnswer&) {
           client.Cancel(transfer);
           stop_when_idle();
           return true;
@@ -477,4 +478,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::net
+}  // namespace chestnutport::http_client
--- a/tests/auto/net/unread_body_test.cc
+++ b/tests/auto/http_client/unread_body_test.cc
@@ -3,11 +3,11 @@
 #include <catch2/catch.hpp>
 #include <string>
 
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "support/raw_server.h"
 #include "support/wait.h"
 
-namespace chestnutport::net {
+namespace chestnutport::http_client {
 namespace {
 
 using test::RawServer;
@@ -25,7 +25,7 @@
   explicit Caller(const HttpClientOptions& options = {})
       : client_(loop_, options) {}
 
-  TransferResult Ask(const base::SocketAddress& to, HttpRequest request) {
+  TransferResult Ask(const base::SocketAddress& to, net::HttpRequest request) {
     TransferResult result;
     client_.Send(to, std::move(request), kTimeout, [&](TransferResult answer) {
       result = std::move(answer);
@@ -36,11 +36,11 @@
   }
 
  private:
-  EventLoop loop_;
+  net::EventLoop loop_;
   HttpClient client_;
 };
 
-HttpRequest Upload(size_t size) {
+net::HttpRequest Upload(size_t size) {
   return {.method = "POST", .target = "/", .body = std::string(size, 'x')};
 }
 
@@ -99,4 +99,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::net
+}  // namespace chestnutport::http_client
--- a/tests/auto/ingress/ingress_test.cc
+++ b/tests/auto/ingress/ingress_test.cc
@@ -120,7 +120,7 @@
 class IngressFixture {
  public:
   IngressFixture()
-      : caller_(loop_, net::HttpClientOptions{}),
+      : caller_(loop_, http_client::HttpClientOptions{}),
         ingress_(loop_,
                  {},
                  {"key", ""},
@@ -159,7 +159,7 @@
     caller_.Send(
         address_,
         {.method = method, .target = "/1", .headers = headers, .body = body},
-        std::chrono::seconds(10), [&](net::TransferResult result) {
+        std::chrono::seconds(10), [&](http_client::TransferResult result) {
           answer = std::move(result.answer);
           loop_.Stop();
         });
@@ -196,9 +196,9 @@
   // Sends a request, and disconnects once `holds`.
   template <typename Condition>
   void SendAndDisconnect(Condition holds) {
-    const auto transfer =
-        caller_.Send(address_, {.method = "POST", .target = "/1"},
-                     std::chrono::seconds(10), [](net::TransferResult) {});
+    const auto transfer = caller_.Send(
+        address_, {.method = "POST", .target = "/1"}, std::chrono::seconds(10),
+        [](http_client::TransferResult) {});
     REQUIRE(RunUntil(holds));
     caller_.Cancel(transfer);
   }
@@ -210,7 +210,7 @@
   traffic::RunningRequests running;
 
  private:
-  net::HttpClient caller_;
+  http_client::HttpClient caller_;
   std::vector<std::unique_ptr<Peer>> peers_;
   Ingress ingress_;
   base::SocketAddress address_;
--- a/tests/auto/node/server_end_test.cc
+++ b/tests/auto/node/server_end_test.cc
@@ -20,7 +20,7 @@
   REQUIRE(opened);
   std::unique_ptr<net::HttpServer> server = std::move(opened).value();
   const base::SocketAddress address = server->address();
-  net::TransferResult result;
+  http_client::TransferResult result;
   std::thread caller(
       [&] { result = SendAndWait(address, {.method = "GET", .target = "/"}); });
   loop.Run();
@@ -28,7 +28,7 @@
   SECTION("the connection is closed, and sending the reply has no effect") {
     server.reset();
     caller.join();
-    CHECK(result.end == net::TransferEnd::kLost);
+    CHECK(result.end == http_client::TransferEnd::kLost);
     CHECK(result.answer.status == 0);
     CHECK_FALSE(pending_reply.IsOpen());
     pending_reply.Send({.body = "too late"});
--- a/tests/auto/server/acknowledged_leave_test.cc
+++ b/tests/auto/server/acknowledged_leave_test.cc
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 #include "server/local_server.h"
 
 namespace chestnutport::server {
@@ -29,7 +29,7 @@
 // outlives it.
 class RestartedNode {
  public:
-  RestartedNode() : client_(loop_, net::HttpClientOptions::Fresh()) {
+  RestartedNode() : client_(loop_, http_client::HttpClientOptions::Fresh()) {
     Restart();
   }
 
@@ -66,7 +66,8 @@
                  {.method = message.state.empty() ? "DELETE" : "POST",
                   .target = "/v1/server/" + message.instance,
                   .body = body.dump()},
-                 std::chrono::seconds(10), [&](net::TransferResult result) {
+                 std::chrono::seconds(10),
+                 [&](http_client::TransferResult result) {
                    status = result.answer.status;
                    loop_.Stop();
                  });
@@ -100,7 +101,7 @@
  private:
   std::string history_;
   net::EventLoop loop_;
-  net::HttpClient client_;
+  http_client::HttpClient client_;
   std::unique_ptr<LocalServer> server_;
   std::vector<base::ServerDeparture> published_;
 };
--- a/tests/auto/server/own_server_test.cc
+++ b/tests/auto/server/own_server_test.cc
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 
 namespace chestnutport::server {
 namespace {
@@ -32,7 +32,7 @@
             [](const std::string& service) { return service == "dossie"; },
             [] {},
             [] { return true; }),
-        client_(loop_, net::HttpClientOptions{}) {
+        client_(loop_, http_client::HttpClientOptions{}) {
     REQUIRE(local_server.Listen(*base::SocketAddress::Parse("127.0.0.1:0")));
   }
 
@@ -43,7 +43,8 @@
     int status = 0;
     client_.Send(local_server.address(),
                  {.method = method, .target = target, .body = text},
-                 std::chrono::seconds(10), [&](net::TransferResult result) {
+                 std::chrono::seconds(10),
+                 [&](http_client::TransferResult result) {
                    status = result.answer.status;
                    loop_.Stop();
                  });
@@ -67,7 +68,7 @@
   LocalServer local_server;
 
  private:
-  net::HttpClient client_;
+  http_client::HttpClient client_;
 };
 
 TEST_CASE("local server state") {
--- a/tests/auto/store/store_client_test.cc
+++ b/tests/auto/store/store_client_test.cc
@@ -73,7 +73,7 @@
  private:
   net::EventLoop loop_;
   std::unique_ptr<net::HttpServer> server_;
-  net::HttpClient http_;
+  http_client::HttpClient http_;
   StoreClient client_;
 };
 
@@ -144,7 +144,7 @@
                             });
   REQUIRE(store);
   test::Relay relay(store.value()->address());
-  net::HttpClient http(loop, StoreConnections());
+  http_client::HttpClient http(loop, StoreConnections());
   StoreClient client(http, {relay.address()}, std::chrono::seconds(20));
   const auto read = [&] {
     client.Read("key", [&](const auto&) { loop.Stop(); });
@@ -170,7 +170,7 @@
                             });
   REQUIRE(store);
   test::Relay relay(store.value()->address());
-  net::HttpClient http(loop, StoreConnections());
+  http_client::HttpClient http(loop, StoreConnections());
   StoreClient client(http, {relay.address()}, kTimeout);
   int results = 0;
   const auto read = [&] {
@@ -210,7 +210,7 @@
   auto silent = sockets::ListeningSocket::Open(
       *base::SocketAddress::Parse("127.0.0.1:0"));
   REQUIRE(silent);
-  net::HttpClient http(loop, {});
+  http_client::HttpClient http(loop, {});
   StoreClient client(http, {silent.value().address()}, std::chrono::seconds(2));
   bool watch_ended = false;
   client.Watch("key", 1, std::chrono::milliseconds(10),
--- a/tests/auto/ingress/known_server_notices_test.cc
+++ b/tests/auto/traffic/known_server_notices_test.cc
@@ -1,11 +1,11 @@
 // What a node remembers of the servers whose notices it has passed on.
-#include "ingress/known_server_notices.h"
+#include "traffic/known_server_notices.h"
 
 #include <catch2/catch.hpp>
 
 #include "wire/header_names.h"
 
-namespace chestnutport::ingress {
+namespace chestnutport::traffic {
 namespace {
 
 using base::Instant;
@@ -69,4 +69,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::ingress
+}  // namespace chestnutport::traffic
--- a/tests/benchmarks/path/load_run.cc
+++ b/tests/benchmarks/path/load_run.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 
 namespace chestnutport::bench {
 namespace {
@@ -45,20 +45,21 @@
 
   void SendOne(size_t way) {
     const base::Instant sent_at = base::Clock::now();
-    client_.Send(ways_[way].address,
-                 {.method = "GET",
-                  .target = "/dossie/1",
-                  .headers = {{"X-Request-Id", absl::StrCat("bench", sent_)}}},
-                 kTimeout,
-                 [this, way, sent_at](const net::TransferResult& result) {
-                   Note(results_[way], result, base::Clock::now() - sent_at);
-                 });
+    client_.Send(
+        ways_[way].address,
+        {.method = "GET",
+         .target = "/dossie/1",
+         .headers = {{"X-Request-Id", absl::StrCat("bench", sent_)}}},
+        kTimeout,
+        [this, way, sent_at](const http_client::TransferResult& result) {
+          Note(results_[way], result, base::Clock::now() - sent_at);
+        });
   }
 
   void Note(WayResult& way,
-            const net::TransferResult& result,
+            const http_client::TransferResult& result,
             base::Duration latency) {
-    if (result.end == net::TransferEnd::kComplete &&
+    if (result.end == http_client::TransferEnd::kComplete &&
         result.answer.status == kOk) {
       way.latencies.push_back(
           std::chrono::duration_cast<microseconds>(latency));
@@ -77,7 +78,7 @@
   size_t sent_ = 0;
   size_t done_ = 0;
   net::EventLoop loop_;
-  net::HttpClient client_{loop_, net::HttpClientOptions{}};
+  http_client::HttpClient client_{loop_, http_client::HttpClientOptions{}};
 };
 
 }  // namespace
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -27,8 +27,8 @@
 #include "absl/flags/parse.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
 #include "wire/header_names.h"
 
@@ -58,6 +58,7 @@
 namespace {
 
 using nlohmann::json;
+namespace http_client = chestnutport::http_client;
 namespace net = chestnutport::net;
 namespace base = chestnutport::base;
 
@@ -79,7 +80,7 @@
 class ServerStandin {
  public:
   explicit ServerStandin(net::EventLoop& loop)
-      : loop_(loop), client_(loop, net::HttpClientOptions{}) {
+      : loop_(loop), client_(loop, http_client::HttpClientOptions{}) {
     const std::string path = absl::GetFlag(FLAGS_ledger);
     if (!path.empty()) {
       ledger_fd_ =
@@ -135,7 +136,7 @@
     if (faults_.value("announce", true) && !is_stopping_) {
       client_.Send(
           node, {.method = "POST", .target = "/v1/server", .body = body.dump()},
-          kAnnounceTimeout, [](const net::TransferResult&) {});
+          kAnnounceTimeout, [](const http_client::TransferResult&) {});
     }
     loop_.CallAfter(kAnnounceInterval,
                     [this, node, address] { Announce(node, address); });
@@ -254,7 +255,7 @@
   }
 
   net::EventLoop& loop_;
-  net::HttpClient client_;
+  http_client::HttpClient client_;
   std::string last_id_;  // Id of the request answered last.
   json faults_ = json::object();
   std::deque<Work> queue_;
--- a/tests/support/audit.cc
+++ b/tests/support/audit.cc
@@ -20,14 +20,15 @@
     ++audit.errors[record.error];
   if (!record.repeatable && executions.started > 1)
     ++audit.ran_twice;
-  const bool is_complete = record.end == net::TransferEnd::kComplete;
-  const bool said_not_run = record.end == net::TransferEnd::kNotSent ||
+  const bool is_complete = record.end == http_client::TransferEnd::kComplete;
+  const bool said_not_run = record.end == http_client::TransferEnd::kNotSent ||
                             (is_complete && record.outcome == "not-run");
   const bool said_answered = is_complete && record.outcome == "answered";
   if (said_not_run) {
     ++audit.not_run;
     audit.said_not_run_but_ran += executions.started > 0;
-  } else if (record.end == net::TransferEnd::kLost && record.status == kOk) {
+  } else if (record.end == http_client::TransferEnd::kLost &&
+             record.status == kOk) {
     ++audit.cut_visibly;
   } else if (!is_complete) {
     ++audit.no_answer;
--- a/tests/support/gate_fixture.cc
+++ b/tests/support/gate_fixture.cc
@@ -59,7 +59,7 @@
                [this](base::RequestFingerprint fingerprint) {
                  answered_suspects.push_back(fingerprint);
                }}),
-      peer_(loop_, net::HttpClientOptions{}) {
+      peer_(loop_, http_client::HttpClientOptions{}) {
   server_ =
       net::HttpServer::Open(loop_, AnyPort(), net::HttpServerLimits{},
                             [this](net::HttpRequest request, net::Reply reply) {
@@ -120,7 +120,7 @@
   return head.attempt;
 }
 
-net::TransferResult GateFixture::InquireCapacity(
+http_client::TransferResult GateFixture::InquireCapacity(
     const quarantine::IncomingRequest& guarded) {
   wire::PeerRequestHead head = MakeHead(++last_);
   head.fingerprint = guarded.fingerprint;
@@ -140,14 +140,15 @@
   return results[id];
 }
 
-net::TransferResult GateFixture::Run(const std::string& method) {
+http_client::TransferResult GateFixture::Run(const std::string& method) {
   const uint64_t id = Begin(method).sequence;
   if (!RunUntil([&] { return results.contains(id); }))
     throw std::runtime_error("the attempt did not end");
   return results[id];
 }
 
-net::TransferResult GateFixture::Repeat(const base::AttemptId& attempt) {
+http_client::TransferResult GateFixture::Repeat(
+    const base::AttemptId& attempt) {
   results.erase(attempt.sequence);
   Send(MakeHead(attempt.sequence), "GET");
   if (!RunUntil([&] { return results.contains(attempt.sequence); }))
@@ -170,7 +171,7 @@
                                  {"stop_running", stop_running}};
   request.body = rpc::EncodeCall("attempt.settle", params.dump());
   peer_.Send(address_, std::move(request), seconds(5),
-             [&](const net::TransferResult& done) {
+             [&](const http_client::TransferResult& done) {
                std::string text;
                std::string error;
                rpc::DecodeAnswer("attempt.settle", done.answer.body, &text,
@@ -201,12 +202,12 @@
   pending_replies.push_back(std::move(reply));
 }
 
-std::string Outcome(const net::TransferResult& result) {
+std::string Outcome(const http_client::TransferResult& result) {
   return std::string(
       net::FindHeader(result.answer.headers, wire::kOutcomeHeader));
 }
 
-std::string Error(const net::TransferResult& result) {
+std::string Error(const http_client::TransferResult& result) {
   return std::string(
       net::FindHeader(result.answer.headers, wire::kErrorHeader));
 }
--- a/tests/support/gate_fixture.h
+++ b/tests/support/gate_fixture.h
@@ -12,8 +12,8 @@
 
 #include "base/attempt_id.h"
 #include "gate/gate.h"
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 #include "net/http_server.h"
 #include "server/server_protocol.h"
 #include "traffic/running_requests.h"
@@ -47,12 +47,12 @@
   // Ends the server; its address then refuses connections.
   void EndServer() { server_.reset(); }
   // Sends a capacity inquiry and returns its result.
-  net::TransferResult InquireCapacity(
+  http_client::TransferResult InquireCapacity(
       const quarantine::IncomingRequest& guarded = {});
   // Sends an attempt again, with the same id, and waits for its result.
-  net::TransferResult Repeat(const base::AttemptId& attempt);
+  http_client::TransferResult Repeat(const base::AttemptId& attempt);
   // Starts an attempt and waits for its result.
-  net::TransferResult Run(const std::string& method);
+  http_client::TransferResult Run(const std::string& method);
   // Queries or cancels the attempt and returns its state.
   std::string ControlAttempt(const base::AttemptId& attempt,
                              bool cancel,
@@ -79,8 +79,8 @@
   std::vector<net::HttpRequest> served;
   std::vector<net::Reply> pending_replies;
   int closed_requests = 0;  // Requests whose connection the gate closed.
-  std::map<uint64_t, net::TransferResult> results;
-  std::vector<net::HttpClient::TransferId> transfers;
+  std::map<uint64_t, http_client::TransferResult> results;
+  std::vector<http_client::HttpClient::TransferId> transfers;
 
  private:
   void OnServed(net::HttpRequest request, net::Reply reply);
@@ -95,15 +95,15 @@
 
  private:
   gate::Gate gate_;
-  net::HttpClient peer_;
+  http_client::HttpClient peer_;
   std::unique_ptr<net::HttpServer> server_;
   base::SocketAddress address_;
   uint64_t last_ = 0;
 };
 
 // Return the outcome and error headers of a gate's answer.
-std::string Outcome(const net::TransferResult& result);
-std::string Error(const net::TransferResult& result);
+std::string Outcome(const http_client::TransferResult& result);
+std::string Error(const http_client::TransferResult& result);
 
 }  // namespace chestnutport::test
 
--- a/tests/support/http_caller.cc
+++ b/tests/support/http_caller.cc
@@ -6,16 +6,17 @@
 
 namespace chestnutport::test {
 
-net::TransferResult SendAndWait(const base::SocketAddress& to,
-                                net::HttpRequest request,
-                                std::chrono::seconds limit) {
+http_client::TransferResult SendAndWait(const base::SocketAddress& to,
+                                        net::HttpRequest request,
+                                        std::chrono::seconds limit) {
   net::EventLoop loop;
-  net::HttpClient client(loop, net::HttpClientOptions{});
-  net::TransferResult result;
-  client.Send(to, std::move(request), limit, [&](net::TransferResult answer) {
-    result = std::move(answer);
-    loop.Stop();
-  });
+  http_client::HttpClient client(loop, http_client::HttpClientOptions{});
+  http_client::TransferResult result;
+  client.Send(to, std::move(request), limit,
+              [&](http_client::TransferResult answer) {
+                result = std::move(answer);
+                loop.Stop();
+              });
   loop.Run();
   return result;
 }
--- a/tests/support/http_caller.h
+++ b/tests/support/http_caller.h
@@ -6,13 +6,13 @@
 #include <string>
 
 #include "base/socket_address.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 
 namespace chestnutport::test {
 
 // Sends one request on a new connection and waits at most `limit` for its
 // result.
-net::TransferResult SendAndWait(
+http_client::TransferResult SendAndWait(
     const base::SocketAddress& to,
     net::HttpRequest request,
     std::chrono::seconds limit = std::chrono::seconds(30));
--- a/tests/support/load.cc
+++ b/tests/support/load.cc
@@ -11,8 +11,8 @@
 namespace chestnutport::test {
 namespace {
 
-net::HttpClientOptions ClientOptions() {
-  net::HttpClientOptions options;
+http_client::HttpClientOptions ClientOptions() {
+  http_client::HttpClientOptions options;
   options.connections_per_host = 1024;
   return options;
 }
@@ -98,17 +98,19 @@
                           .repeatable = repeatable,
                           .node = node,
                           .sent_at = base::Clock::now()};
-  client_.Send(node, std::move(request), options_.timeout,
-               [this, number, record, tries](const net::TransferResult& r) {
-                 OnDone(number, record, tries, r);
-               });
+  client_.Send(
+      node, std::move(request), options_.timeout,
+      [this, number, record, tries](const http_client::TransferResult& r) {
+        OnDone(number, record, tries, r);
+      });
 }
 
 void Load::OnDone(uint64_t number,
                   CallRecord record,
                   size_t tries,
-                  const net::TransferResult& result) {
-  if (result.end == net::TransferEnd::kNotSent && tries < 10 * nodes_.size()) {
+                  const http_client::TransferResult& result) {
+  if (result.end == http_client::TransferEnd::kNotSent &&
+      tries < 10 * nodes_.size()) {
     Send(number, record.repeatable, tries + 1);
     return;
   }
--- a/tests/support/load.h
+++ b/tests/support/load.h
@@ -14,8 +14,8 @@
 #include "base/random.h"
 #include "base/socket_address.h"
 #include "base/time.h"
+#include "http_client/http_client.h"
 #include "net/event_loop.h"
-#include "net/http_client.h"
 
 namespace chestnutport::test {
 
@@ -23,7 +23,7 @@
 struct CallRecord {
   std::string id;
   bool repeatable = false;
-  net::TransferEnd end = net::TransferEnd::kLost;
+  http_client::TransferEnd end = http_client::TransferEnd::kLost;
   int status = 0;
   std::string outcome;  // From the Chestnutport-Outcome header.
   std::string error;
@@ -72,7 +72,7 @@
   void OnDone(uint64_t number,
               CallRecord record,
               size_t tries,
-              const net::TransferResult& result);
+              const http_client::TransferResult& result);
   std::string RequestId(uint64_t number) const;
   // Must be called after each change of pending_.
   void UpdateOldestPending();
@@ -82,7 +82,7 @@
   std::vector<base::SocketAddress> nodes_;
   base::Random random_;
   net::EventLoop loop_;
-  net::HttpClient client_;
+  http_client::HttpClient client_;
   std::vector<CallRecord> records_;
   uint64_t last_id_ = 0;
   std::set<uint64_t> pending_;  // Numbers of the requests in flight.
--- a/tests/support/membership_node.h
+++ b/tests/support/membership_node.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "fleet/fleet_membership.h"
-#include "net/http_client.h"
+#include "http_client/http_client.h"
 
 namespace chestnutport::test {
 
@@ -54,7 +54,7 @@
   }
 
   settings::NodeSettings settings_;
-  net::HttpClient http_;
+  http_client::HttpClient http_;
   store::StoreClient store_;
   control_calls::ControlListener listener_;
   control_calls::ControlCaller caller_;
