Tell a node how much memory its process may take

Cause: callers' bodies may take 64 MiB, which fits a VM of 160 MiB. On a smaller one the process would be ended over its limit, and the platform states the limit of each process.

No limit where none is stated: a template without it must be as safe.

Change: setting memory/limit, 160 MiB unless it is set.

ingress_test: its stand-in of a peer keeps 20 bodies of 60 kB, more than a listener's room for small bodies unless it is given more; since that room was bounded it refused three of them.

Measured: large_body_test: a node with 112 MiB serves 15 MiB and refuses 17 MiB; node_settings_test; ingress_test passes again.

--- a/src/libs/ingress/ingress.cc
+++ b/src/libs/ingress/ingress.cc
@@ -19,8 +19,11 @@
 
 // Bytes of the bodies of callers' requests: one of the largest that the
 // platform's users allow, and room beside it for ordinary requests.
-constexpr size_t kLargeBodies = 64 * 1024 * 1024;
+constexpr size_t kMaxLargeBodies = 64 * 1024 * 1024;
+constexpr size_t kMinLargeBodies = 1024 * 1024;
 constexpr size_t kSmallBodies = 8 * 1024 * 1024;
+// Bytes that the process takes besides large bodies, with a reserve.
+constexpr size_t kOtherMemory = 96 * 1024 * 1024;
 
 CallOrigin OriginOf(const std::string& name,
                     const std::optional<traffic::RunningRequest>& parent) {
@@ -40,10 +43,10 @@
        .body_hash = request.http.body.hash()});
 }
 
-net::HttpServerLimits ListenerLimits(
-    const declarations::CallerLimits& declared) {
+net::HttpServerLimits ListenerLimits(const declarations::CallerLimits& declared,
+                                     size_t large_bodies) {
   net::HttpServerLimits limits;
-  limits.large_bodies = kLargeBodies;
+  limits.large_bodies = large_bodies;
   limits.small_bodies = kSmallBodies;
   limits.largest_headers = declared.largest_headers;
   limits.largest_body = std::min(declared.largest_body, limits.large_bodies);
@@ -113,9 +116,13 @@
 
 base::Result<base::SocketAddress> Ingress::Listen(
     const base::SocketAddress& address,
-    base::Duration start_wait) {
+    base::Duration start_wait,
+    size_t memory_limit) {
+  large_bodies_ =
+      std::clamp(memory_limit - std::min(memory_limit, kOtherMemory),
+                 kMinLargeBodies, kMaxLargeBodies);
   auto opened =
-      net::HttpServer::Open(loop_, address, ListenerLimits({}),
+      net::HttpServer::Open(loop_, address, ListenerLimits({}, large_bodies_),
                             [this](net::HttpRequest request, net::Reply reply) {
                               OnRequest(std::move(request), std::move(reply));
                             });
@@ -141,7 +148,7 @@
     tenants_.SetLimits(snapshot_.configuration->tenants);
   const declarations::CallerLimits& limits = snapshot_.configuration->limits;
   if (listener_) {
-    listener_->set_limits(ListenerLimits(limits));
+    listener_->set_limits(ListenerLimits(limits, large_bodies_));
     if (IsReady())
       listener_->SetAccepting(true);
   }
--- a/src/libs/ingress/ingress.h
+++ b/src/libs/ingress/ingress.h
@@ -48,9 +48,10 @@
   // Binds the callers' listener. Must be called before the loop runs.
   // Connections are accepted only once this node has a configuration and a
   // server of each service, or after `start_wait`: until then, it could only
-  // refuse requests.
+  // refuse requests. `memory_limit`: bytes that the process may take.
   base::Result<base::SocketAddress> Listen(const base::SocketAddress& address,
-                                           base::Duration start_wait);
+                                           base::Duration start_wait,
+                                           size_t memory_limit);
 
   // Must be called on the ingress thread.
   void SetSnapshot(TrafficSnapshot snapshot);
@@ -187,6 +188,7 @@
   AttemptCanceller canceller_;
   traffic::TrafficRecorder recorder_;
   std::unique_ptr<net::HttpServer> listener_;
+  size_t large_bodies_ = 0;  // Bytes of large bodies at hand.
   net::EventLoop::TimerId start_timer_ = 0;
   // Declared after the listener, so that replies are destroyed before it.
   absl::flat_hash_map<CallId, std::unique_ptr<ActiveCall>> calls_;
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -255,7 +255,8 @@
   if (!peer)
     return peer.error();
   auto caller =
-      threads_->ingress.Listen(settings_.caller_listen, settings_.start_wait);
+      threads_->ingress.Listen(settings_.caller_listen, settings_.start_wait,
+                               settings_.memory_limit);
   if (!caller)
     return caller.error();
   auto control = threads_->control.Listen();
--- a/src/libs/settings/node_settings.cc
+++ b/src/libs/settings/node_settings.cc
@@ -187,6 +187,19 @@
   return true;
 }
 
+bool ReadMemoryLimit(NodeSettings& settings, std::string_view text) {
+  constexpr double kLeast = 1;  // MiB.
+  constexpr double kMost = 1e6;
+  constexpr double kBytesPerMebibyte = 1024 * 1024;
+  double mebibytes = 0;
+  if (!base::ParseNumber(text, &mebibytes) || mebibytes < kLeast ||
+      mebibytes > kMost) {
+    return false;
+  }
+  settings.memory_limit = static_cast<size_t>(mebibytes * kBytesPerMebibyte);
+  return true;
+}
+
 bool ReadStopGrace(NodeSettings& settings, std::string_view text) {
   const auto duration = base::ParseDuration(text);
   if (!duration || *duration > std::chrono::hours(1))
@@ -261,6 +274,10 @@
       {{"link", "rate", "Mbit/s", "unknown", "0 to 1000000000",
         "Rate of the VM's link in each direction; 0 if unknown."},
        ReadLinkRate},
+      {{"memory", "limit", "MiB", "160", "1 to 1000000",
+        "Memory that the process may take. Below 160 callers' bodies have "
+        "less room, and the largest are refused."},
+       ReadMemoryLimit},
       {{"listen", "caller", "address", "", kAddressRange,
         "Where callers send requests."},
        Address(&NodeSettings::caller_listen)},
--- a/src/libs/settings/node_settings.h
+++ b/src/libs/settings/node_settings.h
@@ -2,6 +2,7 @@
 #ifndef SETTINGS_NODE_SETTINGS_H_
 #define SETTINGS_NODE_SETTINGS_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -77,6 +78,8 @@
   base::Duration limit_lease = std::chrono::seconds(4);
   // Bits per second of the VM's link, in each direction. Zero if unknown.
   double link_rate = 0;
+  // Bytes that the process may take. Unless it is set, those of a small VM.
+  size_t memory_limit = 160 * 1024 * 1024;
 };
 
 // One setting as it is documented and checked.
--- a/tests/auto/ingress/ingress_test.cc
+++ b/tests/auto/ingress/ingress_test.cc
@@ -21,6 +21,7 @@
 
 constexpr std::chrono::seconds kQuarantinePeriod(300);
 constexpr milliseconds kStartWait(250);
+constexpr size_t kMemoryLimit = 160 * 1024 * 1024;
 
 enum class Behaviour {
   kAnswers,
@@ -42,7 +43,8 @@
     });
     auto opened = net::HttpServer::Open(
         loop, base::SocketAddress::Parse("127.0.0.1:0").value(),
-        net::HttpServerLimits{},
+        // The peer keeps the attempts.
+        net::HttpServerLimits{.small_bodies = 16 * 1024 * 1024},
         [this](net::HttpRequest request, net::Reply reply) {
           OnRequest(std::move(request), std::move(reply));
         });
@@ -129,7 +131,7 @@
                  base::Random(1)) {
     address_ = ingress_
                    .Listen(base::SocketAddress::Parse("127.0.0.1:0").value(),
-                           kStartWait)
+                           kStartWait, kMemoryLimit)
                    .value();
   }
 
--- a/tests/auto/platform/large_body_test.cc
+++ b/tests/auto/platform/large_body_test.cc
@@ -274,6 +274,28 @@
   CHECK(fleet.platform.RequestCount(*fleet.servers[0]) <= 3);
 }
 
+TEST_CASE("a body that a small machine has no memory for") {
+  const auto folder = std::filesystem::temp_directory_path() /
+                      absl::StrCat("small-machine-", getpid());
+  std::filesystem::create_directories(folder);
+  {
+    HostedPlatform platform;
+    platform.Put("op/config", kConfiguration);
+    HostedNode node("n", platform.store_address(), folder, "127.0.0.1:0", "one",
+                    "[memory]\nlimit = 112\n");
+    HostedServer& server = platform.AddServer("dossie", "i-1");
+    REQUIRE(WaitUntil([&] { return node.IsReady(); }));
+    node.Announce(server, "ready", 1);
+    REQUIRE(
+        WaitUntil([&] { return node.Call("/i/x", "first").status == 200; }));
+    CHECK(IsSuccess(Upload(node, "u-1", 15 * kMegabyte)));
+    RawSocket caller(node.caller_address());
+    caller.Send(Head("/p/x", "u-2", 17 * kMegabyte));
+    CHECK(absl::StartsWith(caller.ReadMessage(), "HTTP/1.1 413"));
+  }
+  std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("bodies that stall give up their memory to one that comes") {
   UploadFleet fleet(1);
   std::vector<RawSocket> stalled;
--- a/tests/auto/settings/node_settings_test.cc
+++ b/tests/auto/settings/node_settings_test.cc
@@ -71,7 +71,7 @@
           "[retries]\nshare = 0.25\nburst = 37.61904761904762\n"
           "[cold_servers]\nrate_factor = 1.5\nburst = 7.5\n"
           "[tenants]\nrevocation_time = 2.5s\nlimit_lease = 1500ms\n"
-          "[link]\nrate = 11.5\n",
+          "[link]\nrate = 11.5\n[memory]\nlimit = 260.0\n",
       problems);
   CHECK(problems.empty());
   CHECK(settings.fleet_retry_burst == 37.61904761904762);
@@ -79,6 +79,7 @@
   CHECK(settings.revocation_time == std::chrono::milliseconds(2500));
   CHECK(settings.limit_lease == std::chrono::milliseconds(1500));
   CHECK(settings.link_rate == 11.5e6);
+  CHECK(settings.memory_limit == 260 * 1024 * 1024);
 }
 
 TEST_CASE("every setting that must be given is missed") {
