Refuse requests whose transfer coding hides the end of their body

Cause: Beast takes a request as one without a body unless its last coding is chunked, and the node did not look at the coding.

Ruled out: lengths and chunks, which Beast refuses where they are odd.

Change: one coding, chunked, or none; else 400 and the end of the connection.

Conclusion: no byte of a body is read as a request.

--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -25,6 +25,20 @@
 // trips between regions.
 constexpr std::chrono::seconds kLinger(1);
 
+// Whether the end of a body can be told: without a transfer coding, or with
+// chunks alone. Beast takes a request with another coding as one without a
+// body.
+bool IsBodyEndKnown(const HttpHeaders& headers) {
+  const auto is_coding = [](const HttpHeader& header) {
+    return base::EqualsIgnoreCase(header.name, "Transfer-Encoding");
+  };
+  const auto codings = std::ranges::count_if(headers, is_coding);
+  return codings == 0 ||
+         (codings == 1 &&
+          base::EqualsIgnoreCase(
+              base::Trim(FindHeader(headers, "Transfer-Encoding")), "chunked"));
+}
+
 // Methods that ask for something else than a server's answer.
 bool IsTunnel(std::string_view method) {
   return method == "CONNECT" || method == "TRACE";
@@ -149,6 +163,10 @@
   if (!parser_->is_header_done())
     return true;
   CheckHead();
+  if (!IsBodyEndKnown(request_.headers)) {
+    RefuseAndClose(base::ErrorKind::kMalformedRequest);
+    return false;
+  }
   parser_->eager(true);
   if (!parser_->is_done())
     return BeginBody();
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -416,6 +416,24 @@
     CHECK((answer.empty() || answer.starts_with("HTTP/1.1 4") ||
            answer.starts_with("HTTP/1.0 4")));
   }
+  SECTION("once, if the end of its body cannot be told") {
+    const std::string coding =
+        GENERATE("identity", "xchunked", "chunked;q=1", "gzip", "gzip, chunked",
+                 "chunked\r\nTransfer-Encoding: identity", "");
+    int handled = 0;
+    TestServer counting([&](const HttpRequest&, Reply reply) {
+      ++handled;
+      reply.Send({});
+    });
+    RawSocket smuggler(counting.address());
+    smuggler.Send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: " + coding +
+                  "\r\n\r\n" + kGet);
+    const std::string answers = smuggler.ReadToEnd();
+    INFO(coding);
+    CHECK(answers.starts_with("HTTP/1.1 400"));
+    CHECK(answers.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(handled == 0);
+  }
   SECTION("that states a body longer than any memory") {
     const std::string length =
         GENERATE("Content-Length: 99999999999999\r\n\r\n",
