Close kept connections to make room for new callers

Cause: a listener at its limit of connections accepted nothing until one ended, whether they carried requests or not.

Ruled out: descriptors and the backlog, which were not used up. A higher limit alone moves the hang.

Change: at the limit the connection that has been without a request for longest is closed for each one that waits. The callers' listener takes 2,048.

Measured: http_server_test, the new story: without the change no new caller is answered, with it all are.

Conclusion: only connections that carry requests keep others waiting.

--- a/src/libs/ingress/ingress.cc
+++ b/src/libs/ingress/ingress.cc
@@ -20,6 +20,7 @@
 // Bytes of the bodies of callers' requests: one of the largest that the
 // platform's users allow, and room beside it for ordinary requests.
 constexpr size_t kMaxLargeBodies = 64 * 1024 * 1024;
+constexpr unsigned int kMaxConnections = 2048;
 constexpr size_t kMinLargeBodies = 1024 * 1024;
 constexpr size_t kSmallBodies = 8 * 1024 * 1024;
 // Bytes that the process takes besides large bodies, with a reserve.
@@ -47,6 +48,7 @@
                                      size_t large_bodies) {
   net::HttpServerLimits limits;
   limits.large_bodies = large_bodies;
+  limits.connections = kMaxConnections;
   limits.small_bodies = kSmallBodies;
   limits.largest_headers = declared.largest_headers;
   limits.largest_body = std::min(declared.largest_body, limits.large_bodies);
--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -55,7 +55,8 @@
     : server_(server),
       fd_(fd),
       peer_(peer),
-      close_at_(server.loop().now() + server.limits().to_send_request) {
+      close_at_(server.loop().now() + server.limits().to_send_request),
+      last_used_(server.loop().now()) {
   Watch();
 }
 
@@ -254,6 +255,15 @@
     reads_no_more_ = true;
 }
 
+bool HttpConnection::IsIdle() const {
+  if (closed_ || lingers_ || parser_ || !in_.empty() || !exchanges_.empty() ||
+      HasOutput()) {
+    return false;
+  }
+  char next = 0;
+  return recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
 bool HttpConnection::HasCallerClosed() {
   if (is_caller_gone_ || !in_.empty())
     return is_caller_gone_;
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -52,6 +52,12 @@
   // The server is destroyed: nobody is called any more.
   void Drop();
 
+  // Kept without a request, of which nothing has come.
+  bool IsIdle() const;
+  // When its last answer was complete, or when it was accepted.
+  base::Instant last_used() const { return last_used_; }
+  void CloseIdle() { Close(false); }
+
   HttpServer& server() { return server_; }
 
   // Requests are read or answered, or an answer is being written.
@@ -141,6 +147,7 @@
   // When the connection is closed unless a whole request came or, if it
   // lingers, the other end has closed.
   base::Instant close_at_;
+  base::Instant last_used_;
 };
 
 }  // namespace chestnutport::net
--- a/src/libs/net/http_connection_output.cc
+++ b/src/libs/net/http_connection_output.cc
@@ -89,6 +89,7 @@
     streamed_ = nullptr;
     is_answered_ = true;
   }
+  last_used_ = server_.loop().now();
   if (exchanges_.empty() && !parser_)
     close_at_ = server_.loop().now() + server_.limits().idle;
 }
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -22,6 +23,9 @@
 constexpr std::chrono::milliseconds kStallInterval(50);
 // Of the memory left for answers, one may take 1/kAnswerShare.
 constexpr size_t kAnswerShare = 4;
+// How often, and for how many new connections at a time, kept ones are closed.
+constexpr std::chrono::milliseconds kRoomInterval(20);
+constexpr int kRoomStep = 32;
 
 }  // namespace
 
@@ -64,12 +68,15 @@
     connection->Drop();
   loop_.Cancel(sweep_timer_);
   loop_.Cancel(stall_timer_);
+  loop_.Cancel(room_timer_);
   loop_.CancelDeferred(this);
 }
 
 void HttpServer::WatchListener() {
-  const bool accepts =
-      is_open_ && !quiescing_ && connections_.size() < limits_.connections;
+  const bool has_room = connections_.size() < limits_.connections;
+  const bool accepts = is_open_ && !quiescing_ && has_room;
+  if (!has_room)
+    MakeRoomSoon();
   if (std::exchange(accepts_, accepts) == accepts)
     return;
   if (accepts)
@@ -78,6 +85,42 @@
     loop_.Unwatch(socket_.fd());
 }
 
+void HttpServer::MakeRoomSoon() {
+  if (room_timer_ == 0)
+    room_timer_ = loop_.CallAfter(kRoomInterval, [this] { MakeRoom(); });
+}
+
+void HttpServer::MakeRoom() {
+  room_timer_ = 0;
+  if (!is_open_ || quiescing_ || connections_.size() < limits_.connections)
+    return;
+  MakeRoomSoon();
+  for (int closed = 0; closed < kRoomStep && IsCallerWaiting(); ++closed) {
+    if (!CloseLongestIdle())
+      return;
+    AcceptAll();
+  }
+}
+
+bool HttpServer::IsCallerWaiting() const {
+  pollfd listener{.fd = socket_.fd(), .events = POLLIN, .revents = 0};
+  return poll(&listener, 1, 0) > 0;
+}
+
+bool HttpServer::CloseLongestIdle() {
+  HttpConnection* longest = nullptr;
+  for (const auto& [connection, owned] : connections_) {
+    const bool is_longer =
+        !longest || connection->last_used() < longest->last_used();
+    if (is_longer && connection->IsIdle())
+      longest = connection;
+  }
+  if (!longest)
+    return false;
+  longest->CloseIdle();
+  return true;
+}
+
 void HttpServer::SetAccepting(bool accepting) {
   is_open_ = accepting;
   WatchListener();
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -43,7 +43,9 @@
   size_t stream_above = std::numeric_limits<size_t>::max();
   // How long a request may wait for memory for its body.
   std::chrono::milliseconds body_wait{1000};
-  unsigned int connections = 1024;  // More wait to be accepted.
+  // Beyond it, a connection that is kept without a request is closed for each
+  // new one; if there is none, new ones wait to be accepted.
+  unsigned int connections = 1024;
   // A connection on which nothing moves, or that is kept without a request,
   // for this long is closed.
   std::chrono::seconds idle{60};
@@ -138,6 +140,13 @@
              Handler handler);
   void AcceptAll();
   void WatchListener();
+  // Closes connections without a request if new ones wait to be accepted.
+  void MakeRoomSoon();
+  void MakeRoom();
+  // Whether a connection waits to be accepted.
+  bool IsCallerWaiting() const;
+  // Returns false if no connection is without a request.
+  bool CloseLongestIdle();
   void CheckIdle();
   void SweepSoon();
   void Sweep();
@@ -154,6 +163,7 @@
   bool is_open_ = true;
   bool accepts_ = false;
   EventLoop::TimerId sweep_timer_ = 0;
+  EventLoop::TimerId room_timer_ = 0;
   size_t answer_bytes_ = 0;  // Buffered for callers.
   absl::flat_hash_map<HttpConnection*, std::unique_ptr<HttpConnection>>
       connections_;
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -483,6 +483,55 @@
   CHECK(slow.front().ReadToEnd().empty());
 }
 
+// Guards against new callers without an answer behind kept connections.
+TEST_CASE("kept connections make room for new callers") {
+  HttpServerLimits limits;
+  limits.connections = 4;
+  std::vector<Reply> kept;
+  TestServer server(
+      [&](HttpRequest request, Reply reply) {
+        if (request.target == "/keep")
+          kept.push_back(std::move(reply));
+        else
+          Echo(std::move(request), std::move(reply));
+      },
+      limits);
+  std::vector<RawSocket> callers;
+  for (unsigned int i = 0; i < limits.connections; ++i) {
+    callers.emplace_back(server.address());
+    callers.back().Send(kGet);
+    REQUIRE(Has(callers.back().ReadMessage(), "200 OK"));
+  }
+
+  SECTION("those that were not used for longest") {
+    callers[0].Send(kGet);
+    REQUIRE(Has(callers[0].ReadMessage(), "200 OK"));
+    for (int i = 0; i < 3; ++i) {
+      RawSocket caller(server.address());
+      caller.Send(kGet);
+      CHECK(Has(caller.ReadMessage(), "200 OK"));
+    }
+    callers[0].Send(kGet);
+    CHECK(Has(callers[0].ReadMessage(), "200 OK"));
+    CHECK(callers[1].ReadToEnd().empty());
+  }
+  SECTION("but not those whose requests are at hand") {
+    for (RawSocket& caller : callers)
+      caller.Send("GET /keep HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(server.WaitFor([&] { return kept.size() == callers.size(); }));
+    RawSocket caller(server.address());
+    caller.Send(kGet);
+    server.Run([&] { kept.front().Send({}); });
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+    server.Run([&] {
+      for (Reply& reply : kept)
+        reply.Send({});
+    });
+    for (RawSocket& answered : callers)
+      CHECK(Has(answered.ReadMessage(), "200 OK"));
+  }
+}
+
 TEST_CASE("a server may close with requests at hand") {
   EventLoop loop;
   Reply kept;
