Hand on a request whose body is streamed once only

Cause: at the end of a streamed body the connection handed on one more, empty request, which the gate answered with 400; the sender dropped the connection, as those bytes answered nothing.

Ruled out: the answer itself, which had gone out before.

Change: the end of a streamed body ends its request.

Measured: http_server_test, "a body that is handed on as it comes": fails without the change, passes with it; large_body_test passes.

Conclusion: a connection between nodes is used again after a large body.

--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -219,8 +219,11 @@
   if (closed_ || !parser_ || ticket_ != 0)
     return;
   const bool closes_after = !parser_->keep_alive();
-  if (is_answered_) {
+  if (is_answered_ || streamed_) {
+    // It was handed on, or answered, before its body had come.
     EndRequest();
+    if (closes_after)
+      reads_no_more_ = true;
     return;
   }
   HttpExchange& exchange = AddExchange(closes_after);
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -483,6 +483,56 @@
   CHECK(slow.front().ReadToEnd().empty());
 }
 
+TEST_CASE("a body that is handed on as it comes") {
+  HttpServerLimits limits;
+  limits.stream_above = 1000;
+  const std::string body(200'000, 'b');
+  std::string received;
+  Reply kept;
+  int handled = 0;
+  TestServer server(
+      [&](HttpRequest request, Reply reply) {
+        ++handled;
+        if (request.unread_body == 0) {
+          Echo(std::move(request), std::move(reply));
+          return;
+        }
+        CHECK(request.unread_body == body.size());
+        kept = std::move(reply);
+      },
+      limits);
+  const auto read_body = [&] {
+    kept.ReadBody([&](const std::string& part) {
+      received += part;
+      if (received.size() == body.size())
+        kept.Send({.headers = {}, .body = "whole"});
+      return false;
+    });
+  };
+  RawSocket caller(server.address());
+  std::thread sender([&] { caller.Send(Post(body) + kGet); });
+  REQUIRE(server.WaitFor([&] { return kept.IsOpen(); }));
+
+  SECTION("is read as fast as the handler takes it, and a request follows it") {
+    server.Run(read_body);
+    REQUIRE(server.WaitFor([&] {
+      kept.ContinueBody();
+      return received.size() == body.size();
+    }));
+    CHECK(received == body);
+    CHECK(caller.ReadMessage().ends_with("whole"));
+    CHECK(caller.ReadMessage().ends_with("GET "));
+    CHECK(handled == 2);
+  }
+  SECTION("is discarded once it is answered, and a request follows it") {
+    server.Run([&] { kept.Send({.status = 503}); });
+    CHECK(Has(caller.ReadMessage(), "503"));
+    CHECK(caller.ReadMessage().ends_with("GET "));
+    CHECK(received.empty());
+  }
+  sender.join();
+}
+
 // Guards against new callers without an answer behind kept connections.
 TEST_CASE("kept connections make room for new callers") {
   HttpServerLimits limits;
