--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -254,9 +254,8 @@
   auto peer = threads_->gate.Listen(settings_.peer_listen);
   if (!peer)
     return peer.error();
-  auto caller =
-      threads_->ingress.Listen(settings_.caller_listen, settings_.start_wait,
-                               settings_.memory_limit);
+  auto caller = threads_->ingress.Listen(
+      settings_.caller_listen, settings_.start_wait, settings_.memory_limit);
   if (!caller)
     return caller.error();
   auto control = threads_->control.Listen();
