Count a request's wait for memory from its own head

Cause: a kept connection remembered the wait of an earlier request, so that a later refusal logged too long a wait and stated too short a Retry-After.

Ruled out: nothing else of a request outlives it (HttpConnection::EndRequest).

Change: the wait ends with its request. The entries of waiting requests get a name of their own.

Measured: net_test, body_budget_test and large_body_test pass. No test looks at the wait in the log.

--- a/src/libs/net/body_budget.cc
+++ b/src/libs/net/body_budget.cc
@@ -44,7 +44,7 @@
 void BodyBudget::Cancel(TicketId ticket) {
   const auto cancelled = std::erase_if(
       waiting_,
-      [ticket](const Grant& waiting) { return waiting.ticket == ticket; });
+      [ticket](const Waiting& waiting) { return waiting.ticket == ticket; });
   // It may have been the one that did not fit.
   if (cancelled > 0 && !waiting_.empty() && on_room_)
     on_room_();
@@ -53,10 +53,10 @@
 std::optional<BodyBudget::Granted> BodyBudget::TakeGranted() {
   const auto next = std::ranges::min_element(
       waiting_, {},
-      [this](const Grant& waiting) { return HeldBy(waiting.caller); });
+      [this](const Waiting& waiting) { return HeldBy(waiting.caller); });
   if (next == waiting_.end() || !HasRoom(next->bytes))
     return std::nullopt;
-  const Grant granted = *next;
+  const Waiting granted = *next;
   waiting_.erase(next);
   return Granted{granted.ticket, Reserve(granted.caller, granted.bytes)};
 }
--- a/src/libs/net/body_budget.h
+++ b/src/libs/net/body_budget.h
@@ -26,12 +26,6 @@
   using CallerId = uint64_t;
   using TicketId = uint64_t;
 
-  struct Grant {
-    TicketId ticket = 0;
-    size_t bytes = 0;
-    CallerId caller = 0;
-  };
-
   // `limit`: bytes.
   explicit BodyBudget(size_t limit) : limit_(limit) {}
 
@@ -65,6 +59,12 @@
  private:
   friend class BodyReservation;
 
+  struct Waiting {
+    TicketId ticket = 0;
+    size_t bytes = 0;
+    CallerId caller = 0;
+  };
+
   bool HasRoom(size_t bytes) const;
   size_t HeldBy(CallerId caller) const;
   BodyReservation Reserve(CallerId caller, size_t bytes);
@@ -73,7 +73,7 @@
   size_t limit_;
   size_t held_ = 0;
   absl::flat_hash_map<CallerId, size_t> held_by_;
-  std::vector<Grant> waiting_;  // In the order of arrival.
+  std::vector<Waiting> waiting_;  // In the order of arrival.
   std::function<void()> on_room_;
 };
 
--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -249,6 +249,7 @@
   request_ = {};
   body_.Reset();
   admission_ = {};
+  wait_began_ = {};
   refusal_.reset();
   is_answered_ = false;
   streamed_ = nullptr;
