--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -324,8 +324,7 @@
   if (closed_)
     return;
   streamed_ = nullptr;
-  for (const auto& exchange : std::exchange(exchanges_, {}))
-    server_.OnExchangeEnded();
+  server_.OnExchangesEnded(std::exchange(exchanges_, {}).size());
   shutdown(fd_, SHUT_WR);
   close_at_ = server_.loop().now() + kLinger;
   Watch();
@@ -338,8 +337,7 @@
   for (size_t i = 0; i < exchanges_.size(); ++i)
     exchanges_[i]->NoteGone();
   streamed_ = nullptr;
-  for (const auto& exchange : std::exchange(exchanges_, {}))
-    server_.OnExchangeEnded();
+  server_.OnExchangesEnded(std::exchange(exchanges_, {}).size());
   server_.loop().Unwatch(fd_);
   server_.loop().CancelDeferred(this);
   if (by_reset)
--- a/src/libs/net/http_connection_output.cc
+++ b/src/libs/net/http_connection_output.cc
@@ -84,7 +84,7 @@
   closes_after_out_ = IsLastAnswer(*exchanges_.front());
   const std::unique_ptr<HttpExchange> front = std::move(exchanges_.front());
   exchanges_.pop_front();
-  server_.OnExchangeEnded();
+  server_.OnExchangesEnded(1);
   if (streamed_ == front.get()) {
     streamed_ = nullptr;
     is_answered_ = true;
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -260,8 +260,8 @@
   }
 }
 
-void HttpServer::OnExchangeEnded() {
-  --exchanges_;
+void HttpServer::OnExchangesEnded(size_t count) {
+  exchanges_ -= count;
   CheckIdleSoon();
 }
 
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -128,7 +128,7 @@
   // Bytes that one more streamed answer may keep for its caller.
   size_t AnswerBufferSize() const;
   void OnExchangeBegun() { ++exchanges_; }
-  void OnExchangeEnded();
+  void OnExchangesEnded(size_t count);
   void OnConnectionClosed(HttpConnection* connection);
   // Looks, at the end of this round, whether all is answered.
   void CheckIdleSoon();
