--- a/tests/support/hosted_node.h
+++ b/tests/support/hosted_node.h
@@ -52,14 +52,14 @@
   net::HttpAnswer Call(const std::string& path, const std::string& id) const;
   // The address of the callers' listener.
   const base::SocketAddress& caller_address() const { return caller_address_; }
+  // The address of the listener with this name in the settings.
+  base::SocketAddress ListenAddress(const std::string& name);
   // Sends a request to the operators' API.
   net::HttpAnswer Operate(const std::string& method,
                           const std::string& path,
                           const std::string& body = "") const;
 
  private:
-  base::SocketAddress ListenAddress(const std::string& name);
-
   std::filesystem::path path_;
   std::string settings_;
   std::unique_ptr<Process> process_;
--- a/tests/support/process_memory.cc
+++ b/tests/support/process_memory.cc
@@ -1,6 +1,8 @@
 #include "support/process_memory.h"
 
+#include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string>
 
 #include "absl/strings/str_cat.h"
@@ -29,4 +31,10 @@
   return StatusField(process, "VmRSS:");
 }
 
+size_t OpenDescriptors(const Process& process) {
+  const std::filesystem::directory_iterator all(
+      absl::StrCat("/proc/", process.pid(), "/fd"));
+  return static_cast<size_t>(std::distance(begin(all), end(all)));
+}
+
 }  // namespace chestnutport::test
--- a/tests/support/process_memory.h
+++ b/tests/support/process_memory.h
@@ -1,4 +1,4 @@
-// The memory of a process, as the system reports it.
+// The memory and the descriptors of a process, as the system reports them.
 #ifndef SUPPORT_PROCESS_MEMORY_H_
 #define SUPPORT_PROCESS_MEMORY_H_
 
@@ -12,6 +12,9 @@
 size_t PeakMemory(const Process& process);
 size_t ResidentMemory(const Process& process);
 
+// Returns the number of open descriptors.
+size_t OpenDescriptors(const Process& process);
+
 }  // namespace chestnutport::test
 
 #endif  // SUPPORT_PROCESS_MEMORY_H_
