Move memory budgets and bodies to a library of their own

The budget is of use for more than bodies.

Change: MemoryBudget (so far BodyBudget), Body and BodyBuilder move to the library memory below net; includes and names follow. No change of behaviour.

--- a/src/app/chestnutportd/main.cc
+++ b/src/app/chestnutportd/main.cc
@@ -7,7 +7,7 @@
 #include "absl/flags/flag.h"
 #include "absl/flags/parse.h"
 #include "absl/flags/usage.h"
-#include "net/body_builder.h"
+#include "memory/body_builder.h"
 #include "node/node.h"
 #include "platform/hosted_adapters.h"
 #include "settings/node_settings.h"
@@ -47,7 +47,7 @@
   absl::SetProgramUsageMessage(help);
   absl::ParseCommandLine(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
-  chestnutport::net::AllocateLargeBlocksApart();
+  chestnutport::memory::AllocateLargeBlocksApart();
   const std::string path = absl::GetFlag(FLAGS_settings);
   settings::Problems problems;
   const auto node_settings = settings::ReadNodeSettings(path, problems);
--- a/src/libs/net/body.cc
+++ b/src/libs/memory/body.cc
@@ -1,10 +1,10 @@
-#include "net/body.h"
+#include "memory/body.h"
 
 #include <utility>
 
 #include "base/stream_hash.h"
 
-namespace chestnutport::net {
+namespace chestnutport::memory {
 
 Body::Body(std::string bytes) {
   if (bytes.empty())
@@ -15,4 +15,4 @@
   bytes_ = absl::Cord(std::move(bytes));
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::memory
--- a/src/libs/net/body.h
+++ b/src/libs/memory/body.h
@@ -1,6 +1,6 @@
 // The body of a request.
-#ifndef NET_BODY_H_
-#define NET_BODY_H_
+#ifndef MEMORY_BODY_H_
+#define MEMORY_BODY_H_
 
 #include <cstdint>
 #include <string>
@@ -8,7 +8,7 @@
 
 #include "absl/strings/cord.h"
 
-namespace chestnutport::net {
+namespace chestnutport::memory {
 
 // Immutable bytes that copies share, so that attempts of a large request need
 // no memory of their own.
@@ -41,6 +41,6 @@
   uint64_t hash_ = 0;
 };
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::memory
 
-#endif  // NET_BODY_H_
+#endif  // MEMORY_BODY_H_
--- a/src/libs/net/body_builder.cc
+++ b/src/libs/memory/body_builder.cc
@@ -1,28 +1,28 @@
-#include "net/body_builder.h"
+#include "memory/body_builder.h"
 
 #include <malloc.h>
 
 #include <algorithm>
 #include <utility>
 
-namespace chestnutport::net {
+namespace chestnutport::memory {
 namespace {
 
 struct Block {
   std::string bytes;
-  std::vector<BodyReservation> reservations;
+  std::vector<MemoryReservation> reservations;
 };
 
 }  // namespace
 
-void BodyBuilder::AddReservation(BodyReservation reservation) {
+void BodyBuilder::AddReservation(MemoryReservation reservation) {
   if (reservation.bytes() > 0)
     reservations_.push_back(std::move(reservation));
 }
 
 size_t BodyBuilder::room() const {
   size_t reserved = 0;
-  for (const BodyReservation& reservation : reservations_)
+  for (const MemoryReservation& reservation : reservations_)
     reserved += reservation.bytes();
   return reserved - block_.size();
 }
@@ -51,7 +51,7 @@
   auto block = std::make_unique<Block>();
   size_t left = block_.size();
   while (left > 0 && !reservations_.empty()) {
-    BodyReservation part = reservations_.back().Split(left);
+    MemoryReservation part = reservations_.back().Split(left);
     left -= part.bytes();
     block->reservations.push_back(std::move(part));
     if (reservations_.back().bytes() == 0)
@@ -82,4 +82,4 @@
   mallopt(M_MMAP_THRESHOLD, BodyBuilder::kBlockBytes);
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::memory
--- a/src/libs/net/body_builder.h
+++ b/src/libs/memory/body_builder.h
@@ -1,6 +1,6 @@
 // Collects the body of a request that is being received.
-#ifndef NET_BODY_BUILDER_H_
-#define NET_BODY_BUILDER_H_
+#ifndef MEMORY_BODY_BUILDER_H_
+#define MEMORY_BODY_BUILDER_H_
 
 #include <memory>
 #include <optional>
@@ -10,10 +10,10 @@
 
 #include "absl/strings/cord.h"
 #include "base/stream_hash.h"
-#include "net/body.h"
-#include "net/body_budget.h"
+#include "memory/body.h"
+#include "memory/memory_budget.h"
 
-namespace chestnutport::net {
+namespace chestnutport::memory {
 
 // Keeps the bytes in blocks. Each holds its part of the reservation, and
 // returns it when the last copy of the body has gone.
@@ -24,7 +24,7 @@
   static constexpr size_t kBlockBytes = 256 * 1024;
 
   // Adds to the memory that the body may take.
-  void AddReservation(BodyReservation reservation);
+  void AddReservation(MemoryReservation reservation);
   // Bytes that may still be appended.
   size_t room() const;
   void Append(std::string_view part);
@@ -37,7 +37,7 @@
  private:
   void EndBlock();
 
-  std::vector<BodyReservation> reservations_;
+  std::vector<MemoryReservation> reservations_;
   absl::Cord bytes_;
   std::string block_;  // Not yet part of `bytes_`.
   std::optional<base::StreamHash> hash_;
@@ -47,6 +47,6 @@
 // at the start of the process.
 void AllocateLargeBlocksApart();
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::memory
 
-#endif  // NET_BODY_BUILDER_H_
+#endif  // MEMORY_BODY_BUILDER_H_
--- a/src/libs/net/body_budget.cc
+++ b/src/libs/memory/memory_budget.cc
@@ -1,26 +1,26 @@
-#include "net/body_budget.h"
+#include "memory/memory_budget.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace chestnutport::net {
+namespace chestnutport::memory {
 
-bool BodyBudget::HasRoom(size_t bytes) const {
+bool MemoryBudget::HasRoom(size_t bytes) const {
   return held_ <= limit_ && bytes <= limit_ - held_;
 }
 
-size_t BodyBudget::HeldBy(CallerId caller) const {
+size_t MemoryBudget::HeldBy(CallerId caller) const {
   const auto found = held_by_.find(caller);
   return found == held_by_.end() ? 0 : found->second;
 }
 
-BodyReservation BodyBudget::Reserve(CallerId caller, size_t bytes) {
+MemoryReservation MemoryBudget::Reserve(CallerId caller, size_t bytes) {
   held_ += bytes;
   held_by_[caller] += bytes;
   return {shared_from_this(), caller, bytes};
 }
 
-void BodyBudget::Release(CallerId caller, size_t bytes) {
+void MemoryBudget::Release(CallerId caller, size_t bytes) {
   held_ -= bytes;
   const auto found = held_by_.find(caller);
   found->second -= bytes;
@@ -30,18 +30,18 @@
     on_room_();
 }
 
-std::optional<BodyReservation> BodyBudget::TryReserve(CallerId caller,
-                                                      size_t bytes) {
+std::optional<MemoryReservation> MemoryBudget::TryReserve(CallerId caller,
+                                                          size_t bytes) {
   if (!CanReserve(bytes))
     return std::nullopt;
   return Reserve(caller, bytes);
 }
 
-void BodyBudget::Wait(TicketId ticket, CallerId caller, size_t bytes) {
+void MemoryBudget::Wait(TicketId ticket, CallerId caller, size_t bytes) {
   waiting_.push_back({ticket, bytes, caller});
 }
 
-void BodyBudget::Cancel(TicketId ticket) {
+void MemoryBudget::Cancel(TicketId ticket) {
   const auto cancelled = std::erase_if(
       waiting_,
       [ticket](const Waiting& waiting) { return waiting.ticket == ticket; });
@@ -50,7 +50,7 @@
     on_room_();
 }
 
-std::optional<BodyBudget::Granted> BodyBudget::TakeGranted() {
+std::optional<MemoryBudget::Granted> MemoryBudget::TakeGranted() {
   const auto next = std::ranges::min_element(
       waiting_, {},
       [this](const Waiting& waiting) { return HeldBy(waiting.caller); });
@@ -61,32 +61,33 @@
   return Granted{granted.ticket, Reserve(granted.caller, granted.bytes)};
 }
 
-BodyReservation::BodyReservation(std::shared_ptr<BodyBudget> budget,
-                                 BodyBudget::CallerId caller,
-                                 size_t bytes)
+MemoryReservation::MemoryReservation(std::shared_ptr<MemoryBudget> budget,
+                                     MemoryBudget::CallerId caller,
+                                     size_t bytes)
     : budget_(std::move(budget)), caller_(caller), bytes_(bytes) {}
 
-BodyReservation::BodyReservation(BodyReservation&& other) noexcept
+MemoryReservation::MemoryReservation(MemoryReservation&& other) noexcept
     : budget_(std::move(other.budget_)),
       caller_(other.caller_),
       bytes_(std::exchange(other.bytes_, 0)) {}
 
-BodyReservation& BodyReservation::operator=(BodyReservation&& other) noexcept {
+MemoryReservation& MemoryReservation::operator=(
+    MemoryReservation&& other) noexcept {
   std::swap(budget_, other.budget_);
   std::swap(caller_, other.caller_);
   std::swap(bytes_, other.bytes_);
   return *this;
 }
 
-BodyReservation::~BodyReservation() {
+MemoryReservation::~MemoryReservation() {
   if (budget_ && bytes_ > 0)
     budget_->Release(caller_, bytes_);
 }
 
-BodyReservation BodyReservation::Split(size_t bytes) {
+MemoryReservation MemoryReservation::Split(size_t bytes) {
   const size_t part = std::min(bytes, bytes_);
   bytes_ -= part;
   return {budget_, caller_, part};
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::memory
--- a/src/libs/net/body_budget.h
+++ b/src/libs/memory/memory_budget.h
@@ -1,7 +1,7 @@
-// Divides a listener's memory for request bodies among the requests that it
-// receives. No I/O.
-#ifndef NET_BODY_BUDGET_H_
-#define NET_BODY_BUDGET_H_
+// Divides a listener's memory for heads or bodies of requests among the
+// requests that it receives. No I/O.
+#ifndef MEMORY_MEMORY_BUDGET_H_
+#define MEMORY_MEMORY_BUDGET_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -12,22 +12,22 @@
 
 #include "absl/container/flat_hash_map.h"
 
-namespace chestnutport::net {
+namespace chestnutport::memory {
 
-class BodyReservation;
+class MemoryReservation;
 
-// Memory is reserved for a whole body before any of it is read, so that bodies
+// Memory is reserved for a whole head or body before it is read, so that those
 // that are received at the same time cannot block each other. Requests for
 // which there is no room wait; the next one is of the caller who holds the
 // least, so that many uploads of one caller do not keep the others away. For
 // one thread.
-class BodyBudget : public std::enable_shared_from_this<BodyBudget> {
+class MemoryBudget : public std::enable_shared_from_this<MemoryBudget> {
  public:
   using CallerId = uint64_t;
   using TicketId = uint64_t;
 
   // `limit`: bytes.
-  explicit BodyBudget(size_t limit) : limit_(limit) {}
+  explicit MemoryBudget(size_t limit) : limit_(limit) {}
 
   // Takes effect for later reservations.
   void set_limit(size_t limit) { limit_ = limit; }
@@ -48,7 +48,7 @@
     return waiting_.empty() && HasRoom(bytes);
   }
   // Reserves `bytes` unless there is no room, or others wait for it.
-  std::optional<BodyReservation> TryReserve(CallerId caller, size_t bytes);
+  std::optional<MemoryReservation> TryReserve(CallerId caller, size_t bytes);
   // Queues a request for `bytes` under `ticket`.
   void Wait(TicketId ticket, CallerId caller, size_t bytes);
   void Cancel(TicketId ticket);
@@ -57,7 +57,7 @@
   std::optional<Granted> TakeGranted();
 
  private:
-  friend class BodyReservation;
+  friend class MemoryReservation;
 
   struct Waiting {
     TicketId ticket = 0;
@@ -67,7 +67,7 @@
 
   bool HasRoom(size_t bytes) const;
   size_t HeldBy(CallerId caller) const;
-  BodyReservation Reserve(CallerId caller, size_t bytes);
+  MemoryReservation Reserve(CallerId caller, size_t bytes);
   void Release(CallerId caller, size_t bytes);
 
   size_t limit_;
@@ -78,32 +78,32 @@
 };
 
 // Memory that is reserved for a body, in bytes; released when it is destroyed.
-class BodyReservation {
+class MemoryReservation {
  public:
-  BodyReservation() = default;
-  BodyReservation(std::shared_ptr<BodyBudget> budget,
-                  BodyBudget::CallerId caller,
-                  size_t bytes);
-  BodyReservation(BodyReservation&& other) noexcept;
-  BodyReservation& operator=(BodyReservation&& other) noexcept;
-  ~BodyReservation();
+  MemoryReservation() = default;
+  MemoryReservation(std::shared_ptr<MemoryBudget> budget,
+                    MemoryBudget::CallerId caller,
+                    size_t bytes);
+  MemoryReservation(MemoryReservation&& other) noexcept;
+  MemoryReservation& operator=(MemoryReservation&& other) noexcept;
+  ~MemoryReservation();
 
   size_t bytes() const { return bytes_; }
   // Moves at most `bytes` of this reservation to a new one.
-  BodyReservation Split(size_t bytes);
+  MemoryReservation Split(size_t bytes);
 
  private:
   // Shared: bodies may outlive the listener that received them.
-  std::shared_ptr<BodyBudget> budget_;
-  BodyBudget::CallerId caller_ = 0;
+  std::shared_ptr<MemoryBudget> budget_;
+  MemoryBudget::CallerId caller_ = 0;
   size_t bytes_ = 0;
 };
 
-struct BodyBudget::Granted {
+struct MemoryBudget::Granted {
   TicketId ticket = 0;
-  BodyReservation reservation;
+  MemoryReservation reservation;
 };
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::memory
 
-#endif  // NET_BODY_BUDGET_H_
+#endif  // MEMORY_MEMORY_BUDGET_H_
--- a/src/libs/net/body_policy.h
+++ b/src/libs/net/body_policy.h
@@ -8,7 +8,7 @@
 
 #include "base/error_kind.h"
 #include "base/time.h"
-#include "net/body_budget.h"
+#include "memory/memory_budget.h"
 #include "net/http_message.h"
 
 namespace chestnutport::net {
@@ -24,7 +24,7 @@
   // How long the request may wait for memory.
   base::Duration max_wait{};
   // Callers that hold less memory go first.
-  BodyBudget::CallerId caller = 0;
+  memory::MemoryBudget::CallerId caller = 0;
 };
 
 // Why a body was not received, and the figures behind it.
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -11,9 +11,9 @@
 
 #include "base/error_kind.h"
 #include "base/time.h"
+#include "memory/body_builder.h"
+#include "memory/memory_budget.h"
 #include "net/beast_messages.h"
-#include "net/body_budget.h"
-#include "net/body_builder.h"
 #include "net/event_loop.h"
 #include "net/http_exchange.h"
 #include "net/http_message.h"
@@ -40,7 +40,7 @@
   // Reads on, in the next round, for a request whose body is streamed.
   void ReadSoon();
   // There is memory for the body for which the connection waits.
-  void GrantBody(BodyReservation reservation);
+  void GrantBody(memory::MemoryReservation reservation);
   // Whether memory is reserved for a body of which nothing came since `since`.
   bool IsBodyStalled(base::Instant since) const;
   // Refuses the request whose body does not come.
@@ -122,14 +122,14 @@
   std::optional<Parser> parser_;
   // Of the request that is being read.
   HttpRequest request_;
-  BodyBuilder body_;
+  memory::BodyBuilder body_;
   BodyAdmission admission_;
   std::optional<HttpAnswer> refusal_;
   bool expects_continue_ = false;
   bool is_answered_ = false;          // The rest of its body is discarded.
   HttpExchange* streamed_ = nullptr;  // Takes its body; set until it is read.
   // Of a body that waits for memory.
-  BodyBudget::TicketId ticket_ = 0;
+  memory::MemoryBudget::TicketId ticket_ = 0;
   size_t awaited_bytes_ = 0;
   std::string held_part_;  // That was read before it was known to be large.
   base::Instant wait_began_;
--- a/src/libs/net/http_connection_body.cc
+++ b/src/libs/net/http_connection_body.cc
@@ -40,7 +40,7 @@
 }
 
 void HttpConnection::AdmitBody(size_t bytes) {
-  BodyBudget& budget = server_.BudgetFor(bytes);
+  memory::MemoryBudget& budget = server_.BudgetFor(bytes);
   const bool is_large = bytes > kLargestSmallBody;
   admission_.caller = peer_;
   if (is_large || !budget.CanReserve(bytes)) {
@@ -79,7 +79,7 @@
   });
 }
 
-void HttpConnection::GrantBody(BodyReservation reservation) {
+void HttpConnection::GrantBody(memory::MemoryReservation reservation) {
   ticket_ = 0;
   server_.loop().Cancel(std::exchange(wait_timer_, 0));
   body_.AddReservation(std::move(reservation));
@@ -93,7 +93,7 @@
 }
 
 void HttpConnection::RefuseBody(base::ErrorKind error, size_t bytes) {
-  const BodyBudget& budget = server_.BudgetFor(bytes);
+  const memory::MemoryBudget& budget = server_.BudgetFor(bytes);
   const base::Duration waited = wait_began_ == base::Instant()
                                     ? base::Duration()
                                     : server_.loop().now() - wait_began_;
--- a/src/libs/net/http_message.h
+++ b/src/libs/net/http_message.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "net/body.h"
+#include "memory/body.h"
 
 namespace chestnutport::net {
 
@@ -40,7 +40,7 @@
   std::string method;
   std::string target;  // Path and query, as sent.
   HttpHeaders headers;
-  Body body;
+  memory::Body body;
   // Bytes of the body that follow `body` and are still to be read, of a request
   // that is handed on before they came; see Reply::ReadBody().
   uint64_t unread_body = 0;
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -51,8 +51,10 @@
       socket_(std::move(socket)),
       limits_(limits),
       handler_(std::move(handler)),
-      large_bodies_(std::make_shared<BodyBudget>(limits.large_bodies)),
-      small_bodies_(std::make_shared<BodyBudget>(limits.small_bodies)) {
+      large_bodies_(
+          std::make_shared<memory::MemoryBudget>(limits.large_bodies)),
+      small_bodies_(
+          std::make_shared<memory::MemoryBudget>(limits.small_bodies)) {
   set_limits(limits);
   large_bodies_->set_on_room([this] { GrantBodiesSoon(); });
   small_bodies_->set_on_room([this] { GrantBodiesSoon(); });
@@ -202,10 +204,11 @@
                         : MakeErrorAnswer(refusal.error);
 }
 
-BodyBudget::TicketId HttpServer::WaitForBody(HttpConnection& connection,
-                                             BodyBudget::CallerId caller,
-                                             size_t bytes) {
-  const BodyBudget::TicketId ticket = ++last_ticket_;
+memory::MemoryBudget::TicketId HttpServer::WaitForBody(
+    HttpConnection& connection,
+    memory::MemoryBudget::CallerId caller,
+    size_t bytes) {
+  const memory::MemoryBudget::TicketId ticket = ++last_ticket_;
   body_waits_.emplace(ticket, &connection);
   BudgetFor(bytes).Wait(ticket, caller, bytes);
   CheckStallsSoon();
@@ -236,7 +239,7 @@
   return std::clamp(left / kAnswerShare, kMinAnswerBuffer, kMaxAnswerBuffer);
 }
 
-void HttpServer::CancelBodyWait(BodyBudget::TicketId ticket) {
+void HttpServer::CancelBodyWait(memory::MemoryBudget::TicketId ticket) {
   body_waits_.erase(ticket);
   large_bodies_->Cancel(ticket);
   small_bodies_->Cancel(ticket);
@@ -252,7 +255,7 @@
   });
 }
 
-void HttpServer::GrantBodies(BodyBudget& budget) {
+void HttpServer::GrantBodies(memory::MemoryBudget& budget) {
   while (auto granted = budget.TakeGranted()) {
     auto node = body_waits_.extract(granted->ticket);
     if (!node.empty())
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -15,7 +15,7 @@
 #include "base/error_kind.h"
 #include "base/result.h"
 #include "base/time.h"
-#include "net/body_budget.h"
+#include "memory/memory_budget.h"
 #include "net/body_policy.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
@@ -111,14 +111,15 @@
   BodyAdmission AdmitBody(const HttpRequest& head) const;
   HttpAnswer RefuseBody(const HttpRequest& head, const BodyRefusal& refusal);
   // The memory for bodies of up to kLargestSmallBody bytes, or for larger ones.
-  BodyBudget& BudgetFor(size_t bytes) {
+  memory::MemoryBudget& BudgetFor(size_t bytes) {
     return bytes > kLargestSmallBody ? *large_bodies_ : *small_bodies_;
   }
   // `connection` waits for `bytes`, and is told by HttpConnection::GrantBody().
-  BodyBudget::TicketId WaitForBody(HttpConnection& connection,
-                                   BodyBudget::CallerId caller,
-                                   size_t bytes);
-  void CancelBodyWait(BodyBudget::TicketId ticket);
+  memory::MemoryBudget::TicketId WaitForBody(
+      HttpConnection& connection,
+      memory::MemoryBudget::CallerId caller,
+      size_t bytes);
+  void CancelBodyWait(memory::MemoryBudget::TicketId ticket);
   // Whether another request may wait for memory.
   bool MayWaitForBody() const {
     return body_waits_.size() < limits_.waiting_bodies;
@@ -154,7 +155,7 @@
   void CheckStallsSoon();
   void CheckStalls();
   void GrantBodiesSoon();
-  void GrantBodies(BodyBudget& budget);
+  void GrantBodies(memory::MemoryBudget& budget);
 
   EventLoop& loop_;
   sockets::ListeningSocket socket_;
@@ -170,10 +171,11 @@
   // Closed in this round: a function of theirs may still be running.
   std::vector<std::unique_ptr<HttpConnection>> closed_;
   BodyPolicy policy_;
-  std::shared_ptr<BodyBudget> large_bodies_;
-  std::shared_ptr<BodyBudget> small_bodies_;
-  BodyBudget::TicketId last_ticket_ = 0;
-  absl::flat_hash_map<BodyBudget::TicketId, HttpConnection*> body_waits_;
+  std::shared_ptr<memory::MemoryBudget> large_bodies_;
+  std::shared_ptr<memory::MemoryBudget> small_bodies_;
+  memory::MemoryBudget::TicketId last_ticket_ = 0;
+  absl::flat_hash_map<memory::MemoryBudget::TicketId, HttpConnection*>
+      body_waits_;
   bool grants_soon_ = false;
   EventLoop::TimerId stall_timer_ = 0;
   uint64_t refused_bodies_ = 0;
--- a/tests/auto/net/body_budget_test.cc
+++ b/tests/auto/memory/memory_budget_test.cc
@@ -1,5 +1,5 @@
 // The memory for request bodies: who gets it, and that all of it comes back.
-#include "net/body_budget.h"
+#include "memory/memory_budget.h"
 
 #include <rapidcheck/catch.h>
 
@@ -8,16 +8,16 @@
 #include <utility>
 #include <vector>
 
-#include "net/body_builder.h"
+#include "memory/body_builder.h"
 
-namespace chestnutport::net {
+namespace chestnutport::memory {
 namespace {
 
-constexpr BodyBudget::CallerId kAnna = 1;
-constexpr BodyBudget::CallerId kBen = 2;
+constexpr MemoryBudget::CallerId kAnna = 1;
+constexpr MemoryBudget::CallerId kBen = 2;
 
 TEST_CASE("a budget of request bodies") {
-  const auto budget = std::make_shared<BodyBudget>(100);
+  const auto budget = std::make_shared<MemoryBudget>(100);
 
   SECTION("is given to as many as fit, for the whole of each body") {
     const auto first = budget->TryReserve(kAnna, 40);
@@ -69,7 +69,7 @@
 }
 
 TEST_CASE("a body holds its memory until its last copy is gone") {
-  const auto budget = std::make_shared<BodyBudget>(1000);
+  const auto budget = std::make_shared<MemoryBudget>(1000);
   BodyBuilder builder;
   builder.AddReservation(*budget->TryReserve(kAnna, 600));
   builder.Append(std::string(500, 'a'));
@@ -85,7 +85,7 @@
 }
 
 TEST_CASE("a body that is given up releases its memory") {
-  const auto budget = std::make_shared<BodyBudget>(1'000'000);
+  const auto budget = std::make_shared<MemoryBudget>(1'000'000);
   BodyBuilder builder;
   builder.AddReservation(*budget->TryReserve(kAnna, 900'000));
   builder.Append(std::string(700'000, 'a'));
@@ -96,7 +96,7 @@
 TEST_CASE("bodies of any sizes and parts") {
   rc::prop("never exceed the budget, are whole, and leave nothing behind", [] {
     constexpr size_t kLimit = 2'000'000;
-    const auto budget = std::make_shared<BodyBudget>(kLimit);
+    const auto budget = std::make_shared<MemoryBudget>(kLimit);
     std::deque<Body> bodies;
     const auto sizes = *rc::gen::container<std::vector<size_t>>(
         rc::gen::inRange<size_t>(1, 700'000));
@@ -124,4 +124,4 @@
 }
 
 }  // namespace
-}  // namespace chestnutport::net
+}  // namespace chestnutport::memory
