Bound trailers and the lines of chunks that clients send

Callers saw: a node that ended over its memory. A client had sent a trailer, or the extension or the length of one chunk, that did not end.

Cause: Beast's parser takes the line of a chunk and a trailer only once they are whole, so that the connection's input grew until their end came. Only the client side had a limit for what the parser does not take.

Ruled out: the limit on bodies, which counts bytes of the body alone; Beast's header limit, which does not apply behind the head.

Change: bytes of a body that the parser does not take are bounded by the limit on headers. Beyond it the request is refused with 431, not run, and the connection ends; where the request was answered before, it ends without a further answer. RefuseAndClose() also returns the memory of a body that waits.

--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -154,6 +154,12 @@
     RefuseAndClose(error == http::error::header_limit
                        ? base::ErrorKind::kHeadersTooLarge
                        : base::ErrorKind::kMalformedRequest);
+    return false;
+  }
+  // The parser takes the line of a chunk, and a trailer, once they are whole.
+  if (!goes_on && parser_->is_header_done() &&
+      in_.size() > server_.limits().largest_headers) {
+    RefuseAndClose(base::ErrorKind::kHeadersTooLarge);
   }
   return goes_on;
 }
@@ -281,6 +287,7 @@
 
 void HttpConnection::RefuseAndClose(base::ErrorKind error) {
   const bool is_answered = is_answered_ || streamed_;
+  StopReadingBody();
   EndRequest();
   in_.clear();
   reads_no_more_ = true;
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -464,6 +464,50 @@
   CHECK(Has(other.ReadMessage(), "200 OK"));
 }
 
+TEST_CASE("what frames a body has a limit") {
+  HttpServerLimits limits;
+  limits.largest_headers = 4096;
+  TestServer server(&Echo, limits);
+  struct Row {
+    const char* name;
+    std::string begin;
+    std::string repeated;
+    std::string end;
+  };
+  const auto row = GENERATE(
+      Row{"a trailer", "4\r\nbody\r\n0\r\n", "X-Many: a\r\n", "\r\n"},
+      Row{"a line of a trailer", "4\r\nbody\r\n0\r\nX-Long: ", "aaaa",
+          "\r\n\r\n"},
+      Row{"the extension of a chunk", "4;x=", "a", "\r\nbody\r\n0\r\n\r\n"},
+      Row{"the extension of the last chunk", "4\r\nbody\r\n0;x=", "a",
+          "\r\n\r\n"});
+  const bool is_chunk_before = GENERATE(false, true);
+  const std::string head =
+      absl::StrCat("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked",
+                   "\r\n\r\n", is_chunk_before ? "2\r\nab\r\n" : "");
+  INFO(row.name);
+  const auto repeat = [&](size_t bytes) {
+    std::string all;
+    while (all.size() + row.repeated.size() <= bytes)
+      all += row.repeated;
+    return all;
+  };
+  RawSocket caller(server.address());
+
+  SECTION("below which it is read") {
+    caller.Send(head + row.begin + repeat(3900) + row.end + kGet);
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+    CHECK(caller.ReadMessage().ends_with("GET "));
+  }
+  SECTION("beyond which the request is refused, though it does not end") {
+    caller.Send(head + row.begin + repeat(4200));
+    const std::string answer = caller.ReadToEnd();
+    CHECK(answer.starts_with("HTTP/1.1 431"));
+    CHECK(Has(answer, "Chestnutport-Outcome: not-run"));
+    CHECK(Has(answer, "Connection: close"));
+  }
+}
+
 TEST_CASE("a caller that never sends a whole request is cut off") {
   HttpServerLimits limits;
   limits.to_send_request = std::chrono::seconds(1);
