--- a/src/libs/base/text.h
+++ b/src/libs/base/text.h
@@ -17,6 +17,11 @@
   return absl::string_view(text.data(), text.size());
 }
 
+// Empties `text` and frees its memory, which an assignment keeps.
+inline void FreeMemory(std::string& text) {
+  std::string().swap(text);
+}
+
 // Reads the whole of `text` as a number; false if it is none or out of range.
 template <typename T>
 bool ParseNumber(std::string_view text, T* number, int radix = 10) {
--- a/src/libs/control_calls/control_listener.cc
+++ b/src/libs/control_calls/control_listener.cc
@@ -26,7 +26,7 @@
 
 base::Result<bool> ControlListener::Listen(const base::SocketAddress& address) {
   auto opened = net::HttpServer::Open(
-      loop_, address, net::HttpServerLimits{},
+      loop_, address, net::HttpServerLimits::Small(),
       [this](const net::HttpRequest& request, net::Reply reply) {
         OnRequest(request, std::move(reply));
       });
--- a/src/libs/gate/gate.cc
+++ b/src/libs/gate/gate.cc
@@ -1,12 +1,12 @@
 #include "gate/gate.h"
 
-#include <limits>
 #include <utility>
 
 #include "base/encoding.h"
 #include "gate/gate_log.h"
 #include "telemetry/log.h"
 #include "traffic/answer_relay.h"
+#include "traffic/listener_limits.h"
 #include "wire/header_names.h"
 #include "wire/peer_answer_head.h"
 
@@ -33,23 +33,6 @@
   return options;
 }
 
-// Bytes. A longer body is passed on as it comes and takes none of this VM's
-// memory, but holds a slot of the server until all of it has come.
-constexpr size_t kMaxBufferedBody = 1024 * 1024;
-// Bytes of the buffered bodies, in each of the two size classes.
-constexpr size_t kBufferedBodies = 8 * 1024 * 1024;
-
-// The peers have applied the limits of callers, which the configuration may
-// change at any time.
-net::HttpServerLimits PeerListenerLimits() {
-  net::HttpServerLimits limits;
-  limits.largest_body = std::numeric_limits<size_t>::max();
-  limits.stream_above = kMaxBufferedBody;
-  limits.large_bodies = kBufferedBodies;
-  limits.small_bodies = kBufferedBodies;
-  return limits;
-}
-
 }  // namespace
 
 Gate::Gate(net::EventLoop& loop,
@@ -105,11 +88,12 @@
 
 base::Result<base::SocketAddress> Gate::Listen(
     const base::SocketAddress& address) {
-  auto opened =
-      net::HttpServer::Open(loop_, address, PeerListenerLimits(),
-                            [this](net::HttpRequest request, net::Reply reply) {
-                              OnRequest(std::move(request), std::move(reply));
-                            });
+  auto opened = net::HttpServer::Open(
+      loop_, address,
+      traffic::PeerListenerLimits(declarations::CallerLimits().largest_headers),
+      [this](net::HttpRequest request, net::Reply reply) {
+        OnRequest(std::move(request), std::move(reply));
+      });
   if (!opened)
     return opened.error();
   listener_ = std::move(opened).value();
--- a/src/libs/gate/gate.h
+++ b/src/libs/gate/gate.h
@@ -29,6 +29,7 @@
 #include "server/server_observer.h"
 #include "server/server_protocol.h"
 #include "server/server_state.h"
+#include "traffic/listener_limits.h"
 #include "traffic/node_identity.h"
 #include "traffic/running_requests.h"
 #include "traffic/traffic_recorder.h"
@@ -64,6 +65,10 @@
   void SetServer(const server::ServerState& server);
   void SetConfiguration(const declarations::Configuration& configuration) {
     recorder_.SetConfiguration(configuration);
+    if (listener_) {
+      listener_->set_limits(
+          traffic::PeerListenerLimits(configuration.limits.largest_headers));
+    }
   }
   void SetVerdicts(quarantine::SharedVerdicts verdicts);
   void SetKeyView(std::vector<keys::OwnerNode> nodes, base::Instant as_of);
--- a/src/libs/ingress/ingress.cc
+++ b/src/libs/ingress/ingress.cc
@@ -6,6 +6,7 @@
 #include "ingress/call_log.h"
 #include "ingress/caller_request.h"
 #include "ingress/request_priority.h"
+#include "traffic/listener_limits.h"
 #include "wire/header_names.h"
 
 namespace chestnutport::ingress {
@@ -17,15 +18,6 @@
 // Time by which the idle time-out of connections exceeds the declared one.
 constexpr std::chrono::seconds kIdleSlack(2);
 
-// Bytes of the bodies of callers' requests: one of the largest that the
-// platform's users allow, and room beside it for ordinary requests.
-constexpr size_t kMaxLargeBodies = 64 * 1024 * 1024;
-constexpr unsigned int kMaxConnections = 2048;
-constexpr size_t kMinLargeBodies = 1024 * 1024;
-constexpr size_t kSmallBodies = 8 * 1024 * 1024;
-// Bytes that the process takes besides large bodies, with a reserve.
-constexpr size_t kOtherMemory = 96 * 1024 * 1024;
-
 CallOrigin OriginOf(const std::string& name,
                     const std::optional<traffic::RunningRequest>& parent) {
   if (parent)
@@ -45,11 +37,8 @@
 }
 
 net::HttpServerLimits ListenerLimits(const declarations::CallerLimits& declared,
-                                     size_t large_bodies) {
-  net::HttpServerLimits limits;
-  limits.large_bodies = large_bodies;
-  limits.connections = kMaxConnections;
-  limits.small_bodies = kSmallBodies;
+                                     size_t memory_limit) {
+  net::HttpServerLimits limits = traffic::CallerListenerLimits(memory_limit);
   limits.largest_headers = declared.largest_headers;
   limits.largest_body = std::min(declared.largest_body, limits.large_bodies);
   limits.to_send_request =
@@ -120,11 +109,9 @@
     const base::SocketAddress& address,
     base::Duration start_wait,
     size_t memory_limit) {
-  large_bodies_ =
-      std::clamp(memory_limit - std::min(memory_limit, kOtherMemory),
-                 kMinLargeBodies, kMaxLargeBodies);
+  memory_limit_ = memory_limit;
   auto opened =
-      net::HttpServer::Open(loop_, address, ListenerLimits({}, large_bodies_),
+      net::HttpServer::Open(loop_, address, ListenerLimits({}, memory_limit_),
                             [this](net::HttpRequest request, net::Reply reply) {
                               OnRequest(std::move(request), std::move(reply));
                             });
@@ -150,7 +137,7 @@
     tenants_.SetLimits(snapshot_.configuration->tenants);
   const declarations::CallerLimits& limits = snapshot_.configuration->limits;
   if (listener_) {
-    listener_->set_limits(ListenerLimits(limits, large_bodies_));
+    listener_->set_limits(ListenerLimits(limits, memory_limit_));
     if (IsReady())
       listener_->SetAccepting(true);
   }
--- a/src/libs/ingress/ingress.h
+++ b/src/libs/ingress/ingress.h
@@ -188,7 +188,7 @@
   AttemptCanceller canceller_;
   traffic::TrafficRecorder recorder_;
   std::unique_ptr<net::HttpServer> listener_;
-  size_t large_bodies_ = 0;  // Bytes of large bodies at hand.
+  size_t memory_limit_ = 0;  // Bytes that the process may take.
   net::EventLoop::TimerId start_timer_ = 0;
   // Declared after the listener, so that replies are destroyed before it.
   absl::flat_hash_map<CallId, std::unique_ptr<ActiveCall>> calls_;
--- a/src/libs/net/beast_messages.h
+++ b/src/libs/net/beast_messages.h
@@ -11,6 +11,7 @@
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/serializer.hpp>
+#include <iterator>
 #include <string>
 #include <string_view>
 
@@ -31,6 +32,7 @@
 
 inline HttpHeaders ToHeaders(const http::fields& fields) {
   HttpHeaders headers;
+  headers.reserve(std::distance(fields.begin(), fields.end()));
   for (const auto& field : fields) {
     headers.push_back(
         {std::string(field.name_string()), std::string(field.value())});
--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -1,6 +1,7 @@
 #include "net/http_connection.h"
 
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -24,6 +25,29 @@
 // How long the other end may take to close after the last answer: a few round
 // trips between regions.
 constexpr std::chrono::seconds kLinger(1);
+// Bytes that a connection keeps allocated while it has no input.
+constexpr size_t kKeptCapacity = 1024;
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr size_t kLongestMethod = 32;
+// Beside its head: what the node keeps about a request until it is answered.
+constexpr size_t kRequestBytes = 2 * 1024;
+// The head, and what is sent on for it.
+constexpr size_t kHeadCopies = 2;
+
+// Bytes that a request takes until it is answered.
+size_t CostOf(std::string_view head) {
+  const auto lines = static_cast<size_t>(std::ranges::count(head, '\n'));
+  return kRequestBytes +
+         kHeadCopies * (head.size() + lines * sizeof(HttpHeader));
+}
+
+// Whether `bytes` may begin a request.
+bool MayBeRequest(std::string_view bytes) {
+  const std::string_view front = bytes.substr(0, kLongestMethod + 1);
+  const size_t end = front.find(' ');
+  return (end != std::string_view::npos || front.size() <= kLongestMethod) &&
+         IsToken(front.substr(0, end));
+}
 
 // Whether the end of a body can be told: without a transfer coding, or with
 // chunks alone. Beast takes a request with another coding as one without a
@@ -74,6 +98,8 @@
   uint32_t events = EPOLLRDHUP;
   if (MayParse() || reads_no_more_)
     events |= EPOLLIN;
+  else if (!streamed_)
+    server_.CheckUnreadSoon();
   if (HasOutput())
     events |= EPOLLOUT;
   if (std::exchange(watched_, events) == events)
@@ -82,10 +108,11 @@
 }
 
 bool HttpConnection::MayParse() const {
-  if (reads_no_more_ || ticket_ != 0)
+  if (reads_no_more_ || ticket_ != 0 || is_behind_answers_)
     return false;
-  return streamed_ ? streamed_->TakesBody()
-                   : exchanges_.size() < kMostPipelined;
+  if (streamed_)
+    return streamed_->TakesBody();
+  return exchanges_.size() < kMostPipelined;
 }
 
 void HttpConnection::OnReady(uint32_t epoll_events) {
@@ -102,6 +129,7 @@
 }
 
 void HttpConnection::Read() {
+  unread_bytes_ = 0;
   std::array<char, kReadSize> bytes;
   // What is left is read in the next round, after others had their turn.
   for (int reads = 0; reads < kReadsInRound; ++reads) {
@@ -130,20 +158,16 @@
   // The end of a body may have come before there was memory for all of it.
   if (!closed_ && MayParse() && parser_ && parser_->is_done())
     Dispatch();
-  while (!closed_ && MayParse() && !in_.empty()) {
-    if (!parser_) {
-      parser_.emplace();
-      parser_->header_limit(
-          static_cast<uint32_t>(server_.limits().largest_headers));
-      parser_->body_limit(std::numeric_limits<uint64_t>::max());
-      parser_->eager(false);
+  bool more = true;
+  while (more && !closed_ && MayParse() && !in_.empty()) {
+    if (!request_began_at_) {
+      request_began_at_ = server_.loop().now();
       close_at_ = std::min(
-          close_at_, server_.loop().now() + server_.limits().to_send_request);
+          close_at_, *request_began_at_ + server_.limits().to_send_request);
     }
-    const bool more = parser_->is_header_done() ? ParseBody() : ParseHead();
-    if (!more)
-      return;
+    more = parser_ ? ParseBody() : ParseHead();
   }
+  CountInput();
 }
 
 // Gives the parser what was read; false if it wants more, or failed.
@@ -151,24 +175,57 @@
   boost::system::error_code error;
   const bool goes_on = FeedParser(*parser_, in_, error);
   if (error) {
-    RefuseAndClose(error == http::error::header_limit
-                       ? base::ErrorKind::kHeadersTooLarge
-                       : base::ErrorKind::kMalformedRequest);
+    RefuseAndClose(base::ErrorKind::kMalformedRequest);
     return false;
   }
   // The parser takes the line of a chunk, and a trailer, once they are whole.
-  if (!goes_on && parser_->is_header_done() &&
-      in_.size() > server_.limits().largest_headers) {
+  if (!goes_on && in_.size() > server_.limits().largest_headers) {
+    NoteRefusal(ClientLimit::kFraming, in_.size(),
+                server_.limits().largest_headers);
     RefuseAndClose(base::ErrorKind::kHeadersTooLarge);
   }
   return goes_on;
 }
 
+std::optional<size_t> HttpConnection::FindHeadEnd() {
+  const size_t from = scanned_ - std::min(scanned_, kHeadEnd.size() - 1);
+  const size_t found = in_.find(kHeadEnd, from);
+  // A head that waits for memory is looked for again.
+  scanned_ = std::min(found, in_.size());
+  if (found == std::string::npos)
+    return std::nullopt;
+  return found + kHeadEnd.size();
+}
+
+void HttpConnection::CheckUnfinishedHead() {
+  const size_t limit = server_.limits().largest_headers;
+  if (in_.size() > limit) {
+    NoteRefusal(ClientLimit::kHead, in_.size(), limit);
+    RefuseAndClose(base::ErrorKind::kHeadersTooLarge);
+  } else if (!MayBeRequest(in_)) {
+    RefuseAndClose(base::ErrorKind::kMalformedRequest);
+  }
+}
+
+// A head is parsed once it is whole: its fields take many times its bytes.
 bool HttpConnection::ParseHead() {
+  const auto end = FindHeadEnd();
+  if (!end || *end > server_.limits().largest_headers) {
+    CheckUnfinishedHead();
+    return false;
+  }
+  if (!ReserveHead(*end))
+    return false;
+  parser_.emplace();
+  parser_->header_limit(std::numeric_limits<uint32_t>::max());
+  parser_->body_limit(std::numeric_limits<uint64_t>::max());
+  parser_->eager(false);
   if (!Feed())
     return false;
-  if (!parser_->is_header_done())
-    return true;
+  if (!parser_->is_header_done()) {
+    RefuseAndClose(base::ErrorKind::kMalformedRequest);
+    return false;
+  }
   CheckHead();
   if (!IsBodyEndKnown(request_.headers)) {
     RefuseAndClose(base::ErrorKind::kMalformedRequest);
@@ -200,22 +257,47 @@
   request_.target = std::string(head.target());
   request_.headers = ToHeaders(head.base());
   request_.received_at = server_.loop().now();
-  size_t size = request_.target.size();
-  for (const HttpHeader& header : request_.headers)
-    size += header.name.size() + header.value.size();
-  if (size > server_.limits().largest_headers)
-    refusal_ = MakeErrorAnswer(base::ErrorKind::kHeadersTooLarge);
-  else if (!IsWritable(request_) || IsTunnel(request_.method))
+  // The parser needs its copy no more.
+  parser_->get().clear();
+  if (!IsWritable(request_) || IsTunnel(request_.method))
     refusal_ = MakeErrorAnswer(base::ErrorKind::kMalformedRequest);
+  else if (is_head_refused_)
+    RefuseHead();
   expects_continue_ = base::EqualsIgnoreCase(
       FindHeader(request_.headers, "Expect"), "100-continue");
 }
 
+bool HttpConnection::ReserveHead(size_t head_bytes) {
+  if (has_head_memory_ || is_head_refused_)
+    return true;
+  const size_t bytes = CostOf(std::string_view(in_).substr(0, head_bytes));
+  if (exchanges_.empty() && bytes <= kFreeRequestBytes)
+    return true;
+  memory::MemoryBudget& heads = server_.heads();
+  if (auto reserved = heads.TryReserve(peer_, bytes)) {
+    head_memory_ = std::move(*reserved);
+    has_head_memory_ = true;
+    return true;
+  }
+  if (!exchanges_.empty()) {
+    is_behind_answers_ = true;
+    return false;
+  }
+  if (heads.CanHold(bytes) && server_.MayWaitForMemory()) {
+    WaitForMemory(heads, peer_, bytes, server_.limits().body_wait);
+    return false;
+  }
+  awaited_bytes_ = bytes;
+  is_head_refused_ = true;
+  return true;
+}
+
 HttpExchange& HttpConnection::AddExchange(bool closes_after) {
   const AnswerForm form{.is_head = request_.method == "HEAD",
                         .is_http_10 = parser_->get().version() == kHttp10,
                         .closes_after = closes_after};
   exchanges_.push_back(std::make_unique<HttpExchange>(*this, form));
+  exchanges_.back()->set_head_memory(std::exchange(head_memory_, {}));
   server_.OnExchangeBegun();
   return *exchanges_.back();
 }
@@ -229,7 +311,7 @@
     // It was handed on, or answered, before its body had come.
     EndRequest();
     if (closes_after)
-      reads_no_more_ = true;
+      StopReading();
     return;
   }
   HttpExchange& exchange = AddExchange(closes_after);
@@ -239,7 +321,7 @@
   EndRequest();
   // What follows a request that ends the connection is no request.
   if (closes_after)
-    reads_no_more_ = true;
+    StopReading();
   if (refusal) {
     exchange.Send(*refusal);
     return;
@@ -253,16 +335,23 @@
 void HttpConnection::EndRequest() {
   parser_.reset();
   request_ = {};
+  request_began_at_.reset();
+  scanned_ = 0;
+  head_memory_ = {};
+  has_head_memory_ = false;
+  is_head_refused_ = false;
+  is_behind_answers_ = false;
   body_.Reset();
   admission_ = {};
   wait_began_ = {};
+  max_wait_ = {};
   refusal_.reset();
   is_answered_ = false;
   streamed_ = nullptr;
   close_at_ = exchanges_.empty() ? server_.loop().now() + server_.limits().idle
                                  : base::Instant::max();
   if (server_.IsQuiescing())
-    reads_no_more_ = true;
+    StopReading();
 }
 
 bool HttpConnection::IsIdle() const {
@@ -285,12 +374,59 @@
   return is_caller_gone_;
 }
 
+void HttpConnection::RefuseHead() {
+  const memory::MemoryBudget& heads = server_.heads();
+  NoteRefusal(ClientLimit::kHeads, awaited_bytes_, heads.limit());
+  refusal_ = server_.Refuse(
+      request_,
+      MakeRefusal(heads, base::ErrorKind::kOverloaded, awaited_bytes_));
+}
+
+void HttpConnection::NoteRefusal(ClientLimit limit,
+                                 size_t bytes,
+                                 size_t max_bytes) {
+  server_.NoteRefusal(
+      {.limit = limit, .peer = peer_, .bytes = bytes, .max_bytes = max_bytes});
+}
+
+void HttpConnection::GiveUpInput() {
+  NoteRefusal(ClientLimit::kInput, InputBytes(), server_.limits().input);
+  RefuseAndClose(base::ErrorKind::kOverloaded);
+}
+
+bool HttpConnection::MayGiveUpInput() const {
+  return !closed_ && !reads_no_more_ && !streamed_;
+}
+
+bool HttpConnection::CountUnread() {
+  const bool is_paused = MayGiveUpInput() && !MayParse();
+  int size = 0;
+  if (is_paused && ioctl(fd_, FIONREAD, &size) != 0)
+    size = 0;
+  unread_bytes_ = static_cast<size_t>(size);
+  CountInput();
+  return is_paused;
+}
+
+void HttpConnection::StopReading() {
+  reads_no_more_ = true;
+  base::FreeMemory(in_);
+  CountInput();
+}
+
+void HttpConnection::CountInput() {
+  if (in_.empty() && in_.capacity() > kKeptCapacity)
+    base::FreeMemory(in_);
+  server_.RemoveInputBytes(
+      std::exchange(counted_input_, closed_ ? 0 : InputBytes()));
+  server_.AddInputBytes(counted_input_);
+}
+
 void HttpConnection::RefuseAndClose(base::ErrorKind error) {
   const bool is_answered = is_answered_ || streamed_;
   StopReadingBody();
   EndRequest();
-  in_.clear();
-  reads_no_more_ = true;
+  StopReading();
   if (is_answered) {
     // Nothing more can be said about that request.
     close_at_ = server_.loop().now() + kLinger;
@@ -311,7 +447,7 @@
     return;
   // What is not read by now counts as not read; what was handed on is answered.
   if (!streamed_) {
-    reads_no_more_ = true;
+    StopReading();
     StopReadingBody();
   }
   if (!IsBusy())
@@ -323,7 +459,7 @@
 void HttpConnection::CloseGently() {
   if (closed_ || std::exchange(lingers_, true))
     return;
-  reads_no_more_ = true;
+  StopReading();
   StopReadingBody();
   // Requests behind an answer that ends the connection count as not read.
   for (const auto& exchange : exchanges_)
@@ -341,10 +477,13 @@
   if (std::exchange(closed_, true))
     return;
   StopReadingBody();
+  base::FreeMemory(in_);
+  head_memory_ = {};
   for (size_t i = 0; i < exchanges_.size(); ++i)
     exchanges_[i]->NoteGone();
   streamed_ = nullptr;
   server_.OnExchangesEnded(std::exchange(exchanges_, {}).size());
+  CountInput();
   server_.loop().Unwatch(fd_);
   server_.loop().CancelDeferred(this);
   if (by_reset)
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -14,6 +14,8 @@
 #include "memory/body_builder.h"
 #include "memory/memory_budget.h"
 #include "net/beast_messages.h"
+#include "net/body_policy.h"
+#include "net/client_refusal.h"
 #include "net/event_loop.h"
 #include "net/http_exchange.h"
 #include "net/http_message.h"
@@ -39,12 +41,15 @@
   void Flush();
   // Reads on, in the next round, for a request whose body is streamed.
   void ReadSoon();
-  // There is memory for the body for which the connection waits.
-  void GrantBody(memory::MemoryReservation reservation);
+  // There is memory for the head or body for which the connection waits.
+  void GrantMemory(memory::MemoryReservation reservation);
   // Whether memory is reserved for a body of which nothing came since `since`.
   bool IsBodyStalled(base::Instant since) const;
   // Refuses the request whose body does not come.
   void GiveUpBody();
+  // Refuses the request that is being read, and reads no more.
+  void GiveUpInput();
+  bool MayGiveUpInput() const;
   // The server takes no more: a connection without a request ends.
   void Quiesce();
   // Ends the connection if its time has passed.
@@ -57,7 +62,14 @@
   // When its last answer was complete, or when it was accepted.
   base::Instant last_used() const { return last_used_; }
   void CloseIdle() { Close(false); }
-
+  // Bytes that were received and are not part of a request yet, with those that
+  // the system holds while nothing is read.
+  size_t InputBytes() const {
+    return reads_no_more_ ? 0 : in_.capacity() + unread_bytes_;
+  }
+  // Asks the system how much it holds. Returns false if the connection is read,
+  // so that this is not worth asking.
+  bool CountUnread();
   HttpServer& server() { return server_; }
 
   // Requests are read or answered, or an answer is being written.
@@ -74,14 +86,31 @@
   bool ParseHead();
   bool ParseBody();
   bool Feed();
+  // The end of the head at the front of the input, if it is whole.
+  std::optional<size_t> FindHeadEnd();
+  // Refuses what cannot become a head any more.
+  void CheckUnfinishedHead();
+  // Finds memory for a request whose head has `head_bytes`; false if it has to
+  // wait.
+  bool ReserveHead(size_t head_bytes);
   void CheckHead();
+  // Refuses the request whose head there was no memory for.
+  void RefuseHead();
   // Decides whether the body is read, waits for memory, or is refused. Returns
   // whether there may be more to parse.
   bool BeginBody();
   // Bytes to reserve for the body before it is read.
   size_t BytesToReserve() const;
   void AdmitBody(size_t bytes);
-  void WaitForMemory(size_t bytes);
+  // Reads on once there are `bytes`, or else refuses the request.
+  void WaitForMemory(memory::MemoryBudget& budget,
+                     memory::MemoryBudget::CallerId caller,
+                     size_t bytes,
+                     base::Duration max_wait);
+  void OnWaitEnded();
+  BodyRefusal MakeRefusal(const memory::MemoryBudget& budget,
+                          base::ErrorKind error,
+                          size_t bytes) const;
   void RefuseBody(base::ErrorKind error, size_t bytes);
   // Answers the request at once; its body is discarded as it comes.
   void RefuseEarly();
@@ -96,7 +125,8 @@
   void EndRequest();
   // Whether the caller has closed, possibly behind requests not read yet.
   bool HasCallerClosed();
-  // Answers what is no HTTP, and reads no more.
+  void NoteRefusal(ClientLimit limit, size_t bytes, size_t max_bytes);
+  // Answers what is no request, or too large, and reads no more.
   void RefuseAndClose(base::ErrorKind error);
   void OnHalfClosed();
   // Fills the output from the answers; false if there is nothing to write.
@@ -111,14 +141,27 @@
   // `by_reset`: the other end must not take what it has for the whole.
   void Close(bool by_reset);
   void Watch();
+  // What comes from now on is thrown away.
+  void StopReading();
+  // Tells the server how much input the connection holds.
+  void CountInput();
 
   HttpServer& server_;
   int fd_;
   uint32_t peer_;
   uint32_t watched_ = 0;
   std::string in_;
+  size_t scanned_ = 0;        // Bytes of `in_` without the end of a head.
+  size_t unread_bytes_ = 0;   // In the system's buffer.
+  size_t counted_input_ = 0;  // That the server knows of.
   std::string out_;
   size_t out_offset_ = 0;
+  // Of the request that is being read, from its first byte on.
+  std::optional<base::Instant> request_began_at_;
+  memory::MemoryReservation head_memory_;
+  bool has_head_memory_ = false;
+  bool is_head_refused_ = false;    // There was no memory for it in time.
+  bool is_behind_answers_ = false;  // Waits until one of them has gone out.
   std::optional<Parser> parser_;
   // Of the request that is being read.
   HttpRequest request_;
@@ -128,9 +171,10 @@
   bool expects_continue_ = false;
   bool is_answered_ = false;          // The rest of its body is discarded.
   HttpExchange* streamed_ = nullptr;  // Takes its body; set until it is read.
-  // Of a body that waits for memory.
+  // Of a request that waits for memory.
   memory::MemoryBudget::TicketId ticket_ = 0;
   size_t awaited_bytes_ = 0;
+  base::Duration max_wait_{};
   std::string held_part_;  // That was read before it was known to be large.
   base::Instant wait_began_;
   base::Instant body_moved_at_;
--- a/src/libs/net/http_connection_body.cc
+++ b/src/libs/net/http_connection_body.cc
@@ -57,53 +57,77 @@
   if (auto reserved = budget.TryReserve(admission_.caller, bytes)) {
     body_.AddReservation(std::move(*reserved));
     SendContinue();
-  } else if (budget.CanHold(bytes) && server_.MayWaitForBody() &&
+  } else if (budget.CanHold(bytes) && server_.MayWaitForMemory() &&
              admission_.max_wait > base::Duration::zero()) {
-    WaitForMemory(bytes);
+    WaitForMemory(budget, admission_.caller, bytes, admission_.max_wait);
   } else {
     RefuseBody(base::ErrorKind::kOverloaded, bytes);
   }
 }
 
-void HttpConnection::WaitForMemory(size_t bytes) {
+void HttpConnection::WaitForMemory(memory::MemoryBudget& budget,
+                                   memory::MemoryBudget::CallerId caller,
+                                   size_t bytes,
+                                   base::Duration max_wait) {
   wait_began_ = server_.loop().now();
+  max_wait_ = max_wait;
   awaited_bytes_ = bytes;
-  ticket_ = server_.WaitForBody(*this, admission_.caller, bytes);
+  ticket_ = server_.WaitForMemory(*this, budget, caller, bytes);
   // The caller is not late while it is not read.
   close_at_ = base::Instant::max();
-  wait_timer_ = server_.loop().CallAfter(admission_.max_wait, [this] {
-    wait_timer_ = 0;
-    server_.CancelBodyWait(std::exchange(ticket_, 0));
+  wait_timer_ = server_.loop().CallAfter(max_wait, [this] { OnWaitEnded(); });
+}
+
+void HttpConnection::OnWaitEnded() {
+  wait_timer_ = 0;
+  server_.CancelWait(std::exchange(ticket_, 0));
+  if (parser_) {
     RefuseBody(base::ErrorKind::kOverloaded, awaited_bytes_);
-    ReadSoon();
-  });
+  } else {
+    is_head_refused_ = true;
+    close_at_ = server_.loop().now() + server_.limits().to_send_request;
+  }
+  ReadSoon();
 }
 
-void HttpConnection::GrantBody(memory::MemoryReservation reservation) {
+void HttpConnection::GrantMemory(memory::MemoryReservation reservation) {
   ticket_ = 0;
   server_.loop().Cancel(std::exchange(wait_timer_, 0));
-  body_.AddReservation(std::move(reservation));
-  body_moved_at_ = server_.loop().now();
-  close_at_ = body_moved_at_ + server_.limits().to_send_request;
-  SendContinue();
-  // Of a body whose length was not known.
-  if (!held_part_.empty())
-    body_.Append(std::exchange(held_part_, {}));
+  const base::Instant now = server_.loop().now();
+  close_at_ = now + server_.limits().to_send_request;
+  if (parser_) {
+    body_.AddReservation(std::move(reservation));
+    body_moved_at_ = now;
+    SendContinue();
+    // Of a body whose length was not known.
+    if (!held_part_.empty())
+      body_.Append(std::exchange(held_part_, {}));
+  } else {
+    head_memory_ = std::move(reservation);
+    has_head_memory_ = true;
+  }
   ReadSoon();
 }
 
-void HttpConnection::RefuseBody(base::ErrorKind error, size_t bytes) {
-  const memory::MemoryBudget& budget = server_.BudgetFor(bytes);
+BodyRefusal HttpConnection::MakeRefusal(const memory::MemoryBudget& budget,
+                                        base::ErrorKind error,
+                                        size_t bytes) const {
   const base::Duration waited = wait_began_ == base::Instant()
                                     ? base::Duration()
                                     : server_.loop().now() - wait_began_;
-  refusal_ = server_.RefuseBody(request_, {.error = error,
-                                           .bytes = bytes,
-                                           .held = budget.held(),
-                                           .limit = budget.limit(),
-                                           .waiting = budget.waiting(),
-                                           .waited = waited,
-                                           .max_wait = admission_.max_wait});
+  return {.error = error,
+          .bytes = bytes,
+          .held = budget.held(),
+          .limit = budget.limit(),
+          .waiting = budget.waiting(),
+          .waited = waited,
+          .max_wait = max_wait_};
+}
+
+void HttpConnection::RefuseBody(base::ErrorKind error, size_t bytes) {
+  max_wait_ = admission_.max_wait;
+  refusal_ = server_.RefuseBody(
+      request_, MakeRefusal(server_.BudgetFor(bytes), error, bytes));
   RefuseEarly();
 }
 
@@ -118,8 +142,7 @@
   close_at_ = server_.loop().now() + server_.limits().to_send_request;
   if (closes_after) {
     EndRequest();
-    in_.clear();
-    reads_no_more_ = true;
+    StopReading();
   }
 }
 
@@ -171,10 +194,10 @@
 
 void HttpConnection::StopReadingBody() {
   if (ticket_ != 0)
-    server_.CancelBodyWait(std::exchange(ticket_, 0));
+    server_.CancelWait(std::exchange(ticket_, 0));
   server_.loop().Cancel(std::exchange(wait_timer_, 0));
   body_.Reset();
-  held_part_ = std::string();
+  base::FreeMemory(held_part_);
 }
 
 bool HttpConnection::IsBodyStalled(base::Instant since) const {
--- a/src/libs/net/http_connection_output.cc
+++ b/src/libs/net/http_connection_output.cc
@@ -85,6 +85,7 @@
   const std::unique_ptr<HttpExchange> front = std::move(exchanges_.front());
   exchanges_.pop_front();
   server_.OnExchangesEnded(1);
+  is_behind_answers_ = false;
   if (streamed_ == front.get()) {
     streamed_ = nullptr;
     is_answered_ = true;
--- a/src/libs/net/http_exchange.h
+++ b/src/libs/net/http_exchange.h
@@ -8,7 +8,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
+#include "memory/memory_budget.h"
 #include "net/http_message.h"
 
 namespace chestnutport::net {
@@ -56,6 +58,10 @@
 
   // The steps below are taken by HttpConnection.
 
+  // Held until the request is answered.
+  void set_head_memory(memory::MemoryReservation memory) {
+    head_memory_ = std::move(memory);
+  }
   // Moves bytes of the answer behind `out`, until that holds about `enough`.
   // `closes`: the connection is closed after this answer.
   void Take(std::string& out, size_t enough, bool closes);
@@ -89,6 +95,7 @@
 
   HttpConnection& connection_;
   AnswerForm form_;
+  memory::MemoryReservation head_memory_;
   bool head_ready_ = false;
   bool head_taken_ = false;
   bool finished_ = false;
--- a/src/libs/net/http_message.cc
+++ b/src/libs/net/http_message.cc
@@ -23,10 +23,6 @@
          kOthers.find(c) != std::string_view::npos;
 }
 
-bool IsToken(std::string_view text) {
-  return !text.empty() && std::ranges::all_of(text, &IsTokenCharacter);
-}
-
 bool IsControl(char c) {
   return (c >= 0 && c < ' ') || c == kDelete;
 }
@@ -40,6 +36,10 @@
 
 }  // namespace
 
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::ranges::all_of(text, &IsTokenCharacter);
+}
+
 std::string_view FindHeader(const HttpHeaders& headers, std::string_view name) {
   for (const HttpHeader& header : headers) {
     if (base::EqualsIgnoreCase(header.name, name))
--- a/src/libs/net/http_message.h
+++ b/src/libs/net/http_message.h
@@ -32,6 +32,9 @@
 // the Connection header names.
 void RemoveHopByHop(HttpHeaders& headers);
 
+// Whether the text is a token, by RFC 9110 section 5.6.2.
+bool IsToken(std::string_view text);
+
 // Whether a header can be written: the name is a token, and the value holds no
 // control character but the tab.
 bool IsWritable(const HttpHeader& header);
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -10,8 +10,10 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "net/error_answer.h"
 #include "net/http_connection.h"
+#include "telemetry/log.h"
 
 namespace chestnutport::net {
 namespace {
@@ -25,10 +27,31 @@
 constexpr size_t kAnswerShare = 4;
 // How often, and for how many new connections at a time, kept ones are closed.
 constexpr std::chrono::milliseconds kRoomInterval(20);
+// How often the input is counted that waits in the system's buffers.
+constexpr std::chrono::milliseconds kUnreadInterval(50);
 constexpr int kRoomStep = 32;
 
+// Of a connection, beside its request.
+constexpr size_t kConnectionBytes = 1536;
+
 }  // namespace
 
+HttpServerLimits HttpServerLimits::Small() {
+  HttpServerLimits limits;
+  limits.large_bodies = limits.largest_body;
+  limits.small_bodies = 256 * 1024;
+  limits.heads = 256 * 1024;
+  limits.input = 512 * 1024;
+  limits.answers = 1536 * 1024;
+  limits.connections = 256;
+  return limits;
+}
+
+size_t HttpServerLimits::MaxMemory() const {
+  return large_bodies + small_bodies + heads + input + answers +
+         connections * (kFreeRequestBytes + kConnectionBytes);
+}
+
 base::Result<std::unique_ptr<HttpServer>> HttpServer::Open(
     EventLoop& loop,
     const base::SocketAddress& address,
@@ -54,16 +77,19 @@
       large_bodies_(
           std::make_shared<memory::MemoryBudget>(limits.large_bodies)),
       small_bodies_(
-          std::make_shared<memory::MemoryBudget>(limits.small_bodies)) {
+          std::make_shared<memory::MemoryBudget>(limits.small_bodies)),
+      heads_(std::make_shared<memory::MemoryBudget>(limits.heads)) {
   set_limits(limits);
-  large_bodies_->set_on_room([this] { GrantBodiesSoon(); });
-  small_bodies_->set_on_room([this] { GrantBodiesSoon(); });
+  large_bodies_->set_on_room([this] { GrantMemorySoon(); });
+  small_bodies_->set_on_room([this] { GrantMemorySoon(); });
+  heads_->set_on_room([this] { GrantMemorySoon(); });
 }
 
 HttpServer::~HttpServer() {
   on_idle_ = nullptr;
   large_bodies_->set_on_room(nullptr);
   small_bodies_->set_on_room(nullptr);
+  heads_->set_on_room(nullptr);
   if (accepts_)
     loop_.Unwatch(socket_.fd());
   for (const auto& [connection, owned] : connections_)
@@ -71,6 +97,7 @@
   loop_.Cancel(sweep_timer_);
   loop_.Cancel(stall_timer_);
   loop_.Cancel(room_timer_);
+  loop_.Cancel(unread_timer_);
   loop_.CancelDeferred(this);
 }
 
@@ -188,6 +215,7 @@
   limits_ = limits;
   large_bodies_->set_limit(limits.large_bodies);
   small_bodies_->set_limit(limits.small_bodies);
+  heads_->set_limit(limits.heads);
 }
 
 BodyAdmission HttpServer::AdmitBody(const HttpRequest& head) const {
@@ -200,21 +228,78 @@
                                   const BodyRefusal& refusal) {
   if (refusal.error == base::ErrorKind::kOverloaded)
     ++refused_bodies_;
+  return Refuse(head, refusal);
+}
+
+HttpAnswer HttpServer::Refuse(const HttpRequest& head,
+                              const BodyRefusal& refusal) const {
   return policy_.refuse ? policy_.refuse(head, refusal)
                         : MakeErrorAnswer(refusal.error);
 }
 
-memory::MemoryBudget::TicketId HttpServer::WaitForBody(
+memory::MemoryBudget::TicketId HttpServer::WaitForMemory(
     HttpConnection& connection,
+    memory::MemoryBudget& budget,
     memory::MemoryBudget::CallerId caller,
     size_t bytes) {
   const memory::MemoryBudget::TicketId ticket = ++last_ticket_;
-  body_waits_.emplace(ticket, &connection);
-  BudgetFor(bytes).Wait(ticket, caller, bytes);
-  CheckStallsSoon();
+  waits_.emplace(ticket, &connection);
+  budget.Wait(ticket, caller, bytes);
+  if (&budget != heads_.get())
+    CheckStallsSoon();
   return ticket;
 }
 
+void HttpServer::NoteRefusal(const ClientRefusal& refusal) {
+  ++refused_clients_[refusal.limit];
+  telemetry::LogEvent(
+      telemetry::Event::kClientRefused,
+      {{"listener", address().ToString()},
+       {"client", base::SocketAddress{.ip = refusal.peer}.ToString()},
+       {"limit", std::string(ToString(refusal.limit))},
+       {"bytes", absl::StrCat(refusal.bytes)},
+       {"allowed", absl::StrCat(refusal.max_bytes)}});
+}
+
+void HttpServer::AddInputBytes(size_t bytes) {
+  input_bytes_ += bytes;
+  if (input_bytes_ <= limits_.input || is_reclaiming_)
+    return;
+  is_reclaiming_ = true;
+  ReclaimInput();
+  is_reclaiming_ = false;
+}
+
+void HttpServer::ReclaimInput() {
+  while (input_bytes_ > limits_.input) {
+    HttpConnection* largest = nullptr;
+    for (const auto& [connection, owned] : connections_) {
+      const bool is_larger =
+          !largest || connection->InputBytes() > largest->InputBytes();
+      if (is_larger && connection->MayGiveUpInput())
+        largest = connection;
+    }
+    const size_t share = limits_.input / limits_.connections;
+    if (!largest || largest->InputBytes() <= share)
+      return;
+    largest->GiveUpInput();
+  }
+}
+
+void HttpServer::CheckUnreadSoon() {
+  if (unread_timer_ == 0)
+    unread_timer_ = loop_.CallAfter(kUnreadInterval, [this] { CheckUnread(); });
+}
+
+void HttpServer::CheckUnread() {
+  unread_timer_ = 0;
+  bool is_any_paused = false;
+  for (const auto& [connection, owned] : connections_)
+    is_any_paused |= connection->CountUnread();
+  if (is_any_paused)
+    CheckUnreadSoon();
+}
+
 void HttpServer::CheckStallsSoon() {
   if (stall_timer_ == 0)
     stall_timer_ = loop_.CallAfter(kStallInterval, [this] { CheckStalls(); });
@@ -229,7 +314,7 @@
   }
   for (HttpConnection* connection : stalled)
     connection->GiveUpBody();
-  if (!body_waits_.empty())
+  if (large_bodies_->waiting() + small_bodies_->waiting() > 0)
     CheckStallsSoon();
 }
 
@@ -239,27 +324,29 @@
   return std::clamp(left / kAnswerShare, kMinAnswerBuffer, kMaxAnswerBuffer);
 }
 
-void HttpServer::CancelBodyWait(memory::MemoryBudget::TicketId ticket) {
-  body_waits_.erase(ticket);
+void HttpServer::CancelWait(memory::MemoryBudget::TicketId ticket) {
+  waits_.erase(ticket);
   large_bodies_->Cancel(ticket);
   small_bodies_->Cancel(ticket);
+  heads_->Cancel(ticket);
 }
 
-void HttpServer::GrantBodiesSoon() {
+void HttpServer::GrantMemorySoon() {
   if (std::exchange(grants_soon_, true))
     return;
   loop_.Defer(this, [this] {
     grants_soon_ = false;
-    GrantBodies(*small_bodies_);
-    GrantBodies(*large_bodies_);
+    GrantMemory(*heads_);
+    GrantMemory(*small_bodies_);
+    GrantMemory(*large_bodies_);
   });
 }
 
-void HttpServer::GrantBodies(memory::MemoryBudget& budget) {
+void HttpServer::GrantMemory(memory::MemoryBudget& budget) {
   while (auto granted = budget.TakeGranted()) {
-    auto node = body_waits_.extract(granted->ticket);
+    auto node = waits_.extract(granted->ticket);
     if (!node.empty())
-      node.mapped()->GrantBody(std::move(granted->reservation));
+      node.mapped()->GrantMemory(std::move(granted->reservation));
   }
 }
 
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -17,6 +17,7 @@
 #include "base/time.h"
 #include "memory/memory_budget.h"
 #include "net/body_policy.h"
+#include "net/client_refusal.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
 #include "net/reply.h"
@@ -26,6 +27,9 @@
 
 class HttpConnection;
 
+// Bytes that a connection may take for one request without its body.
+inline constexpr size_t kFreeRequestBytes = 4 * 1024;
+
 struct HttpServerLimits {
   size_t largest_headers = 32 * 1024;  // Bytes; larger ones are refused.
   size_t largest_body = 1024 * 1024;   // Bytes; a larger one is refused.
@@ -33,6 +37,13 @@
   // What does not fit is not read, for a time; then it is refused.
   size_t large_bodies = 2 * 1024 * 1024;
   size_t small_bodies = 1024 * 1024;
+  // Bytes of the requests at hand without their bodies, beside
+  // kFreeRequestBytes for one of each connection. Others wait behind the
+  // answers of their connection, or as bodies do.
+  size_t heads = 1024 * 1024;
+  // Bytes received that are not part of a request yet. Beyond it the connection
+  // with most of them is refused.
+  size_t input = 2 * 1024 * 1024;
   // Requests that wait for memory; further ones are refused at once.
   size_t waiting_bodies = 64;
   // Bytes of answers that are kept for slow callers. Beyond it, each may have
@@ -51,6 +62,12 @@
   std::chrono::seconds idle{60};
   // A caller that has not sent a whole request by then is cut off.
   std::chrono::seconds to_send_request{30};
+
+  // For a listener that gets few and small requests.
+  static HttpServerLimits Small();
+  // Bytes that the listener takes at most, without the system's buffers of
+  // connections that are read.
+  size_t MaxMemory() const;
 };
 
 // Bytes of a streamed answer that are kept for a caller at least, and at most.
@@ -99,9 +116,17 @@
   size_t body_limit() const {
     return large_bodies_->limit() + small_bodies_->limit();
   }
-  size_t waiting_bodies() const { return body_waits_.size(); }
+  size_t waiting_requests() const { return waits_.size(); }
   uint64_t refused_bodies() const { return refused_bodies_; }
 
+  // Bytes received that are not part of a request yet.
+  size_t input_bytes() const { return input_bytes_; }
+  // Clients refused by `limit` so far.
+  uint64_t refused_clients(ClientLimit limit) const {
+    const auto found = refused_clients_.find(limit);
+    return found == refused_clients_.end() ? 0 : found->second;
+  }
+
   const base::SocketAddress& address() const { return socket_.address(); }
   EventLoop& loop() { return loop_; }
 
@@ -110,20 +135,30 @@
   void Handle(HttpRequest request, Reply reply);
   BodyAdmission AdmitBody(const HttpRequest& head) const;
   HttpAnswer RefuseBody(const HttpRequest& head, const BodyRefusal& refusal);
+  HttpAnswer Refuse(const HttpRequest& head, const BodyRefusal& refusal) const;
+  void NoteRefusal(const ClientRefusal& refusal);
   // The memory for bodies of up to kLargestSmallBody bytes, or for larger ones.
   memory::MemoryBudget& BudgetFor(size_t bytes) {
     return bytes > kLargestSmallBody ? *large_bodies_ : *small_bodies_;
   }
-  // `connection` waits for `bytes`, and is told by HttpConnection::GrantBody().
-  memory::MemoryBudget::TicketId WaitForBody(
+  // The memory for requests without their bodies.
+  memory::MemoryBudget& heads() { return *heads_; }
+  // `connection` waits for `bytes`, and is told by
+  // HttpConnection::GrantMemory().
+  memory::MemoryBudget::TicketId WaitForMemory(
       HttpConnection& connection,
+      memory::MemoryBudget& budget,
       memory::MemoryBudget::CallerId caller,
       size_t bytes);
-  void CancelBodyWait(memory::MemoryBudget::TicketId ticket);
+  void CancelWait(memory::MemoryBudget::TicketId ticket);
   // Whether another request may wait for memory.
-  bool MayWaitForBody() const {
-    return body_waits_.size() < limits_.waiting_bodies;
+  bool MayWaitForMemory() const {
+    return waits_.size() < limits_.waiting_bodies;
   }
+  void AddInputBytes(size_t bytes);
+  void RemoveInputBytes(size_t bytes) { input_bytes_ -= bytes; }
+  // Looks from now on what the system holds for connections that are not read.
+  void CheckUnreadSoon();
   void AddAnswerBytes(size_t bytes) { answer_bytes_ += bytes; }
   void RemoveAnswerBytes(size_t bytes) { answer_bytes_ -= bytes; }
   // Bytes that one more streamed answer may keep for its caller.
@@ -154,8 +189,11 @@
   // Gives up bodies that do not come while other requests wait for memory.
   void CheckStallsSoon();
   void CheckStalls();
-  void GrantBodiesSoon();
-  void GrantBodies(memory::MemoryBudget& budget);
+  void GrantMemorySoon();
+  void GrantMemory(memory::MemoryBudget& budget);
+  void CheckUnread();
+  // Refuses connections until the input is within its limit.
+  void ReclaimInput();
 
   EventLoop& loop_;
   sockets::ListeningSocket socket_;
@@ -173,12 +211,16 @@
   BodyPolicy policy_;
   std::shared_ptr<memory::MemoryBudget> large_bodies_;
   std::shared_ptr<memory::MemoryBudget> small_bodies_;
+  std::shared_ptr<memory::MemoryBudget> heads_;
   memory::MemoryBudget::TicketId last_ticket_ = 0;
-  absl::flat_hash_map<memory::MemoryBudget::TicketId, HttpConnection*>
-      body_waits_;
+  absl::flat_hash_map<memory::MemoryBudget::TicketId, HttpConnection*> waits_;
   bool grants_soon_ = false;
   EventLoop::TimerId stall_timer_ = 0;
   uint64_t refused_bodies_ = 0;
+  size_t input_bytes_ = 0;
+  bool is_reclaiming_ = false;
+  EventLoop::TimerId unread_timer_ = 0;
+  absl::flat_hash_map<ClientLimit, uint64_t> refused_clients_;
   size_t exchanges_ = 0;  // Requests that are answered.
   bool quiescing_ = false;
   bool check_idle_soon_ = false;
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -214,10 +214,11 @@
 }
 
 base::Result<bool> ControlPlane::Listen() {
+  auto limits = net::HttpServerLimits::Small();
+  limits.largest_body = kMaxConfigurationBytes;
+  limits.large_bodies = kMaxConfigurationBytes;
   auto operators = net::HttpServer::Open(
-      loop_, settings_.operator_listen,
-      net::HttpServerLimits{.largest_body = kMaxConfigurationBytes,
-                            .large_bodies = kMaxConfigurationBytes},
+      loop_, settings_.operator_listen, limits,
       [this](const net::HttpRequest& request, net::Reply reply) {
         operator_api_.OnRequest(request, std::move(reply));
       });
@@ -239,7 +240,7 @@
   if (settings_.metrics_listen.port == 0)
     return true;
   auto opened = net::HttpServer::Open(
-      loop_, settings_.metrics_listen, net::HttpServerLimits{},
+      loop_, settings_.metrics_listen, net::HttpServerLimits::Small(),
       [this](const net::HttpRequest& request, net::Reply reply) {
         if (request.method == "GET" &&
             operators::IsMetricsTarget(request.target))
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -11,6 +11,8 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
+#include "base/text.h"
 #include "gate/gate.h"
 #include "ingress/ingress.h"
 #include "ingress/tenant_readings.h"
@@ -74,9 +76,9 @@
   return {telemetry::Metric::kInFlight, role, static_cast<double>(count)};
 }
 
-void AppendBodyReadings(const char* role,
-                        const net::HttpServer& listener,
-                        std::vector<telemetry::Reading>& readings) {
+void AppendListenerReadings(const char* role,
+                            const net::HttpServer& listener,
+                            std::vector<telemetry::Reading>& readings) {
   using telemetry::Metric;
   const auto append = [&](Metric metric, auto value) {
     readings.push_back({metric, role, static_cast<double>(value)});
@@ -84,6 +86,12 @@
   append(Metric::kBodyBytes, listener.body_bytes());
   append(Metric::kBodyLimit, listener.body_limit());
   append(Metric::kBodiesRefused, listener.refused_bodies());
+  for (const net::ClientLimit limit : net::kClientLimits) {
+    readings.push_back(
+        {Metric::kClientsRefused,
+         absl::StrCat(role, "-", base::AbslView(ToString(limit))),
+         static_cast<double>(listener.refused_clients(limit))});
+  }
 }
 
 telemetry::Reading LoopDelay(const char* role, net::EventLoop& loop) {
@@ -187,14 +195,14 @@
                auto readings =
                    ingress::TenantReadings(ingress.tenants().View());
                readings.push_back(LoopDelay("ingress", ingress_loop));
-               AppendBodyReadings("ingress", ingress.listener(), readings);
+               AppendListenerReadings("ingress", ingress.listener(), readings);
                return readings;
              }},
             {gate_loop, [this] { return &gate.metrics(); },
              [this] { return InFlight("gate", gate.in_flight()); },
              [this] {
                std::vector readings{LoopDelay("gate", gate_loop)};
-               AppendBodyReadings("gate", gate.listener(), readings);
+               AppendListenerReadings("gate", gate.listener(), readings);
                return readings;
              }}};
   }
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -77,7 +77,7 @@
 
 base::Result<bool> LocalServer::Listen(const base::SocketAddress& address) {
   auto opened = net::HttpServer::Open(
-      loop_, address, net::HttpServerLimits{},
+      loop_, address, net::HttpServerLimits::Small(),
       [this](const net::HttpRequest& request, net::Reply reply) {
         OnRequest(request, std::move(reply));
       });
--- a/src/libs/telemetry/event.cc
+++ b/src/libs/telemetry/event.cc
@@ -148,6 +148,11 @@
                      "too large, or there was no memory for it in time.",
                      "Watch chestnutport_body_bytes; spread large uploads over "
                      "time or over more nodes."},
+    EventDescription{Event::kClientRefused, "client-refused", Level::kWarning,
+                     "A client met a limit on what a node reads or keeps for "
+                     "it; the line has its address, the listener and the "
+                     "limit.",
+                     "See docs/OPERATIONS.md, clients that do not behave."},
     EventDescription{Event::kServerAnnounced, "server-announced", Level::kInfo,
                      "This node's server announced itself.", "None."},
     EventDescription{Event::kServerWithdrawn, "server-withdrawn",
--- a/src/libs/telemetry/event.h
+++ b/src/libs/telemetry/event.h
@@ -58,6 +58,7 @@
   kServerLate = 2035,
   kAttemptLost = 2036,
   kBodyRefused = 2037,
+  kClientRefused = 2038,
   kServerAnnounced = 2101,
   kServerWithdrawn = 2102,
   kServerDraining = 2103,
--- a/src/libs/telemetry/metric.cc
+++ b/src/libs/telemetry/metric.cc
@@ -72,6 +72,11 @@
                       "role",
                       "Requests refused because there was no memory for their "
                       "bodies."},
+    MetricDescription{Metric::kClientsRefused,
+                      "chestnutport_clients_refused_total",
+                      MetricType::kCounter, "limit",
+                      "Clients that met a limit on what the node reads or "
+                      "keeps for them, by the listener's role and the limit."},
     MetricDescription{Metric::kMembers, "chestnutport_members",
                       MetricType::kGauge, "state",
                       "Nodes that this node knows."},
--- a/src/libs/telemetry/metric.h
+++ b/src/libs/telemetry/metric.h
@@ -28,6 +28,7 @@
   kBodyBytes,
   kBodyLimit,
   kBodiesRefused,
+  kClientsRefused,
   kMembers,
   kRevision,
   kConfigurationBehind,
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -508,6 +508,126 @@
   }
 }
 
+std::string GetWithFields(size_t bytes) {
+  std::string request = "GET / HTTP/1.1\r\nHost: x\r\n";
+  while (request.size() + 13 <= bytes)
+    request += "a: b\r\n";
+  request += "p: ";
+  return request + std::string(bytes - request.size() - 4, 'p') + "\r\n\r\n";
+}
+
+TEST_CASE("heads of the largest size are taken, and no larger ones") {
+  HttpServerLimits limits;
+  limits.largest_headers = 4096;
+  TestServer server(&Echo, limits);
+  RawSocket caller(server.address());
+
+  SECTION("of many fields") {
+    caller.Send(GetWithFields(4096) + kGet);
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+  }
+  SECTION("that come byte by byte") {
+    for (const char c : GetWithFields(300))
+      caller.Send(std::string(1, c));
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+  }
+  SECTION("one byte more is refused") {
+    caller.Send(GetWithFields(4097));
+    CHECK(caller.ReadToEnd().starts_with("HTTP/1.1 431"));
+  }
+  SECTION("so are bytes that cannot begin a request, without their end") {
+    caller.Send(GENERATE("\x16\x03\x01", " GET / HTTP/1.1", "\r\nGET",
+                         "GETGETGETGETGETGETGETGETGETGETGETGET"));
+    CHECK(caller.ReadToEnd().starts_with("HTTP/1.1 400"));
+  }
+}
+
+TEST_CASE("requests for whose heads there is no memory") {
+  HttpServerLimits limits;
+  limits.heads = 64 * 1024;
+  limits.body_wait = milliseconds(300);
+  std::vector<Reply> kept;
+  TestServer server(
+      [&](HttpRequest request, Reply reply) {
+        if (request.method == "PUT")
+          kept.push_back(std::move(reply));
+        else
+          Echo(std::move(request), std::move(reply));
+      },
+      limits);
+  const std::string large = GetWithFields(2000);
+  const auto keep = [](std::string request) {
+    return request.replace(0, 3, "PUT");
+  };
+  RawSocket holder(server.address());
+  holder.Send(keep(large));
+  REQUIRE(server.WaitFor([&] { return kept.size() == 1; }));
+  RawSocket caller(server.address());
+
+  SECTION("wait, and are read when there is some") {
+    caller.Send(large);
+    server.Run([&] { kept[0].Send({}); });
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+  }
+  SECTION("are refused after a time, and the connection is kept") {
+    caller.Send(large);
+    const std::string answer = caller.ReadMessage();
+    CHECK(answer.starts_with("HTTP/1.1 503"));
+    CHECK(Has(answer, "Retry-After: "));
+    CHECK_FALSE(Has(answer, "Connection: close"));
+    server.Run([&] {
+      CHECK((*server).refused_clients(ClientLimit::kHeads) == 1);
+      kept[0].Send({});
+    });
+    caller.Send(large);
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+  }
+  SECTION("wait behind the answers of their own connection") {
+    caller.Send(keep(kGet) + large + large + kGet);
+    REQUIRE(server.WaitFor([&] { return kept.size() == 2; }));
+    server.Run([&] { kept[0].Send({}); });
+    server.Run([&] { kept[1].Send({.body = "first"}); });
+    CHECK(caller.ReadMessage().ends_with("first"));
+    for (int i = 0; i < 3; ++i)
+      CHECK(Has(caller.ReadMessage(), "200 OK"));
+  }
+  SECTION("but a small one of each connection needs none") {
+    for (int i = 0; i < 20; ++i) {
+      RawSocket other(server.address());
+      other.Send(kGet);
+      CHECK(Has(other.ReadMessage(), "200 OK"));
+    }
+  }
+}
+
+TEST_CASE("requests that do not end share a bounded memory") {
+  HttpServerLimits limits;
+  limits.input = 100'000;
+  TestServer server(&Echo, limits);
+  RawSocket ordinary(server.address());
+  ordinary.Send("GET / HTTP/1.1\r\nHost: x\r\n");
+  std::vector<RawSocket> callers;
+  for (int i = 0; i < 10; ++i) {
+    callers.emplace_back(server.address());
+    callers.back().Send("GET / HTTP/1.1\r\nX: " + std::string(15'000, 'x'));
+  }
+  REQUIRE(server.WaitFor(
+      [&] { return (*server).refused_clients(ClientLimit::kInput) > 0; }));
+  server.Run([&] { CHECK((*server).input_bytes() <= limits.input); });
+  int refused = 0;
+  for (RawSocket& caller : callers) {
+    caller.Send("\r\n\r\n");
+    const std::string answer = caller.ReadMessage();
+    refused += answer.starts_with("HTTP/1.1 503") ? 1 : 0;
+    CHECK((answer.starts_with("HTTP/1.1 503") || Has(answer, "200 OK")));
+  }
+  CHECK(refused > 0);
+  CHECK(refused < 10);
+  ordinary.Send("\r\n");
+  CHECK(Has(ordinary.ReadMessage(), "200 OK"));
+}
+
 TEST_CASE("a caller that never sends a whole request is cut off") {
   HttpServerLimits limits;
   limits.to_send_request = std::chrono::seconds(1);
