Free the buffers of kept connections

Callers saw nothing yet; the memory of a node grew with the connections that were kept after a large answer or a given-up body.

Cause: a connection kept the capacity of its output, 64 to 128 KB after one large answer, and of the block of a body that was given up, up to 256 KB, for as long as it was kept. Assigning an empty string frees nothing: the standard library copies a short one into the buffer that is there.

Ruled out: shrinking on a timer, which would need another pass over all connections.

Change: base::FreeMemory() frees a string; the connections of the HTTP server and client use it once a buffer above 1 KiB is empty, and BodyBuilder when a body is dropped.

--- a/src/libs/http_client/http_client_connection_answer.cc
+++ b/src/libs/http_client/http_client_connection_answer.cc
@@ -18,6 +18,8 @@
 // their bytes, and what each counts for at least.
 constexpr size_t kMaxSkippedBytes = 4 * 1024 * 1024;
 constexpr size_t kMinSkippedBytes = 64 * 1024;
+// Bytes that a kept connection keeps allocated.
+constexpr size_t kKeptCapacity = 1024;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kFirstStatusAfterSuccess = 300;
 // Of the time for which the other end says that it keeps a connection, what is
@@ -197,6 +199,8 @@
     return;
   }
   const bool is_clean = IsRequestRead(status) && in_.empty();
+  if (is_clean && in_.capacity() > kKeptCapacity)
+    base::FreeMemory(in_);
   HttpTransfer& done = *std::exchange(transfer_, nullptr);
   done.connection = nullptr;
   if (keeps && is_clean)
--- a/src/libs/memory/body_builder.cc
+++ b/src/libs/memory/body_builder.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/text.h"
+
 namespace chestnutport::memory {
 namespace {
 
@@ -74,7 +76,7 @@
 void BodyBuilder::Reset() {
   reservations_.clear();
   bytes_.Clear();
-  block_ = std::string();
+  base::FreeMemory(block_);
   hash_.reset();
 }
 
--- a/src/libs/net/http_connection_output.cc
+++ b/src/libs/net/http_connection_output.cc
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <utility>
 
+#include "base/text.h"
 #include "net/http_connection.h"
 #include "net/http_server.h"
 
@@ -12,6 +13,8 @@
 
 // Bytes serialized ahead of the socket: about what a small window takes.
 constexpr size_t kOutputSize = 64 * 1024;
+// Bytes that a connection keeps allocated while it has nothing to write.
+constexpr size_t kKeptCapacity = 1024;
 
 }  // namespace
 
@@ -109,6 +112,8 @@
     }
     out_offset_ += static_cast<size_t>(size);
   }
+  if (out_.capacity() > kKeptCapacity)
+    base::FreeMemory(out_);
   out_.clear();
   out_offset_ = 0;
   server_.CheckIdleSoon();
