Bound the answers that callers do not read

Callers would have seen: a node that ends over its memory, by callers that send requests for answers of 60 KB behind one another and read none of them.

Cause: the limit on answers kept for slow callers applied to streamed ones. Whole answers, up to 32 of each connection, were counted and kept whatever the count was; what had been serialized, 64 KB of each connection, was not counted.

Ruled out: streaming all answers, which leaves nothing to replace when a server breaks off; closing the connection with most bytes at once, which may be one whose answer came a moment ago.

Change: the output of a connection counts too. Beyond the limit the connection is reset whose bytes, times how long it has had any, are most. While 64 KB of answers wait to be written, no further request of the connection is read.

--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -112,7 +112,7 @@
     return false;
   if (streamed_)
     return streamed_->TakesBody();
-  return exchanges_.size() < kMostPipelined;
+  return exchanges_.size() < kMostPipelined && !IsCallerSlow();
 }
 
 void HttpConnection::OnReady(uint32_t epoll_events) {
@@ -483,7 +483,10 @@
     exchanges_[i]->NoteGone();
   streamed_ = nullptr;
   server_.OnExchangesEnded(std::exchange(exchanges_, {}).size());
+  base::FreeMemory(out_);
+  out_offset_ = 0;
   CountInput();
+  CountOutput();
   server_.loop().Unwatch(fd_);
   server_.loop().CancelDeferred(this);
   if (by_reset)
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -50,6 +50,8 @@
   // Refuses the request that is being read, and reads no more.
   void GiveUpInput();
   bool MayGiveUpInput() const;
+  // Closes the connection whose answers are not read.
+  void GiveUpOutput();
   // The server takes no more: a connection without a request ends.
   void Quiesce();
   // Ends the connection if its time has passed.
@@ -70,6 +72,11 @@
   // Asks the system how much it holds. Returns false if the connection is read,
   // so that this is not worth asking.
   bool CountUnread();
+  // Bytes of answers that wait to be written.
+  size_t OutputBytes() const;
+  // For how long, times how many: who takes most is given up first.
+  double OutputBurden(base::Instant now) const;
+
   HttpServer& server() { return server_; }
 
   // Requests are read or answered, or an answer is being written.
@@ -80,6 +87,8 @@
 
   bool HasOutput() const { return out_offset_ < out_.size(); }
   bool MayParse() const;
+  // Whether answers wait that the caller does not read.
+  bool IsCallerSlow() const;
   void Read();
   void Parse();
   // Each returns whether there may be more to parse.
@@ -143,8 +152,9 @@
   void Watch();
   // What comes from now on is thrown away.
   void StopReading();
-  // Tells the server how much input the connection holds.
+  // Tell the server how much the connection holds.
   void CountInput();
+  void CountOutput();
 
   HttpServer& server_;
   int fd_;
@@ -156,6 +166,8 @@
   size_t counted_input_ = 0;  // That the server knows of.
   std::string out_;
   size_t out_offset_ = 0;
+  size_t counted_output_ = 0;  // Of `out_`, that the server knows of.
+  std::optional<base::Instant> output_since_;
   // Of the request that is being read, from its first byte on.
   std::optional<base::Instant> request_began_at_;
   memory::MemoryReservation head_memory_;
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -27,6 +27,8 @@
 constexpr size_t kAnswerShare = 4;
 // How often, and for how many new connections at a time, kept ones are closed.
 constexpr std::chrono::milliseconds kRoomInterval(20);
+// What is over the limit of answers may be written meanwhile.
+constexpr std::chrono::milliseconds kReclaimInterval(10);
 // How often the input is counted that waits in the system's buffers.
 constexpr std::chrono::milliseconds kUnreadInterval(50);
 constexpr int kRoomStep = 32;
@@ -98,6 +100,7 @@
   loop_.Cancel(stall_timer_);
   loop_.Cancel(room_timer_);
   loop_.Cancel(unread_timer_);
+  loop_.Cancel(output_timer_);
   loop_.CancelDeferred(this);
 }
 
@@ -286,6 +289,39 @@
   }
 }
 
+void HttpServer::AddAnswerBytes(size_t bytes) {
+  answer_bytes_ += bytes;
+  if (answer_bytes_ > limits_.answers)
+    ReclaimOutputSoon();
+}
+
+void HttpServer::ReclaimOutputSoon() {
+  if (output_timer_ == 0)
+    output_timer_ =
+        loop_.CallAfter(kReclaimInterval, [this] { ReclaimOutput(); });
+}
+
+void HttpServer::ReclaimOutput() {
+  output_timer_ = 0;
+  while (answer_bytes_ > limits_.answers) {
+    HttpConnection* worst = nullptr;
+    double burden = 0;
+    for (const auto& [connection, owned] : connections_) {
+      const double other = connection->OutputBurden(loop_.now());
+      if (other > burden) {
+        burden = other;
+        worst = connection;
+      }
+    }
+    if (!worst) {
+      // All of it came in this round.
+      ReclaimOutputSoon();
+      return;
+    }
+    worst->GiveUpOutput();
+  }
+}
+
 void HttpServer::CheckUnreadSoon() {
   if (unread_timer_ == 0)
     unread_timer_ = loop_.CallAfter(kUnreadInterval, [this] { CheckUnread(); });
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -46,8 +46,9 @@
   size_t input = 2 * 1024 * 1024;
   // Requests that wait for memory; further ones are refused at once.
   size_t waiting_bodies = 64;
-  // Bytes of answers that are kept for slow callers. Beyond it, each may have
-  // kMinAnswerBuffer.
+  // Bytes of answers that are kept for slow callers. Beyond it, a streamed one
+  // may have kMinAnswerBuffer, and connections whose answers are not read are
+  // closed.
   size_t answers = 8 * 1024 * 1024;
   // A request with a longer body, of a known length, is handed on before the
   // body is read; see Reply::ReadBody().
@@ -119,8 +120,10 @@
   size_t waiting_requests() const { return waits_.size(); }
   uint64_t refused_bodies() const { return refused_bodies_; }
 
-  // Bytes received that are not part of a request yet.
+  // Bytes received that are not part of a request yet, and of answers that wait
+  // to be written.
   size_t input_bytes() const { return input_bytes_; }
+  size_t answer_bytes() const { return answer_bytes_; }
   // Clients refused by `limit` so far.
   uint64_t refused_clients(ClientLimit limit) const {
     const auto found = refused_clients_.find(limit);
@@ -159,7 +162,7 @@
   void RemoveInputBytes(size_t bytes) { input_bytes_ -= bytes; }
   // Looks from now on what the system holds for connections that are not read.
   void CheckUnreadSoon();
-  void AddAnswerBytes(size_t bytes) { answer_bytes_ += bytes; }
+  void AddAnswerBytes(size_t bytes);
   void RemoveAnswerBytes(size_t bytes) { answer_bytes_ -= bytes; }
   // Bytes that one more streamed answer may keep for its caller.
   size_t AnswerBufferSize() const;
@@ -192,6 +195,9 @@
   void GrantMemorySoon();
   void GrantMemory(memory::MemoryBudget& budget);
   void CheckUnread();
+  void ReclaimOutputSoon();
+  // Closes connections until the answers are within their limit.
+  void ReclaimOutput();
   // Refuses connections until the input is within its limit.
   void ReclaimInput();
 
@@ -220,6 +226,7 @@
   size_t input_bytes_ = 0;
   bool is_reclaiming_ = false;
   EventLoop::TimerId unread_timer_ = 0;
+  EventLoop::TimerId output_timer_ = 0;
   absl::flat_hash_map<ClientLimit, uint64_t> refused_clients_;
   size_t exchanges_ = 0;  // Requests that are answered.
   bool quiescing_ = false;
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -746,6 +746,53 @@
   }
 }
 
+TEST_CASE("answers that are not read share a bounded memory") {
+  HttpServerLimits limits;
+  limits.answers = 1024 * 1024;
+  TestServer server(
+      [](const HttpRequest& request, Reply reply) {
+        reply.Send({.body = request.target == "/large"
+                                ? std::string(400'000, 'a')
+                                : std::string("small")});
+      },
+      limits);
+  RawSocket ordinary(server.address());
+  std::vector<RawSocket> callers;
+  for (int i = 0; i < 20; ++i) {
+    callers.emplace_back(server.address());
+    for (int request = 0; request < 8; ++request)
+      callers.back().Send("GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+    ordinary.Send(kGet);
+    CHECK(ordinary.ReadMessage().ends_with("small"));
+  }
+  CHECK(server.WaitFor(
+      [&] { return (*server).refused_clients(ClientLimit::kOutput) > 0; }));
+  CHECK(server.WaitFor(
+      [&] { return (*server).answer_bytes() <= limits.answers; }));
+  ordinary.Send("GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(ordinary.ReadMessage().size() > 400'000);
+}
+
+TEST_CASE("a caller that does not read is not read either") {
+  std::atomic<int> handled = 0;
+  TestServer server([&](const HttpRequest&, Reply reply) {
+    ++handled;
+    reply.Send({.body = std::string(100'000, 'a')});
+  });
+  RawSocket caller(server.address());
+  constexpr int kRequests = 200;
+  for (int i = 0; i < kRequests; ++i)
+    caller.Send(kGet);
+  CHECK(server.WaitFor([&] { return handled > 0; }));
+  RawSocket other(server.address());
+  other.Send(kGet);
+  CHECK(Has(other.ReadMessage(), "200 OK"));
+  server.Run([&] { CHECK((*server).answer_bytes() < 5'000'000); });
+  for (int i = 0; i < kRequests; ++i)
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+  CHECK(handled == kRequests + 1);
+}
+
 TEST_CASE("a server may close with requests at hand") {
   EventLoop loop;
   Reply kept;
