Make room by closing connections that hold up others first

Callers saw: kept connections closed for new ones, while 2,500 strangers that had sent half a line kept theirs; and a wait of the whole time for a request, 3 s on the users' platform, where all connections were such.

A connection that never sent anything was worth as much as one that had served its caller before.

Ruled out: a limit for each address, as all callers of a node may share one; closing unfinished requests at once, which would hit a head that comes in two packets.

A pass closes one kind only, as those that are accepted meanwhile may be worth less than the next kind.

--- /dev/null
+++ b/src/libs/net/dispensability.h
@@ -0,0 +1,34 @@
+// Which connections of an HttpServer are closed first to make room for new
+// ones. Internal to the library.
+#ifndef NET_DISPENSABILITY_H_
+#define NET_DISPENSABILITY_H_
+
+#include <compare>
+
+#include "base/time.h"
+
+namespace chestnutport::net {
+
+struct Dispensability {
+  // In the order in which connections are closed.
+  enum class Kind {
+    kNeverUsed,       // No request has come.
+    kUnfinishedHead,  // The head of a request does not end.
+    kKept,            // Between requests.
+    kUnfinishedBody,  // A body does not end.
+    kUnreadAnswer,    // An answer is not read.
+  };
+
+  Kind kind = Kind::kNeverUsed;
+  // Longest first.
+  base::Instant since;
+
+  // Whether it has lasted long enough: what is read at once is not given up.
+  bool IsDue(base::Instant now) const;
+
+  auto operator<=>(const Dispensability&) const = default;  // NOLINT: as NodeId
+};
+
+}  // namespace chestnutport::net
+
+#endif  // NET_DISPENSABILITY_H_
--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -31,6 +31,8 @@
 constexpr size_t kLongestMethod = 32;
 // Beside its head: what the node keeps about a request until it is answered.
 constexpr size_t kRequestBytes = 2 * 1024;
+// A body that comes slower may be given up for new connections.
+constexpr size_t kFairBytesPerSecond = 32 * 1024;
 // The head, and what is sent on for it.
 constexpr size_t kHeadCopies = 2;
 
@@ -355,12 +357,36 @@
 }
 
 bool HttpConnection::IsIdle() const {
-  if (closed_ || lingers_ || parser_ || !in_.empty() || !exchanges_.empty() ||
-      HasOutput()) {
-    return false;
-  }
+  return !closed_ && !lingers_ && !parser_ && in_.empty() &&
+         exchanges_.empty() && !HasOutput();
+}
+
+std::optional<Dispensability> HttpConnection::FindDispensability() const {
+  using Kind = Dispensability::Kind;
+  if (closed_ || ticket_ != 0)
+    return std::nullopt;
+  if (IsIdle())
+    return Dispensability{is_used_ ? Kind::kKept : Kind::kNeverUsed,
+                          last_used_};
+  if (output_since_)
+    return Dispensability{Kind::kUnreadAnswer, *output_since_};
+  if (!exchanges_.empty() || !request_began_at_)
+    return std::nullopt;
+  if (!parser_)
+    return Dispensability{Kind::kUnfinishedHead, *request_began_at_};
+  // A body that comes fast enough counts as begun later.
+  const auto earned = std::chrono::seconds(body_.size() / kFairBytesPerSecond);
+  return Dispensability{Kind::kUnfinishedBody, *request_began_at_ + earned};
+}
+
+bool HttpConnection::CloseForOthers() {
   char next = 0;
-  return recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+  if (!IsIdle())
+    NoteRefusal(ClientLimit::kConnections, InputBytes() + OutputBytes(), 0);
+  else if (recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
+    return false;
+  Close(HasOutput());
+  return true;
 }
 
 bool HttpConnection::HasCallerClosed() {
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -16,6 +16,7 @@
 #include "net/beast_messages.h"
 #include "net/body_policy.h"
 #include "net/client_refusal.h"
+#include "net/dispensability.h"
 #include "net/event_loop.h"
 #include "net/http_exchange.h"
 #include "net/http_message.h"
@@ -59,11 +60,11 @@
   // The server is destroyed: nobody is called any more.
   void Drop();
 
-  // Kept without a request, of which nothing has come.
-  bool IsIdle() const;
-  // When its last answer was complete, or when it was accepted.
-  base::Instant last_used() const { return last_used_; }
-  void CloseIdle() { Close(false); }
+  // How the connection may make room for new ones, if at all. The least one of
+  // all connections goes first.
+  std::optional<Dispensability> FindDispensability() const;
+  // Returns false if a request has come meanwhile.
+  bool CloseForOthers();
   // Bytes that were received and are not part of a request yet, with those that
   // the system holds while nothing is read.
   size_t InputBytes() const {
@@ -132,6 +133,8 @@
   void Dispatch();
   HttpExchange& AddExchange(bool closes_after);
   void EndRequest();
+  // Kept without a request, of which nothing has come.
+  bool IsIdle() const;
   // Whether the caller has closed, possibly behind requests not read yet.
   bool HasCallerClosed();
   void NoteRefusal(ClientLimit limit, size_t bytes, size_t max_bytes);
@@ -203,7 +206,9 @@
   // When the connection is closed unless a whole request came or, if it
   // lingers, the other end has closed.
   base::Instant close_at_;
+  // When its last answer was complete, or when it was accepted.
   base::Instant last_used_;
+  bool is_used_ = false;  // A request was answered.
 };
 
 }  // namespace chestnutport::net
--- a/src/libs/net/http_connection_output.cc
+++ b/src/libs/net/http_connection_output.cc
@@ -127,6 +127,7 @@
     is_answered_ = true;
   }
   last_used_ = server_.loop().now();
+  is_used_ = true;
   if (exchanges_.empty() && !parser_)
     close_at_ = server_.loop().now() + server_.limits().idle;
 }
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -127,9 +127,23 @@
   if (!is_open_ || quiescing_ || connections_.size() < limits_.connections)
     return;
   MakeRoomSoon();
-  for (int closed = 0; closed < kRoomStep && IsCallerWaiting(); ++closed) {
-    if (!CloseLongestIdle())
+  if (!IsCallerWaiting())
+    return;
+  std::vector<std::pair<Dispensability, HttpConnection*>> candidates;
+  for (const auto& [connection, owned] : connections_) {
+    if (const auto found = connection->FindDispensability())
+      candidates.emplace_back(*found, connection);
+  }
+  std::ranges::sort(candidates);
+  int closed = 0;
+  for (const auto& [dispensability, connection] : candidates) {
+    // Those that are accepted meanwhile may have to go before another kind.
+    if (dispensability.kind != candidates.front().first.kind ||
+        !dispensability.IsDue(loop_.now()) || closed == kRoomStep ||
+        !IsCallerWaiting()) {
       return;
+    }
+    closed += connection->CloseForOthers() ? 1 : 0;
     AcceptAll();
   }
 }
@@ -139,20 +153,6 @@
   return poll(&listener, 1, 0) > 0;
 }
 
-bool HttpServer::CloseLongestIdle() {
-  HttpConnection* longest = nullptr;
-  for (const auto& [connection, owned] : connections_) {
-    const bool is_longer =
-        !longest || connection->last_used() < longest->last_used();
-    if (is_longer && connection->IsIdle())
-      longest = connection;
-  }
-  if (!longest)
-    return false;
-  longest->CloseIdle();
-  return true;
-}
-
 void HttpServer::SetAccepting(bool accepting) {
   is_open_ = accepting;
   WatchListener();
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -55,8 +55,9 @@
   size_t stream_above = std::numeric_limits<size_t>::max();
   // How long a request may wait for memory for its body.
   std::chrono::milliseconds body_wait{1000};
-  // Beyond it, a connection that is kept without a request is closed for each
-  // new one; if there is none, new ones wait to be accepted.
+  // Beyond it, a connection that is kept without a request, or that does not
+  // send its request or read its answer, is closed for each new one; if there
+  // is none, new ones wait to be accepted.
   unsigned int connections = 1024;
   // A connection on which nothing moves, or that is kept without a request,
   // for this long is closed.
@@ -179,13 +180,11 @@
              Handler handler);
   void AcceptAll();
   void WatchListener();
-  // Closes connections without a request if new ones wait to be accepted.
+  // Closes connections if new ones wait to be accepted.
   void MakeRoomSoon();
   void MakeRoom();
   // Whether a connection waits to be accepted.
   bool IsCallerWaiting() const;
-  // Returns false if no connection is without a request.
-  bool CloseLongestIdle();
   void CheckIdle();
   void SweepSoon();
   void Sweep();
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -746,6 +746,48 @@
   }
 }
 
+TEST_CASE("connections make room that hold up others") {
+  HttpServerLimits limits;
+  limits.connections = 4;
+  TestServer server(&Echo, limits);
+  RawSocket kept(server.address());
+  kept.Send(kGet);
+  REQUIRE(Has(kept.ReadMessage(), "200 OK"));
+  const std::string begun = GENERATE("", "GET / HT", "GET / HTTP/1.1\r\nX: ");
+  INFO("strangers send " << begun);
+  std::vector<RawSocket> strangers;
+  for (unsigned int i = 0; i < 3 * limits.connections; ++i) {
+    strangers.emplace_back(server.address());
+    strangers.back().Send(begun);
+  }
+  RawSocket caller(server.address());
+  caller.Send(kGet);
+  CHECK(Has(caller.ReadMessage(), "200 OK"));
+  kept.Send(kGet);
+  CHECK(Has(kept.ReadMessage(), "200 OK"));
+}
+
+TEST_CASE("bodies that do not end make room, the slowest first") {
+  HttpServerLimits limits;
+  limits.connections = 4;
+  limits.largest_body = 1024 * 1024;
+  TestServer server(&Echo, limits);
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 400000\r\n\r\n";
+  RawSocket fast(server.address());
+  fast.Send(head + std::string(390'000, 'x'));
+  std::vector<RawSocket> slow;
+  for (int i = 0; i < 6; ++i) {
+    slow.emplace_back(server.address());
+    slow.back().Send(head + "x");
+  }
+  RawSocket caller(server.address());
+  caller.Send(kGet);
+  CHECK(Has(caller.ReadMessage(), "200 OK"));
+  fast.Send(std::string(10'000, 'x'));
+  CHECK(Has(fast.ReadMessage(), "200 OK"));
+}
+
 TEST_CASE("answers that are not read share a bounded memory") {
   HttpServerLimits limits;
   limits.answers = 1024 * 1024;
