End a connection whose answer has a status that does not exist

Callers saw, where a server answered 000 or 099: nothing until their deadline, then 504. A status of 600 or 999 reached them as the server's answer.

Cause: the client took each status below 200 for an interim answer and waited for the next one; it had no upper bound.

Ruled out: treating them as 5xx answers of the server, which the platform's rules would then want passed on as they came; a check at the gate alone, as the client also serves the store, control calls and other nodes.

Change: a status outside 100 to 599 ends the transfer as lost and closes the connection, as bytes that are no answer do.

Measured: invalid_status_test (two nodes, one answer in three), 10 of 32 checks failed before, for 000, 001, 099, 600 and 999; none now: each such answer is 502 at once. 0200, 20 and 2x0 were 502 before and are. http_client_test: 2 of 88 failed before, none now.

--- a/src/libs/http_client/http_client_connection_answer.cc
+++ b/src/libs/http_client/http_client_connection_answer.cc
@@ -20,7 +20,9 @@
 constexpr size_t kMinSkippedBytes = 64 * 1024;
 // Bytes that a kept connection keeps allocated.
 constexpr size_t kKeptCapacity = 1024;
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 constexpr unsigned kFirstStatusAfterSuccess = 300;
 // Of the time for which the other end says that it keeps a connection, what is
 // relied on: it counts from when it sent, and its clock may round down.
@@ -90,6 +92,12 @@
   head_done_ = true;
   parser_->eager(true);
   const unsigned status = parser_->get().result_int();
+  // Neither an interim answer nor one that a caller could make use of: RFC 9110
+  // section 15.
+  if (status < kFirstStatus || status > kLastStatus) {
+    Fail(TransferEnd::kLost);
+    return false;
+  }
   net::HttpAnswer head{.status = static_cast<int>(status),
                        .headers = net::ToHeaders(parser_->get().base()),
                        .body = ""};
--- a/tests/auto/http_client/http_client_test.cc
+++ b/tests/auto/http_client/http_client_test.cc
@@ -192,6 +192,15 @@
   }
 }
 
+TEST_CASE("an answer with a status that does not exist ends its connection") {
+  const std::string status = GENERATE("000", "099", "600", "999");
+  INFO(status);
+  Client caller;
+  RawServer server(Answer(
+      {"HTTP/1.1 " + status + " Text\r\nContent-Length: 2\r\n\r\nno", kOk}));
+  CHECK(caller.Get(server.address()).end == TransferEnd::kLost);
+}
+
 HttpClientOptions Tagged() {
   HttpClientOptions options;
   options.answer_tag = "X-Id";
