Check who sends a large body to the operators' listener before it is read

Callers saw nothing; anybody who reached the listener could make a node keep a body of 16 MiB, which is the largest of its budgets after that for callers.

Cause: the listener had no body policy, and the API checks the sender once the whole request is there.

Ruled out: a smaller budget, as a confirmation may have 16 MB.

Change: OperatorApi::AdmitBody() rejects a large body whose sender is not an operator, 401, with its head.

--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -225,6 +225,10 @@
   if (!operators)
     return operators.error();
   operator_listener_ = std::move(operators).value();
+  operator_listener_->set_body_policy(
+      {.admit = [this](const net::HttpRequest& head) {
+        return operator_api_.AdmitBody(head);
+      }});
   if (auto control = control_listener_.Listen(settings_.control_listen);
       !control) {
     return control.error();
--- a/src/libs/operators/operator_api.cc
+++ b/src/libs/operators/operator_api.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/encoding.h"
+#include "net/error_answer.h"
 #include "operators/operator_handlers.h"
 #include "operators/operator_response.h"
 
@@ -12,6 +13,8 @@
 using base::ErrorKind;
 
 constexpr std::string_view kBearer = "Bearer ";
+// How long a request may wait for memory for its body.
+constexpr std::chrono::seconds kBodyWait(1);
 
 }  // namespace
 
@@ -62,6 +65,12 @@
     SendError(reply, ErrorKind::kNotFound);
 }
 
+net::BodyAdmission OperatorApi::AdmitBody(const net::HttpRequest& head) const {
+  if (Authenticate(head).empty())
+    return {.rejection = net::MakeErrorAnswer(ErrorKind::kUnauthorized)};
+  return {.max_wait = kBodyWait};
+}
+
 std::string OperatorApi::Authenticate(const net::HttpRequest& request) const {
   std::string_view credentials =
       net::FindHeader(request.headers, "Authorization");
--- a/src/libs/operators/operator_api.h
+++ b/src/libs/operators/operator_api.h
@@ -5,6 +5,7 @@
 
 #include <string>
 
+#include "net/body_policy.h"
 #include "net/http_message.h"
 #include "net/reply.h"
 #include "operators/managed_node.h"
@@ -19,6 +20,8 @@
   OperatorApi(ManagedNode node, const settings::NodeSettings& settings);
 
   void OnRequest(const net::HttpRequest& request, net::Reply reply);
+  // Rejects a large body whose sender is not an operator.
+  net::BodyAdmission AdmitBody(const net::HttpRequest& head) const;
 
  private:
   // Returns the name of the operator whose token the request carries, or an
--- a/tests/auto/platform/hostile_clients_test.cc
+++ b/tests/auto/platform/hostile_clients_test.cc
@@ -276,5 +276,15 @@
   CHECK(machine.Serves());
 }
 
+TEST_CASE("large bodies of strangers at the listener for operators") {
+  SmallMachine machine;
+  RawSocket stranger(machine.node->ListenAddress("operator"));
+  stranger.Send(
+      "POST /v1/confirm HTTP/1.1\r\nHost: x\r\n"
+      "Content-Length: 10000000\r\n\r\n");
+  CHECK(absl::StartsWith(stranger.ReadMessage(), "HTTP/1.1 401"));
+  machine.CheckBounds();
+}
+
 }  // namespace
 }  // namespace chestnutport::test
