Move the limits of listeners to a library of their own

Change: client_limits holds ListenerLimits (so far HttpServerLimits), the names of the limits that clients meet, and which connections give way first; net carries them out. No change of behaviour.

--- a/src/libs/net/client_refusal.cc
+++ b/src/libs/client_limits/client_refusal.cc
@@ -1,6 +1,6 @@
-#include "net/client_refusal.h"
+#include "client_limits/client_refusal.h"
 
-namespace chestnutport::net {
+namespace chestnutport::client_limits {
 
 std::string_view ToString(ClientLimit limit) {
   switch (limit) {
@@ -20,4 +20,4 @@
   return "unknown";
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::client_limits
--- a/src/libs/net/client_refusal.h
+++ b/src/libs/client_limits/client_refusal.h
@@ -1,13 +1,13 @@
 // A client's connection or request that a listener refuses by a limit.
-#ifndef NET_CLIENT_REFUSAL_H_
-#define NET_CLIENT_REFUSAL_H_
+#ifndef CLIENT_LIMITS_CLIENT_REFUSAL_H_
+#define CLIENT_LIMITS_CLIENT_REFUSAL_H_
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <string_view>
 
-namespace chestnutport::net {
+namespace chestnutport::client_limits {
 
 // The limit that was met.
 enum class ClientLimit {
@@ -33,6 +33,6 @@
   size_t max_bytes = 0;  // Zero for kConnections.
 };
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::client_limits
 
-#endif  // NET_CLIENT_REFUSAL_H_
+#endif  // CLIENT_LIMITS_CLIENT_REFUSAL_H_
--- a/src/libs/net/dispensability.cc
+++ b/src/libs/client_limits/dispensability.cc
@@ -1,6 +1,6 @@
-#include "net/dispensability.h"
+#include "client_limits/dispensability.h"
 
-namespace chestnutport::net {
+namespace chestnutport::client_limits {
 namespace {
 
 // A head comes in one piece, or in a few.
@@ -23,4 +23,4 @@
   return false;
 }
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::client_limits
--- a/src/libs/net/dispensability.h
+++ b/src/libs/client_limits/dispensability.h
@@ -1,13 +1,13 @@
 // Which connections of an HttpServer are closed first to make room for new
 // ones. Internal to the library.
-#ifndef NET_DISPENSABILITY_H_
-#define NET_DISPENSABILITY_H_
+#ifndef CLIENT_LIMITS_DISPENSABILITY_H_
+#define CLIENT_LIMITS_DISPENSABILITY_H_
 
 #include <compare>
 
 #include "base/time.h"
 
-namespace chestnutport::net {
+namespace chestnutport::client_limits {
 
 struct Dispensability {
   // In the order in which connections are closed.
@@ -29,6 +29,6 @@
   auto operator<=>(const Dispensability&) const = default;  // NOLINT: as NodeId
 };
 
-}  // namespace chestnutport::net
+}  // namespace chestnutport::client_limits
 
-#endif  // NET_DISPENSABILITY_H_
+#endif  // CLIENT_LIMITS_DISPENSABILITY_H_
--- a/src/libs/control_calls/control_listener.cc
+++ b/src/libs/control_calls/control_listener.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/encoding.h"
+#include "client_limits/listener_limits.h"
 #include "net/error_answer.h"
 #include "wire/header_names.h"
 
@@ -26,7 +27,7 @@
 
 base::Result<bool> ControlListener::Listen(const base::SocketAddress& address) {
   auto opened = net::HttpServer::Open(
-      loop_, address, net::HttpServerLimits::Small(),
+      loop_, address, client_limits::ListenerLimits::Small(),
       [this](const net::HttpRequest& request, net::Reply reply) {
         OnRequest(request, std::move(reply));
       });
--- a/src/libs/ingress/ingress.cc
+++ b/src/libs/ingress/ingress.cc
@@ -36,9 +36,11 @@
        .body_hash = request.http.body.hash()});
 }
 
-net::HttpServerLimits ListenerLimits(const declarations::CallerLimits& declared,
-                                     size_t memory_limit) {
-  net::HttpServerLimits limits = traffic::CallerListenerLimits(memory_limit);
+client_limits::ListenerLimits ListenerLimits(
+    const declarations::CallerLimits& declared,
+    size_t memory_limit) {
+  client_limits::ListenerLimits limits =
+      traffic::CallerListenerLimits(memory_limit);
   limits.largest_headers = declared.largest_headers;
   limits.largest_body = std::min(declared.largest_body, limits.large_bodies);
   limits.to_send_request =
--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -182,7 +182,7 @@
   }
   // The parser takes the line of a chunk, and a trailer, once they are whole.
   if (!goes_on && in_.size() > server_.limits().largest_headers) {
-    NoteRefusal(ClientLimit::kFraming, in_.size(),
+    NoteRefusal(client_limits::ClientLimit::kFraming, in_.size(),
                 server_.limits().largest_headers);
     RefuseAndClose(base::ErrorKind::kHeadersTooLarge);
   }
@@ -202,7 +202,7 @@
 void HttpConnection::CheckUnfinishedHead() {
   const size_t limit = server_.limits().largest_headers;
   if (in_.size() > limit) {
-    NoteRefusal(ClientLimit::kHead, in_.size(), limit);
+    NoteRefusal(client_limits::ClientLimit::kHead, in_.size(), limit);
     RefuseAndClose(base::ErrorKind::kHeadersTooLarge);
   } else if (!MayBeRequest(in_)) {
     RefuseAndClose(base::ErrorKind::kMalformedRequest);
@@ -273,7 +273,7 @@
   if (has_head_memory_ || is_head_refused_)
     return true;
   const size_t bytes = CostOf(std::string_view(in_).substr(0, head_bytes));
-  if (exchanges_.empty() && bytes <= kFreeRequestBytes)
+  if (exchanges_.empty() && bytes <= client_limits::kFreeRequestBytes)
     return true;
   memory::MemoryBudget& heads = server_.heads();
   if (auto reserved = heads.TryReserve(peer_, bytes)) {
@@ -361,28 +361,32 @@
          exchanges_.empty() && !HasOutput();
 }
 
-std::optional<Dispensability> HttpConnection::FindDispensability() const {
-  using Kind = Dispensability::Kind;
+std::optional<client_limits::Dispensability>
+HttpConnection::FindDispensability() const {
+  using Kind = client_limits::Dispensability::Kind;
   if (closed_ || ticket_ != 0)
     return std::nullopt;
   if (IsIdle())
-    return Dispensability{is_used_ ? Kind::kKept : Kind::kNeverUsed,
-                          last_used_};
+    return client_limits::Dispensability{
+        is_used_ ? Kind::kKept : Kind::kNeverUsed, last_used_};
   if (output_since_)
-    return Dispensability{Kind::kUnreadAnswer, *output_since_};
+    return client_limits::Dispensability{Kind::kUnreadAnswer, *output_since_};
   if (!exchanges_.empty() || !request_began_at_)
     return std::nullopt;
   if (!parser_)
-    return Dispensability{Kind::kUnfinishedHead, *request_began_at_};
+    return client_limits::Dispensability{Kind::kUnfinishedHead,
+                                         *request_began_at_};
   // A body that comes fast enough counts as begun later.
   const auto earned = std::chrono::seconds(body_.size() / kFairBytesPerSecond);
-  return Dispensability{Kind::kUnfinishedBody, *request_began_at_ + earned};
+  return client_limits::Dispensability{Kind::kUnfinishedBody,
+                                       *request_began_at_ + earned};
 }
 
 bool HttpConnection::CloseForOthers() {
   char next = 0;
   if (!IsIdle())
-    NoteRefusal(ClientLimit::kConnections, InputBytes() + OutputBytes(), 0);
+    NoteRefusal(client_limits::ClientLimit::kConnections,
+                InputBytes() + OutputBytes(), 0);
   else if (recv(fd_, &next, 1, MSG_PEEK | MSG_DONTWAIT) > 0)
     return false;
   Close(HasOutput());
@@ -402,13 +406,14 @@
 
 void HttpConnection::RefuseHead() {
   const memory::MemoryBudget& heads = server_.heads();
-  NoteRefusal(ClientLimit::kHeads, awaited_bytes_, heads.limit());
+  NoteRefusal(client_limits::ClientLimit::kHeads, awaited_bytes_,
+              heads.limit());
   refusal_ = server_.Refuse(
       request_,
       MakeRefusal(heads, base::ErrorKind::kOverloaded, awaited_bytes_));
 }
 
-void HttpConnection::NoteRefusal(ClientLimit limit,
+void HttpConnection::NoteRefusal(client_limits::ClientLimit limit,
                                  size_t bytes,
                                  size_t max_bytes) {
   server_.NoteRefusal(
@@ -416,7 +421,8 @@
 }
 
 void HttpConnection::GiveUpInput() {
-  NoteRefusal(ClientLimit::kInput, InputBytes(), server_.limits().input);
+  NoteRefusal(client_limits::ClientLimit::kInput, InputBytes(),
+              server_.limits().input);
   RefuseAndClose(base::ErrorKind::kOverloaded);
 }
 
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -11,12 +11,12 @@
 
 #include "base/error_kind.h"
 #include "base/time.h"
+#include "client_limits/client_refusal.h"
+#include "client_limits/dispensability.h"
 #include "memory/body_builder.h"
 #include "memory/memory_budget.h"
 #include "net/beast_messages.h"
 #include "net/body_policy.h"
-#include "net/client_refusal.h"
-#include "net/dispensability.h"
 #include "net/event_loop.h"
 #include "net/http_exchange.h"
 #include "net/http_message.h"
@@ -62,7 +62,7 @@
 
   // How the connection may make room for new ones, if at all. The least one of
   // all connections goes first.
-  std::optional<Dispensability> FindDispensability() const;
+  std::optional<client_limits::Dispensability> FindDispensability() const;
   // Returns false if a request has come meanwhile.
   bool CloseForOthers();
   // Bytes that were received and are not part of a request yet, with those that
@@ -137,7 +137,9 @@
   bool IsIdle() const;
   // Whether the caller has closed, possibly behind requests not read yet.
   bool HasCallerClosed();
-  void NoteRefusal(ClientLimit limit, size_t bytes, size_t max_bytes);
+  void NoteRefusal(client_limits::ClientLimit limit,
+                   size_t bytes,
+                   size_t max_bytes);
   // Answers what is no request, or too large, and reads no more.
   void RefuseAndClose(base::ErrorKind error);
   void OnHalfClosed();
--- a/src/libs/net/http_connection_output.cc
+++ b/src/libs/net/http_connection_output.cc
@@ -46,7 +46,8 @@
 }
 
 void HttpConnection::GiveUpOutput() {
-  NoteRefusal(ClientLimit::kOutput, OutputBytes(), server_.limits().answers);
+  NoteRefusal(client_limits::ClientLimit::kOutput, OutputBytes(),
+              server_.limits().answers);
   Close(true);
 }
 
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -33,31 +33,12 @@
 constexpr std::chrono::milliseconds kUnreadInterval(50);
 constexpr int kRoomStep = 32;
 
-// Of a connection, beside its request.
-constexpr size_t kConnectionBytes = 1536;
-
 }  // namespace
 
-HttpServerLimits HttpServerLimits::Small() {
-  HttpServerLimits limits;
-  limits.large_bodies = limits.largest_body;
-  limits.small_bodies = 256 * 1024;
-  limits.heads = 256 * 1024;
-  limits.input = 512 * 1024;
-  limits.answers = 1536 * 1024;
-  limits.connections = 256;
-  return limits;
-}
-
-size_t HttpServerLimits::MaxMemory() const {
-  return large_bodies + small_bodies + heads + input + answers +
-         connections * (kFreeRequestBytes + kConnectionBytes);
-}
-
 base::Result<std::unique_ptr<HttpServer>> HttpServer::Open(
     EventLoop& loop,
     const base::SocketAddress& address,
-    const HttpServerLimits& limits,
+    const client_limits::ListenerLimits& limits,
     Handler handler) {
   auto socket = sockets::ListeningSocket::Open(address);
   if (!socket)
@@ -70,7 +51,7 @@
 
 HttpServer::HttpServer(EventLoop& loop,
                        sockets::ListeningSocket socket,
-                       const HttpServerLimits& limits,
+                       const client_limits::ListenerLimits& limits,
                        Handler handler)
     : loop_(loop),
       socket_(std::move(socket)),
@@ -129,7 +110,8 @@
   MakeRoomSoon();
   if (!IsCallerWaiting())
     return;
-  std::vector<std::pair<Dispensability, HttpConnection*>> candidates;
+  std::vector<std::pair<client_limits::Dispensability, HttpConnection*>>
+      candidates;
   for (const auto& [connection, owned] : connections_) {
     if (const auto found = connection->FindDispensability())
       candidates.emplace_back(*found, connection);
@@ -214,7 +196,7 @@
     std::exchange(on_idle_, nullptr)();
 }
 
-void HttpServer::set_limits(const HttpServerLimits& limits) {
+void HttpServer::set_limits(const client_limits::ListenerLimits& limits) {
   limits_ = limits;
   large_bodies_->set_limit(limits.large_bodies);
   small_bodies_->set_limit(limits.small_bodies);
@@ -253,7 +235,7 @@
   return ticket;
 }
 
-void HttpServer::NoteRefusal(const ClientRefusal& refusal) {
+void HttpServer::NoteRefusal(const client_limits::ClientRefusal& refusal) {
   ++refused_clients_[refusal.limit];
   telemetry::LogEvent(
       telemetry::Event::kClientRefused,
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -15,9 +15,10 @@
 #include "base/error_kind.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "client_limits/client_refusal.h"
+#include "client_limits/listener_limits.h"
 #include "memory/memory_budget.h"
 #include "net/body_policy.h"
-#include "net/client_refusal.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
 #include "net/reply.h"
@@ -27,51 +28,6 @@
 
 class HttpConnection;
 
-// Bytes that a connection may take for one request without its body.
-inline constexpr size_t kFreeRequestBytes = 4 * 1024;
-
-struct HttpServerLimits {
-  size_t largest_headers = 32 * 1024;  // Bytes; larger ones are refused.
-  size_t largest_body = 1024 * 1024;   // Bytes; a larger one is refused.
-  // Bytes of the large bodies of all requests at hand, and of the small ones.
-  // What does not fit is not read, for a time; then it is refused.
-  size_t large_bodies = 2 * 1024 * 1024;
-  size_t small_bodies = 1024 * 1024;
-  // Bytes of the requests at hand without their bodies, beside
-  // kFreeRequestBytes for one of each connection. Others wait behind the
-  // answers of their connection, or as bodies do.
-  size_t heads = 1024 * 1024;
-  // Bytes received that are not part of a request yet. Beyond it the connection
-  // with most of them is refused.
-  size_t input = 2 * 1024 * 1024;
-  // Requests that wait for memory; further ones are refused at once.
-  size_t waiting_bodies = 64;
-  // Bytes of answers that are kept for slow callers. Beyond it, a streamed one
-  // may have kMinAnswerBuffer, and connections whose answers are not read are
-  // closed.
-  size_t answers = 8 * 1024 * 1024;
-  // A request with a longer body, of a known length, is handed on before the
-  // body is read; see Reply::ReadBody().
-  size_t stream_above = std::numeric_limits<size_t>::max();
-  // How long a request may wait for memory for its body.
-  std::chrono::milliseconds body_wait{1000};
-  // Beyond it, a connection that is kept without a request, or that does not
-  // send its request or read its answer, is closed for each new one; if there
-  // is none, new ones wait to be accepted.
-  unsigned int connections = 1024;
-  // A connection on which nothing moves, or that is kept without a request,
-  // for this long is closed.
-  std::chrono::seconds idle{60};
-  // A caller that has not sent a whole request by then is cut off.
-  std::chrono::seconds to_send_request{30};
-
-  // For a listener that gets few and small requests.
-  static HttpServerLimits Small();
-  // Bytes that the listener takes at most, without the system's buffers of
-  // connections that are read.
-  size_t MaxMemory() const;
-};
-
 // Bytes of a streamed answer that are kept for a caller at least, and at most.
 inline constexpr size_t kMinAnswerBuffer = 16 * 1024;
 inline constexpr size_t kMaxAnswerBuffer = 256 * 1024;
@@ -87,7 +43,7 @@
   static base::Result<std::unique_ptr<HttpServer>> Open(
       EventLoop& loop,
       const base::SocketAddress& address,
-      const HttpServerLimits& limits,
+      const client_limits::ListenerLimits& limits,
       Handler handler);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
@@ -104,11 +60,11 @@
   void SetAccepting(bool accepting);
 
   // For the requests that begin from now on.
-  void set_limits(const HttpServerLimits& limits);
-  // Without one, requests wait for HttpServerLimits::body_wait, and are refused
-  // with the answers of their error kinds.
+  void set_limits(const client_limits::ListenerLimits& limits);
+  // Without one, requests wait for client_limits::ListenerLimits::body_wait,
+  // and are refused with the answers of their error kinds.
   void set_body_policy(BodyPolicy policy) { policy_ = std::move(policy); }
-  const HttpServerLimits& limits() const { return limits_; }
+  const client_limits::ListenerLimits& limits() const { return limits_; }
 
   // Bytes of bodies at hand and their limit, requests that wait for memory, and
   // requests refused for lack of it so far.
@@ -126,7 +82,7 @@
   size_t input_bytes() const { return input_bytes_; }
   size_t answer_bytes() const { return answer_bytes_; }
   // Clients refused by `limit` so far.
-  uint64_t refused_clients(ClientLimit limit) const {
+  uint64_t refused_clients(client_limits::ClientLimit limit) const {
     const auto found = refused_clients_.find(limit);
     return found == refused_clients_.end() ? 0 : found->second;
   }
@@ -140,7 +96,7 @@
   BodyAdmission AdmitBody(const HttpRequest& head) const;
   HttpAnswer RefuseBody(const HttpRequest& head, const BodyRefusal& refusal);
   HttpAnswer Refuse(const HttpRequest& head, const BodyRefusal& refusal) const;
-  void NoteRefusal(const ClientRefusal& refusal);
+  void NoteRefusal(const client_limits::ClientRefusal& refusal);
   // The memory for bodies of up to kLargestSmallBody bytes, or for larger ones.
   memory::MemoryBudget& BudgetFor(size_t bytes) {
     return bytes > kLargestSmallBody ? *large_bodies_ : *small_bodies_;
@@ -176,7 +132,7 @@
  private:
   HttpServer(EventLoop& loop,
              sockets::ListeningSocket socket,
-             const HttpServerLimits& limits,
+             const client_limits::ListenerLimits& limits,
              Handler handler);
   void AcceptAll();
   void WatchListener();
@@ -202,7 +158,7 @@
 
   EventLoop& loop_;
   sockets::ListeningSocket socket_;
-  HttpServerLimits limits_;
+  client_limits::ListenerLimits limits_;
   Handler handler_;
   bool is_open_ = true;
   bool accepts_ = false;
@@ -226,7 +182,7 @@
   bool is_reclaiming_ = false;
   EventLoop::TimerId unread_timer_ = 0;
   EventLoop::TimerId output_timer_ = 0;
-  absl::flat_hash_map<ClientLimit, uint64_t> refused_clients_;
+  absl::flat_hash_map<client_limits::ClientLimit, uint64_t> refused_clients_;
   size_t exchanges_ = 0;  // Requests that are answered.
   bool quiescing_ = false;
   bool check_idle_soon_ = false;
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 #include "base/text.h"
+#include "client_limits/listener_limits.h"
 #include "ingress/tenant_limits.h"
 #include "net/error_answer.h"
 #include "node/control_metrics.h"
@@ -214,7 +215,7 @@
 }
 
 base::Result<bool> ControlPlane::Listen() {
-  auto limits = net::HttpServerLimits::Small();
+  auto limits = client_limits::ListenerLimits::Small();
   limits.largest_body = kMaxConfigurationBytes;
   limits.large_bodies = kMaxConfigurationBytes;
   auto operators = net::HttpServer::Open(
@@ -244,7 +245,7 @@
   if (settings_.metrics_listen.port == 0)
     return true;
   auto opened = net::HttpServer::Open(
-      loop_, settings_.metrics_listen, net::HttpServerLimits::Small(),
+      loop_, settings_.metrics_listen, client_limits::ListenerLimits::Small(),
       [this](const net::HttpRequest& request, net::Reply reply) {
         if (request.method == "GET" &&
             operators::IsMetricsTarget(request.target))
--- a/src/libs/node/node.cc
+++ b/src/libs/node/node.cc
@@ -86,7 +86,7 @@
   append(Metric::kBodyBytes, listener.body_bytes());
   append(Metric::kBodyLimit, listener.body_limit());
   append(Metric::kBodiesRefused, listener.refused_bodies());
-  for (const net::ClientLimit limit : net::kClientLimits) {
+  for (const client_limits::ClientLimit limit : client_limits::kClientLimits) {
     readings.push_back(
         {Metric::kClientsRefused,
          absl::StrCat(role, "-", base::AbslView(ToString(limit))),
--- a/src/libs/server/local_server.cc
+++ b/src/libs/server/local_server.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "client_limits/listener_limits.h"
 #include "telemetry/log.h"
 
 namespace chestnutport::server {
@@ -77,7 +78,7 @@
 
 base::Result<bool> LocalServer::Listen(const base::SocketAddress& address) {
   auto opened = net::HttpServer::Open(
-      loop_, address, net::HttpServerLimits::Small(),
+      loop_, address, client_limits::ListenerLimits::Small(),
       [this](const net::HttpRequest& request, net::Reply reply) {
         OnRequest(request, std::move(reply));
       });
--- a/src/libs/traffic/listener_limits.cc
+++ b/src/libs/traffic/listener_limits.cc
@@ -27,8 +27,8 @@
 
 }  // namespace
 
-net::HttpServerLimits CallerListenerLimits(size_t memory_limit) {
-  net::HttpServerLimits limits;
+client_limits::ListenerLimits CallerListenerLimits(size_t memory_limit) {
+  client_limits::ListenerLimits limits;
   limits.large_bodies =
       std::clamp(memory_limit - std::min(memory_limit, kOtherMemory),
                  kMinLargeBodies, kMaxLargeBodies);
@@ -40,8 +40,8 @@
   return limits;
 }
 
-net::HttpServerLimits PeerListenerLimits(size_t caller_headers) {
-  net::HttpServerLimits limits;
+client_limits::ListenerLimits PeerListenerLimits(size_t caller_headers) {
+  client_limits::ListenerLimits limits;
   limits.largest_headers = caller_headers + kAddedHeaders;
   limits.largest_body = std::numeric_limits<size_t>::max();
   limits.stream_above = kMaxBufferedBody;
@@ -57,7 +57,7 @@
 size_t MaxProcessMemory(size_t memory_limit) {
   return kOwnMemory + CallerListenerLimits(memory_limit).MaxMemory() +
          PeerListenerLimits(0).MaxMemory() +
-         kSmallListeners * net::HttpServerLimits::Small().MaxMemory();
+         kSmallListeners * client_limits::ListenerLimits::Small().MaxMemory();
 }
 
 }  // namespace chestnutport::traffic
--- a/src/libs/traffic/listener_limits.h
+++ b/src/libs/traffic/listener_limits.h
@@ -4,16 +4,17 @@
 
 #include <cstddef>
 
+#include "client_limits/listener_limits.h"
 #include "net/http_server.h"
 
 namespace chestnutport::traffic {
 
 // For callers. `memory_limit`: bytes that the process may take.
-net::HttpServerLimits CallerListenerLimits(size_t memory_limit);
+client_limits::ListenerLimits CallerListenerLimits(size_t memory_limit);
 
 // For other nodes. `caller_headers`: bytes of the largest head of a caller's
 // request.
-net::HttpServerLimits PeerListenerLimits(size_t caller_headers);
+client_limits::ListenerLimits PeerListenerLimits(size_t caller_headers);
 
 // Bytes that a process with all listeners takes at most, large bodies of
 // operators and the system's buffers of connections that are read aside.
--- a/tests/auto/admission/gate_test.cc
+++ b/tests/auto/admission/gate_test.cc
@@ -281,12 +281,13 @@
 TEST_CASE("a node that was paused before sending does not send late") {
   net::EventLoop loop;
   int served = 0;
-  auto server = net::HttpServer::Open(loop, AnyPort(), net::HttpServerLimits{},
-                                      [&](const auto&, net::Reply reply) {
-                                        ++served;
-                                        reply.Send({});
-                                      })
-                    .value();
+  auto server =
+      net::HttpServer::Open(loop, AnyPort(), client_limits::ListenerLimits{},
+                            [&](const auto&, net::Reply reply) {
+                              ++served;
+                              reply.Send({});
+                            })
+          .value();
   http_client::HttpClient client(loop, http_client::HttpClientOptions{});
   http_client::TransferEnd end = http_client::TransferEnd::kComplete;
   client.Send(server->address(), {.method = "POST", .target = "/"},
--- a/tests/auto/ingress/ingress_test.cc
+++ b/tests/auto/ingress/ingress_test.cc
@@ -44,7 +44,7 @@
     auto opened = net::HttpServer::Open(
         loop, base::SocketAddress::Parse("127.0.0.1:0").value(),
         // The peer keeps the attempts.
-        net::HttpServerLimits{.small_bodies = 16 * 1024 * 1024},
+        client_limits::ListenerLimits{.small_bodies = 16 * 1024 * 1024},
         [this](net::HttpRequest request, net::Reply reply) {
           OnRequest(std::move(request), std::move(reply));
         });
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -1,5 +1,6 @@
 // A server against callers that go away, read slowly or send nonsense.
 #include "net/http_server.h"
+#include "client_limits/listener_limits.h"
 
 #include <catch2/catch.hpp>
 #include <string>
@@ -24,7 +25,7 @@
 class TestServer {
  public:
   explicit TestServer(HttpServer::Handler handler,
-                      const HttpServerLimits& limits = {})
+                      const client_limits::ListenerLimits& limits = {})
       : server_(HttpServer::Open(loop_, kAnyPort, limits, std::move(handler))
                     .value()),
         thread_([this] { loop_.Run(); }) {}
@@ -364,7 +365,7 @@
 }
 
 TEST_CASE("a request that cannot be taken is refused, and the server lives") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.largest_headers = 4096;
   limits.largest_body = 1000;
   limits.small_bodies = 1500;
@@ -465,7 +466,7 @@
 }
 
 TEST_CASE("what frames a body has a limit") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.largest_headers = 4096;
   TestServer server(&Echo, limits);
   struct Row {
@@ -517,7 +518,7 @@
 }
 
 TEST_CASE("heads of the largest size are taken, and no larger ones") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.largest_headers = 4096;
   TestServer server(&Echo, limits);
   RawSocket caller(server.address());
@@ -544,7 +545,7 @@
 }
 
 TEST_CASE("requests for whose heads there is no memory") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.heads = 64 * 1024;
   limits.body_wait = milliseconds(300);
   std::vector<Reply> kept;
@@ -577,7 +578,7 @@
     CHECK(Has(answer, "Retry-After: "));
     CHECK_FALSE(Has(answer, "Connection: close"));
     server.Run([&] {
-      CHECK((*server).refused_clients(ClientLimit::kHeads) == 1);
+      CHECK((*server).refused_clients(client_limits::ClientLimit::kHeads) == 1);
       kept[0].Send({});
     });
     caller.Send(large);
@@ -602,7 +603,7 @@
 }
 
 TEST_CASE("requests that do not end share a bounded memory") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.input = 100'000;
   TestServer server(&Echo, limits);
   RawSocket ordinary(server.address());
@@ -612,8 +613,9 @@
     callers.emplace_back(server.address());
     callers.back().Send("GET / HTTP/1.1\r\nX: " + std::string(15'000, 'x'));
   }
-  REQUIRE(server.WaitFor(
-      [&] { return (*server).refused_clients(ClientLimit::kInput) > 0; }));
+  REQUIRE(server.WaitFor([&] {
+    return (*server).refused_clients(client_limits::ClientLimit::kInput) > 0;
+  }));
   server.Run([&] { CHECK((*server).input_bytes() <= limits.input); });
   int refused = 0;
   for (RawSocket& caller : callers) {
@@ -629,7 +631,7 @@
 }
 
 TEST_CASE("a caller that never sends a whole request is cut off") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.to_send_request = std::chrono::seconds(1);
   limits.connections = 4;
   TestServer server(&Echo, limits);
@@ -648,7 +650,7 @@
 }
 
 TEST_CASE("a body that is handed on as it comes") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.stream_above = 1000;
   const std::string body(200'000, 'b');
   std::string received;
@@ -699,7 +701,7 @@
 
 // Guards against new callers without an answer behind kept connections.
 TEST_CASE("kept connections make room for new callers") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.connections = 4;
   std::vector<Reply> kept;
   TestServer server(
@@ -747,7 +749,7 @@
 }
 
 TEST_CASE("connections make room that hold up others") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.connections = 4;
   TestServer server(&Echo, limits);
   RawSocket kept(server.address());
@@ -768,7 +770,7 @@
 }
 
 TEST_CASE("bodies that do not end make room, the slowest first") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.connections = 4;
   limits.largest_body = 1024 * 1024;
   TestServer server(&Echo, limits);
@@ -789,7 +791,7 @@
 }
 
 TEST_CASE("answers that are not read share a bounded memory") {
-  HttpServerLimits limits;
+  client_limits::ListenerLimits limits;
   limits.answers = 1024 * 1024;
   TestServer server(
       [](const HttpRequest& request, Reply reply) {
@@ -807,8 +809,9 @@
     ordinary.Send(kGet);
     CHECK(ordinary.ReadMessage().ends_with("small"));
   }
-  CHECK(server.WaitFor(
-      [&] { return (*server).refused_clients(ClientLimit::kOutput) > 0; }));
+  CHECK(server.WaitFor([&] {
+    return (*server).refused_clients(client_limits::ClientLimit::kOutput) > 0;
+  }));
   CHECK(server.WaitFor(
       [&] { return (*server).answer_bytes() <= limits.answers; }));
   ordinary.Send("GET /large HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/tests/auto/node/server_end_test.cc
+++ b/tests/auto/node/server_end_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <thread>
 
+#include "client_limits/listener_limits.h"
 #include "net/http_server.h"
 #include "support/http_caller.h"
 
@@ -13,7 +14,8 @@
   net::Reply pending_reply;
   auto opened = net::HttpServer::Open(
       loop, base::SocketAddress::Parse("127.0.0.1:0").value(),
-      net::HttpServerLimits{}, [&](const net::HttpRequest&, net::Reply reply) {
+      client_limits::ListenerLimits{},
+      [&](const net::HttpRequest&, net::Reply reply) {
         pending_reply = std::move(reply);
         loop.Stop();
       });
--- a/tests/standins/server_standin.cc
+++ b/tests/standins/server_standin.cc
@@ -27,6 +27,7 @@
 #include "absl/flags/parse.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "client_limits/listener_limits.h"
 #include "http_client/http_client.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
@@ -296,7 +297,7 @@
   ServerStandin standin(loop);
   const auto address = base::SocketAddress::Parse(absl::GetFlag(FLAGS_listen));
   auto server = net::HttpServer::Open(
-      loop, address.value(), net::HttpServerLimits{},
+      loop, address.value(), chestnutport::client_limits::ListenerLimits{},
       [&standin](net::HttpRequest request, net::Reply reply) {
         standin.OnRequest(std::move(request), std::move(reply));
       });
--- a/tests/standins/store_standin.cc
+++ b/tests/standins/store_standin.cc
@@ -15,6 +15,7 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "client_limits/listener_limits.h"
 #include "net/event_loop.h"
 #include "net/http_server.h"
 
@@ -207,7 +208,7 @@
   const auto address =
       chestnutport::base::SocketAddress::Parse(absl::GetFlag(FLAGS_listen));
   auto server = net::HttpServer::Open(
-      loop, address.value(), net::HttpServerLimits{},
+      loop, address.value(), chestnutport::client_limits::ListenerLimits{},
       [&store](const net::HttpRequest& request, net::Reply reply) {
         store.OnRequest(request, std::move(reply));
       });
--- a/tests/support/gate_fixture.cc
+++ b/tests/support/gate_fixture.cc
@@ -61,7 +61,7 @@
                }}),
       peer_(loop_, http_client::HttpClientOptions{}) {
   server_ =
-      net::HttpServer::Open(loop_, AnyPort(), net::HttpServerLimits{},
+      net::HttpServer::Open(loop_, AnyPort(), client_limits::ListenerLimits{},
                             [this](net::HttpRequest request, net::Reply reply) {
                               OnServed(std::move(request), std::move(reply));
                             })
