Keep uploads that wait for memory, and an answer that is the only one

Callers would have seen: 40 of 100 uploads of 1 MB at one node refused, and answers to operators or configurations for other nodes reset in the middle.

Cause: two of the new limits counted too much. What the system holds of a request that waits for memory was input without a request, though such requests are few by a limit of their own. One answer larger than the limit on unread answers, and many configurations at once, were taken for unread ones.

Ruled out: higher limits for callers, which the memory of a small machine does not hold.

The only connection with unread answers keeps them. Answers to operators and to nodes with the key have limits of their own, outside the sum.

--- a/src/libs/control_calls/control_listener.cc
+++ b/src/libs/control_calls/control_listener.cc
@@ -20,14 +20,20 @@
                              base::KeyedDigest(key, body));
 }
 
+// Bytes of answers that wait to be written. Only nodes with the key get large
+// ones, and many may ask for a configuration at once.
+constexpr size_t kMaxAnswers = 64 * 1024 * 1024;
+
 }  // namespace
 
 ControlListener::ControlListener(net::EventLoop& loop, PeerKeys keys)
     : loop_(loop), keys_(std::move(keys)) {}
 
 base::Result<bool> ControlListener::Listen(const base::SocketAddress& address) {
+  auto limits = client_limits::ListenerLimits::Small();
+  limits.answers = kMaxAnswers;
   auto opened = net::HttpServer::Open(
-      loop_, address, client_limits::ListenerLimits::Small(),
+      loop_, address, limits,
       [this](const net::HttpRequest& request, net::Reply reply) {
         OnRequest(request, std::move(reply));
       });
--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -427,11 +427,11 @@
 }
 
 bool HttpConnection::MayGiveUpInput() const {
-  return !closed_ && !reads_no_more_ && !streamed_;
+  return !closed_ && !reads_no_more_ && !streamed_ && ticket_ == 0;
 }
 
 bool HttpConnection::CountUnread() {
-  const bool is_paused = MayGiveUpInput() && !MayParse();
+  const bool is_paused = MayGiveUpInput() && !MayParse() && ticket_ == 0;
   int size = 0;
   if (is_paused && ioctl(fd_, FIONREAD, &size) != 0)
     size = 0;
--- a/src/libs/net/http_connection.h
+++ b/src/libs/net/http_connection.h
@@ -66,7 +66,7 @@
   // Returns false if a request has come meanwhile.
   bool CloseForOthers();
   // Bytes that were received and are not part of a request yet, with those that
-  // the system holds while nothing is read.
+  // the system holds while nothing is read, unless a body waits for memory.
   size_t InputBytes() const {
     return reads_no_more_ ? 0 : in_.capacity() + unread_bytes_;
   }
--- a/src/libs/net/http_server.cc
+++ b/src/libs/net/http_server.cc
@@ -288,15 +288,18 @@
   while (answer_bytes_ > limits_.answers) {
     HttpConnection* worst = nullptr;
     double burden = 0;
+    int holders = 0;
     for (const auto& [connection, owned] : connections_) {
       const double other = connection->OutputBurden(loop_.now());
+      holders += other > 0 ? 1 : 0;
       if (other > burden) {
         burden = other;
         worst = connection;
       }
     }
-    if (!worst) {
-      // All of it came in this round.
+    if (holders < 2) {
+      // What came in this round may be written at once, and one answer may be
+      // larger than the limit.
       ReclaimOutputSoon();
       return;
     }
--- a/src/libs/node/control_plane.cc
+++ b/src/libs/node/control_plane.cc
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds kStoreTimeout(2000);
 // Maximum size in bytes of all declarations together, in one operator request.
 constexpr size_t kMaxConfigurationBytes = 16 * 1024 * 1024;
+// Bytes of answers to operators that wait to be written.
+constexpr size_t kMaxOperatorAnswers = 2 * kMaxConfigurationBytes;
 // Renewals of a short lease: at least this many in its time.
 constexpr int kRenewalsPerLease = 5;
 
@@ -218,6 +220,7 @@
   auto limits = client_limits::ListenerLimits::Small();
   limits.largest_body = kMaxConfigurationBytes;
   limits.large_bodies = kMaxConfigurationBytes;
+  limits.answers = kMaxOperatorAnswers;
   auto operators = net::HttpServer::Open(
       loop_, settings_.operator_listen, limits,
       [this](const net::HttpRequest& request, net::Reply reply) {
