Don't take a request for late while it waits behind answers

Callers would have seen: a kept connection closed with a request at hand, after the declared time for a request (3 s on the users' platform), when a large head behind it waited for memory.

Cause: a head that waits behind the answers of its connection kept the deadline that its first byte had set. By reading, the same place: a head that began before an answer had gone out got the time of an idle connection after it.

Ruled out: no deadline while answers are at hand, as a head that does not end may follow them.

Change: the deadline is put off while such a request is not read, and begins anew when it is; an answer that goes out leaves the deadline of a head that has begun.

Measured: the new section of http_server_test fails without the change, 2 of 59 checks, and passes with it; net_test passes.

--- a/src/libs/net/http_connection.cc
+++ b/src/libs/net/http_connection.cc
@@ -283,6 +283,8 @@
   }
   if (!exchanges_.empty()) {
     is_behind_answers_ = true;
+    // The caller is not late while it is not read.
+    close_at_ = base::Instant::max();
     return false;
   }
   if (heads.CanHold(bytes) && server_.MayWaitForMemory()) {
@@ -431,7 +433,7 @@
 }
 
 bool HttpConnection::CountUnread() {
-  const bool is_paused = MayGiveUpInput() && !MayParse() && ticket_ == 0;
+  const bool is_paused = MayGiveUpInput() && !MayParse();
   int size = 0;
   if (is_paused && ioctl(fd_, FIONREAD, &size) != 0)
     size = 0;
--- a/src/libs/net/http_connection_output.cc
+++ b/src/libs/net/http_connection_output.cc
@@ -122,14 +122,15 @@
   const std::unique_ptr<HttpExchange> front = std::move(exchanges_.front());
   exchanges_.pop_front();
   server_.OnExchangesEnded(1);
-  is_behind_answers_ = false;
+  if (std::exchange(is_behind_answers_, false))
+    close_at_ = server_.loop().now() + server_.limits().to_send_request;
   if (streamed_ == front.get()) {
     streamed_ = nullptr;
     is_answered_ = true;
   }
   last_used_ = server_.loop().now();
   is_used_ = true;
-  if (exchanges_.empty() && !parser_)
+  if (exchanges_.empty() && !request_began_at_)
     close_at_ = server_.loop().now() + server_.limits().idle;
 }
 
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -548,6 +548,7 @@
   client_limits::ListenerLimits limits;
   limits.heads = 64 * 1024;
   limits.body_wait = milliseconds(300);
+  limits.to_send_request = std::chrono::seconds(1);
   std::vector<Reply> kept;
   TestServer server(
       [&](HttpRequest request, Reply reply) {
@@ -593,6 +594,16 @@
     for (int i = 0; i < 3; ++i)
       CHECK(Has(caller.ReadMessage(), "200 OK"));
   }
+  SECTION("are not late while they wait there") {
+    caller.Send(keep(kGet) + large);
+    REQUIRE(server.WaitFor([&] { return kept.size() == 2; }));
+    // Longer than a request may take, and than the next look at that.
+    std::this_thread::sleep_for(milliseconds(2200));
+    server.Run([&] { kept[0].Send({}); });
+    server.Run([&] { kept[1].Send({.body = "first"}); });
+    CHECK(caller.ReadMessage().ends_with("first"));
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+  }
   SECTION("but a small one of each connection needs none") {
     for (int i = 0; i < 20; ++i) {
       RawSocket other(server.address());
