Count nothing for connections that have ended

Callers would have seen: answers reset in the middle, after some 400,000 connections to one node.

Cause: an ended connection counted the capacity of its empty output, 15 bytes, and never took it back, so that the answers of all connections seemed to grow until they passed their limit.

Ruled out: counting the size in place of the capacity, which is not what a buffer takes.

Change: an ended connection counts zero.

--- a/src/libs/net/http_connection_output.cc
+++ b/src/libs/net/http_connection_output.cc
@@ -37,7 +37,9 @@
 }
 
 void HttpConnection::CountOutput() {
-  server_.RemoveAnswerBytes(std::exchange(counted_output_, out_.capacity()));
+  // Even an empty string has some capacity.
+  server_.RemoveAnswerBytes(
+      std::exchange(counted_output_, closed_ ? 0 : out_.capacity()));
   server_.AddAnswerBytes(counted_output_);
   if (!HasOutput())
     output_since_.reset();
--- a/tests/auto/net/http_server_test.cc
+++ b/tests/auto/net/http_server_test.cc
@@ -829,6 +829,19 @@
   CHECK(ordinary.ReadMessage().size() > 400'000);
 }
 
+TEST_CASE("nothing is counted for connections that have ended") {
+  TestServer server(&Echo);
+  for (int i = 0; i < 10; ++i) {
+    RawSocket caller(server.address());
+    caller.Send(Post(std::string(5000, 'x')) + "GET / HT");
+    CHECK(Has(caller.ReadMessage(), "200 OK"));
+  }
+  CHECK(server.WaitFor([&] {
+    return (*server).answer_bytes() == 0 && (*server).input_bytes() == 0 &&
+           (*server).body_bytes() == 0 && (*server).heads().held() == 0;
+  }));
+}
+
 TEST_CASE("a caller that does not read is not read either") {
   std::atomic<int> handled = 0;
   TestServer server([&](const HttpRequest&, Reply reply) {
