Bound the length of the names by which nested calls are found

Callers saw nothing; one request with an id of 16 KB of separators cost its node 6 ms of processor, with a lock held that the gate takes for each request.

Cause: a nested call begins with the name of the request that it is made for, so that each prefix of a name up to a separator was looked up, and hashed. Names of abandoned requests, 256 of them, were kept at any length.

Ruled out: refusing long ids, which clients inside the limits may send.

Change: names of more than 256 bytes are not recorded, and only as many bytes are searched.

A nested call of a request whose own name is longer is treated as an ordinary request.

--- a/src/libs/traffic/running_requests.cc
+++ b/src/libs/traffic/running_requests.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr size_t kMaxAbandoned = 256;
+// Longer names are not recorded: each prefix of a name may be looked up.
+constexpr size_t kLongestName = 256;
 
 // Follows the name of the parent in that of a nested call.
 bool IsSeparator(char letter) {
@@ -20,7 +22,7 @@
 
 void RunningRequests::OnStarted(const std::string& name,
                                 const RunningRequest& request) {
-  if (name.empty())
+  if (name.empty() || name.size() > kLongestName)
     return;
   const std::lock_guard lock(mutex_);
   running_[name] = {.request = request};
@@ -77,7 +79,9 @@
 RunningRequests::Requests::const_iterator RunningRequests::ParentIn(
     const Requests& requests,
     std::string_view name) {
-  for (size_t end = name.size(); end-- > 1;) {
+  // A parent's name ends before the separator.
+  const size_t searched = std::min(name.size(), kLongestName + 1);
+  for (size_t end = searched; end-- > 1;) {
     if (!IsSeparator(name[end]))
       continue;
     const auto found = requests.find(base::AbslView(name.substr(0, end)));
--- a/src/libs/traffic/running_requests.h
+++ b/src/libs/traffic/running_requests.h
@@ -21,7 +21,8 @@
 
 class RunningRequests {
  public:
-  // The request was sent to the server; an empty name is not recorded.
+  // The request was sent to the server. An empty name is not recorded, nor one
+  // of more than 256 bytes.
   void OnStarted(const std::string& name, const RunningRequest& request = {});
   // The server answered. Returns whether a nested call of the request failed.
   bool OnEnded(const std::string& name);
--- a/tests/auto/traffic/running_requests_test.cc
+++ b/tests/auto/traffic/running_requests_test.cc
@@ -66,6 +66,18 @@
   }
 }
 
+TEST_CASE("a long name is neither kept nor searched to its end") {
+  const std::string longest(256, 'a');
+  const std::string separators(16'000, '.');
+  RunningRequests running;
+  running.OnStarted(longest);
+  running.OnStarted(longest + "a");
+  CHECK(running.IsNested(longest + separators));
+  CHECK_FALSE(running.IsNested(longest + "a" + separators));
+  for (int i = 0; i < 1000; ++i)
+    CHECK_FALSE(running.IsNested("b" + separators));
+}
+
 TEST_CASE("a request without a name has no nested calls") {
   RunningRequests running;
   running.OnStarted("");
