--- a/src/libs/client_limits/dispensability.h
+++ b/src/libs/client_limits/dispensability.h
@@ -1,5 +1,4 @@
-// Which connections of an HttpServer are closed first to make room for new
-// ones. Internal to the library.
+// Which connections of a listener are closed first to make room for new ones.
 #ifndef CLIENT_LIMITS_DISPENSABILITY_H_
 #define CLIENT_LIMITS_DISPENSABILITY_H_
 
@@ -20,7 +19,7 @@
   };
 
   Kind kind = Kind::kNeverUsed;
-  // Longest first.
+  // The earliest goes first.
   base::Instant since;
 
   // Whether it has lasted long enough: what is read at once is not given up.
--- a/src/libs/client_limits/listener_limits.h
+++ b/src/libs/client_limits/listener_limits.h
@@ -34,7 +34,7 @@
   // A request with a longer body, of a known length, is handed on before the
   // body is read; see net::Reply::ReadBody().
   size_t stream_above = std::numeric_limits<size_t>::max();
-  // How long a request may wait for memory for its body.
+  // How long a request may wait for memory, unless a BodyPolicy decides.
   std::chrono::milliseconds body_wait{1000};
   // Beyond it, a connection that is kept without a request, or that does not
   // send its request or read its answer, is closed for each new one; if there
