Name the limit on waiting requests for what it counts

Cause: waiting_bodies also counts requests that wait for memory for their heads.

Change: it is waiting_requests. No change of behaviour.

Measured: builds; net_test, layers_test, names_test, links_test and tables_test pass.

--- a/src/libs/client_limits/listener_limits.h
+++ b/src/libs/client_limits/listener_limits.h
@@ -26,7 +26,7 @@
   // with most of them is refused.
   size_t input = 2 * 1024 * 1024;
   // Requests that wait for memory; further ones are refused at once.
-  size_t waiting_bodies = 64;
+  size_t waiting_requests = 64;
   // Bytes of answers that are kept for slow callers. Beyond it, a streamed one
   // may have kMinAnswerBuffer, and connections whose answers are not read are
   // closed.
--- a/src/libs/net/http_server.h
+++ b/src/libs/net/http_server.h
@@ -113,7 +113,7 @@
   void CancelWait(memory::MemoryBudget::TicketId ticket);
   // Whether another request may wait for memory.
   bool MayWaitForMemory() const {
-    return waits_.size() < limits_.waiting_bodies;
+    return waits_.size() < limits_.waiting_requests;
   }
   void AddInputBytes(size_t bytes);
   void RemoveInputBytes(size_t bytes) { input_bytes_ -= bytes; }
