Test invalid statuses at the hop between nodes too

Cause: invalid_status_test had a faulty server only, so that the node beside it kept the status from the other node.

Change: a second play of each status has the other node's requests answered by a stand-in of a faulty node (HostedNode::RestartBehind).

--- a/tests/auto/platform/invalid_status_test.cc
+++ b/tests/auto/platform/invalid_status_test.cc
@@ -30,14 +30,20 @@
 std::string Answer(const std::string& status) {
   return absl::StrCat("HTTP/1.1 ", status,
                       " Text\r\nResponse-Signature: s\r\nInstance-Id: i-1\r\n"
-                      "Instance-Load: 0,0,12,100\r\nContent-Length: 2\r\n\r\n"
+                      "Instance-Load: 0,0,12,100\r\n"
+                      "Chestnutport-Outcome: answered\r\n"
+                      "Content-Length: 2\r\n\r\n"
                       "ok");
 }
 
-TEST_CASE("a server that answers one request in three with an invalid status") {
+// Who gives the invalid status.
+enum class Faulty { kServer, kNode };
+
+TEST_CASE("one answer in three with an invalid status") {
+  const Faulty faulty = GENERATE(Faulty::kServer, Faulty::kNode);
   const std::string status =
       GENERATE("000", "001", "099", "600", "999", "0200", "20", "2x0");
-  INFO(status);
+  INFO(status << (faulty == Faulty::kServer ? " of a server" : " of a node"));
   std::atomic<int> requests = 0;
   RawServer server([&](RawSocket& connection, int) {
     while (true) {
@@ -58,6 +64,8 @@
     HostedNode callers("callers", platform.store_address(), folder);
     HostedNode beside_server("server", platform.store_address(), folder,
                              server.address().ToString());
+    if (faulty == Faulty::kNode)
+      beside_server.RestartBehind(server.address());
     REQUIRE(WaitUntil(
         [&] { return callers.IsReady() && beside_server.IsReady(); }));
     HostedServer announced;
--- a/tests/support/hosted_node.cc
+++ b/tests/support/hosted_node.cc
@@ -83,6 +83,15 @@
   Start();
 }
 
+void HostedNode::RestartBehind(const base::SocketAddress& peer_address) {
+  Kill();
+  const std::string any = "peer = 127.0.0.1:0\n";
+  settings_.replace(
+      settings_.find(any), any.size(),
+      absl::StrCat(any, "peer_advertised = ", peer_address.ToString(), "\n"));
+  Start();
+}
+
 void HostedNode::KeepAddresses() {
   for (const std::string name :
        {"caller", "peer", "operator", "server", "control", "gossip"}) {
--- a/tests/support/hosted_node.h
+++ b/tests/support/hosted_node.h
@@ -30,6 +30,10 @@
   // address as before.
   void Restart();
 
+  // Kills the node and starts it again. Other nodes send it their requests to
+  // `peer_address`.
+  void RestartBehind(const base::SocketAddress& peer_address);
+
   // Makes all addresses stay the same when the node is started again, as on a
   // VM whose settings have fixed ports.
   void KeepAddresses();
