Say once how much a kept buffer may hold

Cause: three places had the same constant and the same test of it.

Change: base::FreeIfLarge().

Measured: net_test, http_client_test and layers_test pass.

--- a/src/libs/base/text.h
+++ b/src/libs/base/text.h
@@ -22,6 +22,13 @@
   std::string().swap(text);
 }
 
+// Frees the memory of an empty buffer that is kept for long, if it is large.
+inline void FreeIfLarge(std::string& buffer) {
+  constexpr size_t kKeptBytes = 1024;
+  if (buffer.capacity() > kKeptBytes)
+    FreeMemory(buffer);
+}
+
 // Reads the whole of `text` as a number; false if it is none or out of range.
 template <typename T>
 bool ParseNumber(std::string_view text, T* number, int radix = 10) {
--- a/src/libs/http_client/http_client_connection_answer.cc
+++ b/src/libs/http_client/http_client_connection_answer.cc
@@ -18,8 +18,6 @@
 // their bytes, and what each counts for at least.
 constexpr size_t kMaxSkippedBytes = 4 * 1024 * 1024;
 constexpr size_t kMinSkippedBytes = 64 * 1024;
-// Bytes that a kept connection keeps allocated.
-constexpr size_t kKeptCapacity = 1024;
 constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;
 constexpr unsigned kLastStatus = 599;
@@ -207,8 +205,8 @@
     return;
   }
   const bool is_clean = IsRequestRead(status) && in_.empty();
-  if (is_clean && in_.capacity() > kKeptCapacity)
-    base::FreeMemory(in_);
+  if (is_clean)
+    base::FreeIfLarge(in_);
   HttpTransfer& done = *std::exchange(transfer_, nullptr);
   done.connection = nullptr;
   if (keeps && is_clean)
--- a/src/libs/net/http_connection_limits.cc
+++ b/src/libs/net/http_connection_limits.cc
@@ -12,8 +12,6 @@
 namespace chestnutport::net {
 namespace {
 
-// Bytes that a connection keeps allocated while it has no input.
-constexpr size_t kKeptCapacity = 1024;
 // Beside its head: what the node keeps about a request until it is answered.
 constexpr size_t kRequestBytes = 2 * 1024;
 // A body that comes slower may be given up for new connections.
@@ -74,8 +72,8 @@
 }
 
 void HttpConnection::CountInput() {
-  if (in_.empty() && in_.capacity() > kKeptCapacity)
-    base::FreeMemory(in_);
+  if (in_.empty())
+    base::FreeIfLarge(in_);
   server_.RemoveInputBytes(
       std::exchange(counted_input_, closed_ ? 0 : InputBytes()));
   server_.AddInputBytes(counted_input_);
--- a/src/libs/net/http_connection_output.cc
+++ b/src/libs/net/http_connection_output.cc
@@ -13,8 +13,6 @@
 
 // Bytes serialized ahead of the socket: about what a small window takes.
 constexpr size_t kOutputSize = 64 * 1024;
-// Bytes that a connection keeps allocated while it has nothing to write.
-constexpr size_t kKeptCapacity = 1024;
 
 }  // namespace
 
@@ -119,9 +117,8 @@
     }
     out_offset_ += static_cast<size_t>(size);
   }
-  if (out_.capacity() > kKeptCapacity)
-    base::FreeMemory(out_);
   out_.clear();
+  base::FreeIfLarge(out_);
   out_offset_ = 0;
   server_.CheckIdleSoon();
   return true;
